--- /dev/null
+++ b/nutmegdeal/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: owns the one backend server beside it."""
--- /dev/null
+++ b/nutmegdeal/agent/policy.py
@@ -0,0 +1,103 @@
+"""Abstract policies of an agent: eviction, batch order and the weight store's share."""
+
+import abc
+
+import attrs
+
+from nutmegdeal.messages import Urgency
+
+
+@attrs.frozen
+class Waiting:
+    """A request in the agent's queue.
+
+    Parameters
+    ----------
+    attempt_id : str
+    adapter : str
+        Engine name, "" for a plain service.
+    urgency : Urgency
+    arrived_ms, deadline_ms : float
+        Monotonic times.
+    """
+
+    attempt_id: str
+    adapter: str
+    urgency: Urgency
+    arrived_ms: float
+    deadline_ms: float
+
+
+@attrs.frozen
+class SlotView:
+    """A resident adapter as an eviction policy sees it.
+
+    Parameters
+    ----------
+    adapter : str
+    pin_count : int
+    waiting_count : int
+        Requests in the queue for it.
+    last_used_ms : float
+    use_rate_per_s : float
+        Decayed rate of its requests.
+    loaded_at_ms : float
+    """
+
+    adapter: str
+    pin_count: int
+    waiting_count: int
+    last_used_ms: float
+    use_rate_per_s: float
+    loaded_at_ms: float
+
+
+class EvictionPolicy(abc.ABC):
+    """Chooses which adapter makes room."""
+
+    @abc.abstractmethod
+    def choose_victim(self, slots, now_ms):
+        """Return the adapter to evict (str), or None if none may go.
+
+        Parameters
+        ----------
+        slots : sequence of SlotView
+        now_ms : float
+        """
+
+
+class BatchOrder(abc.ABC):
+    """Orders the queue for dispatch and for loading."""
+
+    @abc.abstractmethod
+    def order_dispatch(self, waiting, resident, running, now_ms):
+        """Return the Waiting of resident adapters in the order to dispatch them.
+
+        Parameters
+        ----------
+        waiting : sequence of Waiting
+        resident : frozenset of str
+        running : mapping of str to int
+            Requests now running, by adapter.
+        now_ms : float
+        """
+
+    @abc.abstractmethod
+    def order_loads(self, waiting, present, now_ms):
+        """Return adapters that are not in `present`, most urgent load first."""
+
+
+class LoadBudget(abc.ABC):
+    """One agent's share of the weight store's limits."""
+
+    @abc.abstractmethod
+    def try_start(self, now_ms):
+        """Take leave to start one load; return whether it is given (bool)."""
+
+    @abc.abstractmethod
+    def finish(self, now_ms):
+        """Give back a load in transit that has ended, well or not."""
+
+    @abc.abstractmethod
+    def next_start_ms(self, now_ms):
+        """Return the monotonic time at which the next load may start (float)."""
--- /dev/null
+++ b/nutmegdeal/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: an abstract base class and an HTTP client for each kind."""
--- /dev/null
+++ b/nutmegdeal/clock.py
@@ -0,0 +1,58 @@
+"""Sources of time: the system's, and one that tests and simulations set."""
+
+import abc
+import time
+
+
+class Clock(abc.ABC):
+    """Source of wall-clock and monotonic time in milliseconds."""
+
+    @abc.abstractmethod
+    def unix_ms(self):
+        """Return the wall-clock time in ms since 1970 (int)."""
+
+    @abc.abstractmethod
+    def monotonic_ms(self):
+        """Return the time in ms on a clock that never steps back (float)."""
+
+
+class SystemClock(Clock):
+    """The clock of this host."""
+
+    def unix_ms(self):
+        """Return the wall-clock time in ms since 1970."""
+        return time.time_ns() // 1_000_000
+
+    def monotonic_ms(self):
+        """Return the host's monotonic time in ms."""
+        return time.monotonic_ns() / 1e6
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told to.
+
+    Parameters
+    ----------
+    start_unix_ms : int
+        The wall-clock time at monotonic time 0.
+    """
+
+    def __init__(self, start_unix_ms=1_700_000_000_000):
+        self._start_unix_ms = start_unix_ms
+        self._elapsed_ms = 0.0
+
+    def unix_ms(self):
+        """Return the set wall-clock time in ms since 1970."""
+        return self._start_unix_ms + int(self._elapsed_ms)
+
+    def monotonic_ms(self):
+        """Return the ms advanced so far."""
+        return self._elapsed_ms
+
+    def advance(self, step_ms):
+        """Move both times forward by `step_ms`."""
+        self._elapsed_ms += step_ms
+
+    def advance_to(self, monotonic_ms):
+        """Move to `monotonic_ms`, never backwards."""
+        self._elapsed_ms = max(self._elapsed_ms, monotonic_ms)
--- /dev/null
+++ b/nutmegdeal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: receives callers' requests, chooses replicas and answers."""
--- /dev/null
+++ b/nutmegdeal/settings.py
@@ -0,0 +1,295 @@
+"""Settings of one process: the table of defaults and the checked INI reader.
+
+The attrs classes below are the one table: a field is a key, its class a section. A
+team's policy is not here but in the configuration generated from its questionnaire.
+"""
+
+import configparser
+import pathlib
+
+import attrs
+
+from nutmegdeal.errors import Failure, Reason, Step
+
+MAX_PORT = 65_535
+
+
+def _key(default, text, allowed=None, secret=False):
+    """Return an attrs field that documents a key and what it allows."""
+    metadata = {"text": text, "allowed": allowed, "secret": secret}
+    return attrs.field(default=default, metadata=metadata)
+
+
+@attrs.frozen
+class Range:
+    """Allowed numbers of a key, both ends included."""
+
+    low: float
+    high: float
+
+    def accepts(self, value):
+        """Return whether `value` lies in the range."""
+        return self.low <= value <= self.high
+
+    def __str__(self):
+        return f"a number from {self.low:g} to {self.high:g}"
+
+
+@attrs.frozen
+class OneOf:
+    """Allowed words of a key."""
+
+    words: tuple[str, ...]
+
+    def accepts(self, value):
+        """Return whether `value` is one of the words."""
+        return value in self.words
+
+    def __str__(self):
+        return "one of " + ", ".join(self.words)
+
+
+@attrs.frozen
+class ProcessSettings:
+    """Section ``[process]``: who this process is."""
+
+    name: str = _key("", "Name in logs, accounts and status; empty: role and port.")
+    zone: str = _key("", "Availability zone of this host.")
+    log_level: str = _key(
+        "info", "Least level logged.", OneOf(("debug", "info", "warning", "error"))
+    )
+
+
+@attrs.frozen
+class ListenSettings:
+    """Section ``[listen]``: the one address this process binds to."""
+
+    host: str = _key("127.0.0.1", "IP address.")
+    port: int = _key(0, "TCP port; 0 takes a free one.", Range(0, MAX_PORT))
+
+
+@attrs.frozen
+class ChannelSettings:
+    """Section ``[channel]``: streams between entries and agents."""
+
+    shared_secret: str = _key("", "Secret that both ends must hold.", secret=True)
+    heartbeat_every_ms: int = _key(
+        2_000, "Pause between pings of an open stream.", Range(100, 60_000)
+    )
+    outbox_bytes_max: int = _key(
+        8_388_608, "Unsent bytes after which a stream is closed.", Range(65_536, 2**31)
+    )
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Section ``[platform]``: where the platform's services listen."""
+
+    table_url: str = _key("", "Base URL of the table service.")
+    objects_url: str = _key("", "Base URL of the object store.")
+    hosts_url: str = _key("", "Base URL of the host list.")
+    call_within_ms: int = _key(
+        1_500, "Longest wait for one call to the platform.", Range(10, 60_000)
+    )
+    hosts_poll_every_ms: int = _key(
+        1_000, "Pause between readings of the host list.", Range(50, 60_000)
+    )
+    head_poll_every_ms: int = _key(
+        1_000, "Pause between readings of the configuration head.", Range(50, 60_000)
+    )
+
+
+@attrs.frozen
+class EntrySettings:
+    """Section ``[entry]``: limits of an entry process."""
+
+    body_bytes_max: int = _key(1_048_576, "Largest request body.", Range(1_024, 2**30))
+    header_bytes_max: int = _key(
+        16_384, "Largest total of request headers.", Range(1_024, 2**20)
+    )
+    in_flight_max: int = _key(
+        2_000, "Requests in progress above which new ones are refused.", Range(1, 10**6)
+    )
+    answer_within_ms: int = _key(
+        30_000, "Deadline of a request that names none.", Range(100, 3_600_000)
+    )
+    attempts_max: int = _key(3, "Attempts at one request.", Range(1, 10))
+    retry_ratio: float = _key(
+        0.1, "Retries earned by each first attempt.", Range(0.0, 1.0)
+    )
+    drain_within_ms: int = _key(
+        600_000, "Longest wait for running requests at shutdown.", Range(0, 3_600_000)
+    )
+
+
+@attrs.frozen
+class AgentSettings:
+    """Section ``[agent]``: the backend server beside this agent."""
+
+    service: str = _key("", "Service that the backend server belongs to.")
+    backend_url: str = _key("", "Base URL of the backend server.")
+    backend_secret: str = _key(
+        "", "Secret sent to a backend server that checks orders.", secret=True
+    )
+    status_port: int = _key(
+        0,
+        "TCP port of /healthz, /readyz and /status; 0 takes a free one.",
+        Range(0, MAX_PORT),
+    )
+    queue_max: int = _key(512, "Requests that may wait at this agent.", Range(1, 10**6))
+    merge_frames_within_ms: int = _key(
+        25, "Longest hold of an answer's bytes to merge them.", Range(0, 80)
+    )
+    report_every_ms: int = _key(
+        500, "Pause between reports on an open stream.", Range(50, 60_000)
+    )
+    lease_term_ms: int = _key(
+        60_000, "Time from a renewal to the lease's deadline.", Range(1_000, 3_600_000)
+    )
+    clock_skew_ms: int = _key(
+        500, "Largest difference between two hosts' clocks.", Range(0, 60_000)
+    )
+    drain_within_ms: int = _key(
+        600_000, "Longest wait for running requests at shutdown.", Range(0, 3_600_000)
+    )
+
+
+@attrs.frozen
+class AccountSettings:
+    """Section ``[accounts]``: how events reach the object store."""
+
+    flush_every_ms: int = _key(
+        1_000, "Pause between segments written.", Range(50, 600_000)
+    )
+    buffer_events_max: int = _key(
+        100_000, "Events held while the store is down.", Range(100, 10**7)
+    )
+
+
+@attrs.frozen
+class TelemetrySettings:
+    """Section ``[telemetry]``: OpenTelemetry export."""
+
+    otlp_url: str = _key("", "Base URL of an OTLP/HTTP receiver; empty: no export.")
+    export_every_ms: int = _key(
+        10_000, "Pause between exports of metrics.", Range(100, 600_000)
+    )
+
+
+@attrs.frozen
+class Settings:
+    """All sections of one process."""
+
+    process: ProcessSettings = ProcessSettings()
+    listen: ListenSettings = ListenSettings()
+    channel: ChannelSettings = ChannelSettings()
+    platform: PlatformSettings = PlatformSettings()
+    entry: EntrySettings = EntrySettings()
+    agent: AgentSettings = AgentSettings()
+    accounts: AccountSettings = AccountSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+
+
+@attrs.frozen
+class Mistake:
+    """One invalid place of an INI file."""
+
+    section: str
+    key: str
+    text: str
+
+    def __str__(self):
+        place = f"[{self.section}] {self.key}".rstrip()
+        return f"{place}: {self.text}"
+
+
+@attrs.frozen
+class InvalidFile:
+    """Sentinel returned in place of a file's content, with all its mistakes."""
+
+    path: str
+    mistakes: tuple[Mistake, ...]
+
+    def __str__(self):
+        return "\n".join(f"{self.path}: {mistake}" for mistake in self.mistakes)
+
+
+def _parse_value(field, text):
+    """Return the typed value of a key, or raise ValueError saying what is allowed."""
+    allowed = field.metadata["allowed"]
+    wanted = str(allowed) if allowed else f"a value of type {field.type.__name__}"
+    try:
+        value = field.type(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not {wanted}") from None
+    if allowed and not allowed.accepts(value):
+        raise ValueError(f"{text!r} is not {wanted}")
+    return value
+
+
+def _parse_section(section_class, name, pairs, mistakes):
+    """Return the section's attrs object; append what is wrong to `mistakes`."""
+    fields = attrs.fields_dict(section_class)
+    values = {}
+    for key, text in pairs.items():
+        if key not in fields:
+            allowed = ", ".join(sorted(fields))
+            mistakes.append(Mistake(name, key, f"unknown key; allowed: {allowed}"))
+            continue
+        try:
+            values[key] = _parse_value(fields[key], text)
+        except ValueError as error:
+            mistakes.append(Mistake(name, key, str(error)))
+    return section_class(**values)
+
+
+def read_ini(path):
+    """Return a ConfigParser of the file at `path`, or an InvalidFile."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.optionxform = str
+    try:
+        parser.read_string(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, configparser.Error) as error:
+        return InvalidFile(str(path), (Mistake("", "", str(error)),))
+    return parser
+
+
+def load(path, required=()):
+    """Read the settings of a process.
+
+    Parameters
+    ----------
+    path : str
+    required : sequence of str
+        ``section.key`` names that must not be empty.
+
+    Returns
+    -------
+    Settings or InvalidFile
+        An InvalidFile names all mistakes at once.
+    """
+    parser = read_ini(path)
+    if isinstance(parser, InvalidFile):
+        return parser
+    mistakes = []
+    classes = {field.name: field.type for field in attrs.fields(Settings)}
+    sections = {}
+    for name in parser.sections():
+        if name not in classes:
+            allowed = ", ".join(sorted(classes))
+            mistakes.append(Mistake(name, "", f"unknown section; allowed: {allowed}"))
+            continue
+        sections[name] = _parse_section(classes[name], name, parser[name], mistakes)
+    settings = Settings(**sections)
+    for dotted in required:
+        section, _, key = dotted.partition(".")
+        if not getattr(getattr(settings, section), key):
+            mistakes.append(Mistake(section, key, "must be set"))
+    if mistakes:
+        return InvalidFile(str(path), tuple(mistakes))
+    return settings
+
+
+def as_failure(invalid):
+    """Return an InvalidFile as a Failure of the step CONFIGURE."""
+    return Failure(Reason.BAD_REQUEST, Step.CONFIGURE, invalid.path, str(invalid))
