Add the segment recorder and OpenTelemetry spans and metrics

Events are stored as msgpack segments whose sequence numbers and covers-to time let a reader tell a missing segment from silence. A failed write is repeated with the same bytes under the same name, since it may have taken effect. Ruled out: an idle process writing empty segments, which would grow without bound; it overwrites one watermark.

--- a/nutmegdeal/settings.py
+++ b/nutmegdeal/settings.py
@@ -164,6 +164,9 @@
     buffer_events_max: int = _key(
         100_000, "Events held while the store is down.", Range(100, 10**7)
     )
+    watermark_every_ms: int = _key(
+        60_000, "Longest pause between watermarks while idle.", Range(50, 3_600_000)
+    )
 
 
 @attrs.frozen
--- /dev/null
+++ b/nutmegdeal/telemetry.py
@@ -0,0 +1,187 @@
+"""Spans and metrics by OpenTelemetry, exported over OTLP/HTTP if the settings say so.
+
+Without export a span only passes the trace context of its caller on, and a
+measurement is one test of a module variable.
+"""
+
+import contextlib
+
+import attrs
+from opentelemetry import context, trace
+from opentelemetry.exporter.otlp.proto.http.metric_exporter import OTLPMetricExporter
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import PeriodicExportingMetricReader
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+TRACEPARENT = "traceparent"
+ATTRIBUTE_PREFIX = "nutmegdeal."
+
+_propagator = TraceContextTextMapPropagator()
+
+
+class Span:
+    """What `start_span` yields: one hop of a request.
+
+    Parameters
+    ----------
+    traceparent : str
+        W3C trace context to send to the next hop, ``""`` if there is none.
+    span : opentelemetry.trace.Span
+    """
+
+    def __init__(self, traceparent, span=trace.INVALID_SPAN):
+        self.traceparent = traceparent
+        self._span = span
+
+    def set_attribute(self, name, value):
+        """Add an attribute (str, int, float or bool) that was not known before."""
+        self._span.set_attribute(ATTRIBUTE_PREFIX + name, value)
+
+
+_NO_SPAN = Span("")
+
+
+@attrs.frozen
+class _Export:
+    """Providers and instruments of a process that exports."""
+
+    tracer_provider: TracerProvider
+    meter_provider: MeterProvider
+    tracer: trace.Tracer
+    load_stall: object
+    batch_fill: object
+
+
+_export = None
+
+
+def configure(settings, process_name):
+    """Start the export of this process, or leave it off.
+
+    Parameters
+    ----------
+    settings : TelemetrySettings
+        No export if ``otlp_url`` is empty.
+    process_name : str
+        ``service.name`` of the exported data.
+    """
+    base_url = settings.otlp_url.rstrip("/")
+    if not base_url:
+        install(None, None)
+        return
+    resource = Resource.create({"service.name": process_name})
+    tracer_provider = TracerProvider(resource=resource)
+    span_exporter = OTLPSpanExporter(f"{base_url}/v1/traces")
+    tracer_provider.add_span_processor(BatchSpanProcessor(span_exporter))
+    reader = PeriodicExportingMetricReader(
+        OTLPMetricExporter(f"{base_url}/v1/metrics"),
+        export_interval_millis=settings.export_every_ms,
+    )
+    install(tracer_provider, MeterProvider([reader], resource))
+
+
+def install(tracer_provider, meter_provider):
+    """Use these OpenTelemetry SDK providers from now on; None turns export off."""
+    global _export
+    if tracer_provider is None:
+        _export = None
+        return
+    meter = meter_provider.get_meter("nutmegdeal")
+    _export = _Export(
+        tracer_provider,
+        meter_provider,
+        tracer_provider.get_tracer("nutmegdeal"),
+        meter.create_histogram(
+            "nutmegdeal.load_stall",
+            unit="ms",
+            description="Time a request waited for its adapter to arrive",
+        ),
+        meter.create_histogram(
+            "nutmegdeal.batch_fill",
+            unit="1",
+            description="Requests running in a backend server over its batch size",
+        ),
+    )
+
+
+def shutdown():
+    """Export what is pending and stop; called once at the end of a process."""
+    if _export is None:
+        return
+    _export.tracer_provider.shutdown()
+    _export.meter_provider.shutdown()
+
+
+@contextlib.contextmanager
+def start_span(name, traceparent="", **attributes):
+    """Measure one hop of a request as the current span.
+
+    Parameters
+    ----------
+    name : str
+    traceparent : str
+        W3C trace context of the hop before, ``""`` to start a trace.
+    **attributes : str, int, float or bool
+        Such as ``request_id``, ``attempt``, ``adapter``, ``version`` and
+        ``generation``.
+
+    Yields
+    ------
+    Span
+    """
+    if _export is None and not traceparent:
+        yield _NO_SPAN
+        return
+    parent = _propagator.extract({TRACEPARENT: traceparent}, context.Context())
+    if _export is None:
+        with _current(trace.get_current_span(parent)):
+            yield Span(traceparent)
+        return
+    named = {ATTRIBUTE_PREFIX + key: value for key, value in attributes.items()}
+    span = _export.tracer.start_span(name, parent, attributes=named)
+    with trace.use_span(span, end_on_exit=True):
+        carrier = {}
+        _propagator.inject(carrier)
+        yield Span(carrier.get(TRACEPARENT, ""), span)
+
+
+@contextlib.contextmanager
+def _current(span):
+    """Make a span of another process current, so that logs carry its ids."""
+    token = context.attach(trace.set_span_in_context(span))
+    try:
+        yield
+    finally:
+        context.detach(token)
+
+
+def record_load_stall(load_stall_ms, service):
+    """Record how long a request waited for its adapter to arrive.
+
+    Parameters
+    ----------
+    load_stall_ms : float
+    service : str
+    """
+    if _export is None:
+        return
+    _export.load_stall.record(load_stall_ms, {"service": service})
+
+
+def record_batch(running_count, batch_size_max, service):
+    """Record how full the batch of a backend server is.
+
+    Parameters
+    ----------
+    running_count : int
+    batch_size_max : int
+        Requests that it runs at once.
+    service : str
+    """
+    if _export is None:
+        return
+    _export.batch_fill.record(running_count / batch_size_max, {"service": service})
--- a/nutmegdeal/tests/builders.py
+++ b/nutmegdeal/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+from nutmegdeal.accounts import Event
 from nutmegdeal.configuration import (
     AdapterPolicy,
     Configuration,
@@ -7,7 +8,9 @@
     ServicePolicy,
     WeightStorePolicy,
 )
+from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.messages import BackendKind, Submit, Urgency
+from nutmegdeal.platform.objects import ObjectStore
 
 
 def build_submit(**changes):
@@ -89,3 +92,60 @@
         "adapters": {adapter.name: adapter for adapter in adapters},
     }
     return Configuration(**{**values, **changes})
+
+
+def build_event(**changes):
+    """Return an Event of an entry that received a request."""
+    values = {
+        "request_id": "e1-1",
+        "at_unix_ms": 1_700_000_000_000,
+        "process": "entry-1",
+        "incarnation": "e1",
+        "step": Step.RECEIVE,
+        "outcome": "received",
+    }
+    return Event(**{**values, **changes})
+
+
+class FaultyObjects(ObjectStore):
+    """An object store in memory with one fault at a time.
+
+    Attributes
+    ----------
+    stored : dict of str to bytes
+    fault : str
+        ``""``, ``"down"``, or ``"answer lost"`` after a write took effect.
+    """
+
+    def __init__(self):
+        self.stored = {}
+        self.fault = ""
+
+    def put(self, name, body):
+        """Store `body` unless the store is down."""
+        if self.fault != "down":
+            self.stored[name] = body
+        if not self.fault:
+            return None
+        return self._failure(maybe_applied=self.fault == "answer lost")
+
+    def get(self, name):
+        """Return the bytes under `name`, None, or a Failure."""
+        if self.fault:
+            return self._failure(maybe_applied=False)
+        return self.stored.get(name)
+
+    def list_names(self, prefix, after="", limit=1000):
+        """Return sorted names, or a Failure."""
+        if self.fault:
+            return self._failure(maybe_applied=False)
+        names = [name for name in self.stored if name.startswith(prefix)]
+        return tuple(sorted(name for name in names if name > after)[:limit])
+
+    def _failure(self, maybe_applied):
+        return Failure(
+            Reason.STORE_UNAVAILABLE,
+            Step.FLUSH,
+            "objects",
+            maybe_applied=maybe_applied,
+        )
