--- a/nutmegdeal/errors.py
+++ b/nutmegdeal/errors.py
@@ -62,6 +62,7 @@
     FLUSH = "flush"
     REPORT = "report"
     DRAIN = "drain"
+    PLATFORM = "platform"
 
 
 @attrs.frozen
--- /dev/null
+++ b/nutmegdeal/platform/client.py
@@ -0,0 +1,149 @@
+"""HTTP calls to the platform's services; one that writes is sent at most once."""
+
+import json
+import time
+
+import attrs
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from nutmegdeal.errors import Failure, Reason, Step
+
+CONNECTIONS_MAX = 16
+LEAST_WAIT_S = 0.001
+CHUNK_BYTES = 65_536
+ANSWER_BYTES_MAX = 67_108_864
+NEVER_SENT_ERRORS = (ConnectTimeoutError, NewConnectionError)
+JSON_TYPE = "application/json"
+
+
+@attrs.frozen
+class HttpAnswer:
+    """A whole answer.
+
+    Parameters
+    ----------
+    status_code : int
+    body : bytes
+    """
+
+    status_code: int
+    body: bytes
+
+    def json(self):
+        """Return the decoded body, or None if it is not a JSON object."""
+        try:
+            decoded = json.loads(self.body)
+        except ValueError:
+            return None
+        return decoded if isinstance(decoded, dict) else None
+
+    def says(self, status_code, error):
+        """Return whether this is an error answer of a status and error word."""
+        if self.status_code != status_code:
+            return False
+        decoded = self.json()
+        return decoded is not None and decoded.get("error") == error
+
+
+class HttpClient:
+    """Connections to one service of the platform.
+
+    Parameters
+    ----------
+    base_url : str
+    within_ms : int
+        Longest wait for one call.
+    """
+
+    def __init__(self, base_url, within_ms):
+        self.peer = base_url.rstrip("/")
+        self._within_s = within_ms / 1000
+        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS_MAX, retries=False)
+
+    def call(self, method, path, body=None, content_type=JSON_TYPE):
+        """Send a request once and wait for the whole answer.
+
+        Returns
+        -------
+        HttpAnswer or Failure
+            The Failure has ``maybe_applied=False`` only if the service cannot have
+            received the request.
+        """
+        return self._call(method, path, body, content_type, self._deadline_s())
+
+    def query(self, method, path, body=None):
+        """Send a request that changes nothing, and once more if its connection broke.
+
+        Returns
+        -------
+        HttpAnswer or Failure
+            The Failure has ``maybe_applied=False``.
+        """
+        deadline_s = self._deadline_s()
+        answer = self._call(method, path, body, JSON_TYPE, deadline_s)
+        if isinstance(answer, Failure) and time.monotonic() < deadline_s:
+            answer = self._call(method, path, body, JSON_TYPE, deadline_s)
+        if isinstance(answer, Failure):
+            return attrs.evolve(answer, maybe_applied=False)
+        return answer
+
+    def _deadline_s(self):
+        return time.monotonic() + self._within_s
+
+    def _call(self, method, path, body, content_type, deadline_s):
+        headers = {"Content-Type": content_type} if body is not None else {}
+        remaining_s = max(deadline_s - time.monotonic(), LEAST_WAIT_S)
+        try:
+            response = self._pool.request(
+                method,
+                self.peer + path,
+                body=body,
+                headers=headers,
+                timeout=urllib3.Timeout(total=remaining_s),
+                redirect=False,
+                preload_content=False,
+            )
+            return self._read_answer(response, deadline_s)
+        except NEVER_SENT_ERRORS as error:
+            return self.fail(str(error), maybe_applied=False)
+        except (HTTPError, OSError) as error:
+            return self.fail(str(error), maybe_applied=True)
+
+    def _read_answer(self, response, deadline_s):
+        body = bytearray()
+        try:
+            while chunk := response.read(CHUNK_BYTES):
+                body += chunk
+                if len(body) > ANSWER_BYTES_MAX:
+                    return self._give_up(response, "the answer is too large")
+                if time.monotonic() > deadline_s:
+                    return self._give_up(response, "the answer took too long")
+        except (HTTPError, OSError):
+            response.close()
+            raise
+        response.release_conn()
+        return HttpAnswer(response.status, bytes(body))
+
+    def _give_up(self, response, detail):
+        response.close()
+        return self.fail(detail, maybe_applied=True)
+
+    def fail(self, detail, maybe_applied):
+        """Return a Failure of this service."""
+        return Failure(
+            Reason.STORE_UNAVAILABLE,
+            Step.PLATFORM,
+            self.peer,
+            detail,
+            maybe_applied=maybe_applied,
+        )
+
+    def fail_unexpected(self, answer, maybe_applied):
+        """Return a Failure for an answer that the protocol does not foresee."""
+        start = answer.body[:200].decode("utf-8", "replace")
+        return self.fail(f"HTTP {answer.status_code}: {start}", maybe_applied)
--- a/nutmegdeal/platform/hosts.py
+++ b/nutmegdeal/platform/hosts.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+from nutmegdeal.errors import Failure
+from nutmegdeal.platform.client import HttpClient
+
 
 class HostState(enum.Enum):
     """State of a host in the list."""
@@ -43,3 +46,40 @@
     @abc.abstractmethod
     def read(self):
         """Return a tuple of Host, or a Failure."""
+
+
+def _decode_host(data):
+    return Host(
+        host_id=str(data["host_id"]),
+        service=str(data["service"]),
+        zone=str(data["zone"]),
+        agent_host=str(data["agent_host"]),
+        agent_port=int(data["agent_port"]),
+        state=HostState(data["state"]),
+    )
+
+
+class HttpHostList(HostList):
+    """The host list over HTTP.
+
+    Parameters
+    ----------
+    base_url : str
+    within_ms : int
+        Longest wait for one call.
+    """
+
+    def __init__(self, base_url, within_ms):
+        self._client = HttpClient(base_url, within_ms)
+
+    def read(self):
+        """Return a tuple of Host, or a Failure."""
+        answer = self._client.query("GET", "/hosts")
+        if isinstance(answer, Failure):
+            return answer
+        try:
+            if answer.status_code == 200:
+                return tuple(map(_decode_host, answer.json()["hosts"]))
+        except (KeyError, TypeError, ValueError):
+            pass
+        return self._client.fail_unexpected(answer, maybe_applied=False)
--- a/nutmegdeal/platform/table.py
+++ b/nutmegdeal/platform/table.py
@@ -1,9 +1,14 @@
 """The platform's transactional table service."""
 
 import abc
+import base64
+import json
 
 import attrs
 
+from nutmegdeal.errors import Failure
+from nutmegdeal.platform.client import HttpClient
+
 
 @attrs.frozen
 class Row:
@@ -94,3 +99,77 @@
         -------
         Written, Conflict or Failure
         """
+
+
+def _decode_row(data):
+    value = base64.b64decode(data["value"], validate=True)
+    return Row(str(data["key"]), value, int(data["version"]))
+
+
+def _decode_read(data):
+    row = data["row"]
+    return None if row is None else _decode_row(row)
+
+
+def _decode_rows(data):
+    return tuple(_decode_row(row) for row in data["rows"])
+
+
+def _encode_write(write):
+    value = write.value
+    return {
+        "key": write.key,
+        "value": None if value is None else base64.b64encode(value).decode("ascii"),
+        "expected_version": write.expected_version,
+    }
+
+
+class HttpTableService(TableService):
+    """The table service over HTTP; no call is sent twice.
+
+    Parameters
+    ----------
+    base_url : str
+    within_ms : int
+        Longest wait for one call.
+    """
+
+    def __init__(self, base_url, within_ms):
+        self._client = HttpClient(base_url, within_ms)
+
+    def read(self, key):
+        """Return the Row under `key`, None if there is none, or a Failure."""
+        return self._query("/read", {"key": key}, _decode_read)
+
+    def scan(self, prefix, after="", limit=1000):
+        """Return up to `limit` Rows, in key order, with a prefix and beyond `after`."""
+        query = {"prefix": prefix, "after": after, "limit": limit}
+        return self._query("/scan", query, _decode_rows)
+
+    def _query(self, path, query, decode):
+        answer = self._client.query("POST", path, json.dumps(query))
+        if isinstance(answer, Failure):
+            return answer
+        if answer.status_code != 200:
+            return self._client.fail_unexpected(answer, maybe_applied=False)
+        try:
+            return decode(answer.json())
+        except (KeyError, TypeError, ValueError):
+            return self._client.fail_unexpected(answer, maybe_applied=False)
+
+    def write(self, writes):
+        """Apply a sequence of Write all together or not at all."""
+        body = json.dumps({"writes": [_encode_write(write) for write in writes]})
+        answer = self._client.call("POST", "/write", body)
+        if isinstance(answer, Failure):
+            return answer
+        if answer.says(503, "unavailable"):
+            return self._client.fail_unexpected(answer, maybe_applied=False)
+        try:
+            if answer.says(409, "conflict"):
+                return Conflict(_decode_rows(answer.json()))
+            if answer.status_code == 200:
+                return Written(tuple(map(int, answer.json()["versions"])))
+        except (KeyError, TypeError, ValueError):
+            pass
+        return self._client.fail_unexpected(answer, maybe_applied=True)
