--- a/nutmegdeal/accounts.py
+++ b/nutmegdeal/accounts.py
@@ -1,7 +1,18 @@
-"""Events in a request's life, from which its account is joined."""
+"""Events in a request's life, from which its account is joined.
+
+What `explanations` relies on:
+
+- An entry records ``SENT`` in step SUBMIT, with the agent's id and incarnation as the
+  peer, before it sends an attempt; and last of all, in step ANSWER, the fate that the
+  caller was told.
+- An agent records ``SENT`` in step DISPATCH before it sends an attempt to the backend
+  server; and last of all, in step ANSWER, the fate of the attempt.
+- Nobody records an event of a request before the event that caused it.
+"""
 
 import abc
 import collections
+import enum
 
 import attrs
 import gevent
@@ -18,6 +29,21 @@
 RECORDING_LAG_MS = 50
 
 
+class Outcome(enum.StrEnum):
+    """What happened, besides a `messages.Fate` or an `errors.Reason`."""
+
+    RECEIVED = "received"
+    RESOLVED = "resolved"
+    SENT = "sent"
+    ADMITTED = "admitted"
+    REFUSED = "refused"
+    QUEUED = "queued"
+    LOADED = "loaded"
+    CLAIMED = "claimed"
+    STARTED = "started"
+    ENDED = "ended"
+
+
 @attrs.frozen
 class Event:
     """One thing that happened to a request.
@@ -32,14 +58,17 @@
         Incarnation of that process.
     step : Step
     outcome : str
-        What happened in one word: ``received``, ``sent``, ``refused``, a fate or a
-        reason.
+        What happened in one word: the value of an `Outcome`, a `messages.Fate` or an
+        `errors.Reason`.
     attempt_id : str
     peer : str
         Other process or server involved.
     adapter, version : str
     generation : int
     detail : str
+        One sentence for a person.
+    peer_incarnation : str
+        Incarnation of the peer, if it is known.
     """
 
     request_id: str
@@ -54,6 +83,7 @@
     version: str = ""
     generation: int = 0
     detail: str = ""
+    peer_incarnation: str = ""
 
 
 class Recorder(abc.ABC):
