--- /dev/null
+++ b/nutmegdeal/agent/attempts.py
@@ -0,0 +1,150 @@
+"""One attempt at a request, from its arrival at the agent to its last message."""
+
+import enum
+import hashlib
+
+import attrs
+
+from nutmegdeal.agent.policy import Waiting
+from nutmegdeal.identifiers import AdapterRef
+from nutmegdeal.messages import (
+    AnswerEnd,
+    AnswerFrame,
+    AnswerHead,
+    AttemptEnded,
+    Submit,
+)
+
+
+class AttemptState(enum.Enum):
+    """How far an attempt has come.
+
+    An attempt in AWAITING_OUTCOME is a repeat of a request that another attempt has
+    sent; it waits for the recorded outcome and takes no place in the batch.
+    """
+
+    WAITING = "waiting"
+    CLAIMING = "claiming"
+    DISPATCHED = "dispatched"
+    AWAITING_OUTCOME = "awaiting_outcome"
+    ENDED = "ended"
+
+
+def engine_name_of(submit):
+    """Return the engine name of the adapter that a Submit addresses, or ""."""
+    if not submit.adapter:
+        return ""
+    return AdapterRef(submit.adapter, submit.version).engine_name
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """An attempt and its stream.
+
+    Parameters
+    ----------
+    submit : Submit
+    session : channel.Session
+        The stream on which it came and on which its answer goes.
+    arrived_ms, deadline_ms : float
+        Monotonic times.
+    state : AttemptState
+    is_cancelled : bool
+        True once the entry no longer wants the answer.
+    load_wait_from_ms : float or None
+        Since when it has waited for its adapter; None while it doesn't.
+    load_stall_ms, queue_ms : float
+        Time spent waiting for the adapter, and for other reasons.
+    degree_hint : int
+        Number of homes to advise for the adapter, 0 for no advice.
+    greenlet : gevent.Greenlet or None
+        Runs the attempt once it has left the queue.
+    is_muted : bool
+        True once the entry was told a fate or doesn't listen any more.
+    """
+
+    submit: Submit
+    session: object
+    arrived_ms: float
+    deadline_ms: float
+    state: AttemptState = AttemptState.WAITING
+    is_cancelled: bool = False
+    load_wait_from_ms: float | None = None
+    load_stall_ms: float = 0.0
+    queue_ms: float = 0.0
+    degree_hint: int = 0
+    greenlet: object = None
+    is_muted: bool = False
+    _frame_count: int = 0
+    _digest: object = attrs.field(factory=hashlib.sha256)
+
+    @property
+    def attempt_id(self):
+        """Id of the attempt."""
+        return self.submit.attempt_id
+
+    @property
+    def adapter(self):
+        """Engine name of its adapter, "" for a plain service."""
+        return engine_name_of(self.submit)
+
+    @property
+    def waiting(self):
+        """The attempt as the policies see it while it waits."""
+        return Waiting(
+            self.attempt_id,
+            self.adapter,
+            self.submit.urgency,
+            self.arrived_ms,
+            self.deadline_ms,
+        )
+
+    def send_head(self, status_code, content_type):
+        """Send the answer's status and type."""
+        self._send(AnswerHead(self.attempt_id, status_code, content_type))
+
+    def _send(self, message):
+        if not self.is_muted:
+            self.session.send(message)
+
+    def send_frame(self, payload):
+        """Send the next bytes of the answer."""
+        frame = AnswerFrame(self.attempt_id, self._frame_count, payload)
+        self._frame_count += 1
+        self._digest.update(payload)
+        self._send(frame)
+
+    def send_end(self):
+        """Send the proof that the answer is whole."""
+        self._send(
+            AnswerEnd(
+                self.attempt_id,
+                self._frame_count,
+                self._digest.hexdigest(),
+                self.load_stall_ms,
+                self.queue_ms,
+                self.degree_hint,
+            )
+        )
+
+    def send_failure(self, fate, failure, retry_at_unix_ms=0):
+        """End the attempt without a whole answer.
+
+        Parameters
+        ----------
+        fate : Fate
+        failure : Failure
+        retry_at_unix_ms : int
+        """
+        self._send(
+            AttemptEnded(
+                self.attempt_id,
+                fate,
+                failure.reason,
+                failure.step,
+                failure.peer,
+                failure.detail,
+                retry_at_unix_ms,
+                self.degree_hint,
+            )
+        )
--- /dev/null
+++ b/nutmegdeal/agent/blackboard.py
@@ -0,0 +1,103 @@
+"""What an agent knows now; its controllers read it and write their own part."""
+
+import collections
+
+import attrs
+import gevent.event
+
+from nutmegdeal.agent.attempts import Attempt, AttemptState
+from nutmegdeal.agent.slots import SlotTable
+from nutmegdeal.configuration import Configuration, ServicePolicy
+
+RUNNING_STATES = (AttemptState.CLAIMING, AttemptState.DISPATCHED)
+
+
+@attrs.define(eq=False)
+class Blackboard:
+    """State of one agent.
+
+    Parameters
+    ----------
+    agent_id : str
+        IP address and port of its channel.
+    incarnation, service, zone : str
+    configuration : Configuration or None
+        The one in force, None before the first.
+    slots : SlotTable
+        Adapters at the model engine; empty for a plain service.
+    attempts : dict of str to Attempt
+        All attempts that have not ended, by id.
+    sessions : set of channel.Session
+        Open streams.
+    is_leaving : bool
+        True once no new work is taken.
+    has_report : bool
+        True once the model engine has reported; always for a plain service.
+    batch_size_max : int
+        Requests that the backend server runs at once.
+    engine_running_count : int
+        Requests in the model engine's batch by its newest report, of any sender.
+    may_order : bool
+        True while the lease allows load and unload orders.
+    may_dispatch : bool
+        False after the lease has lapsed, until it is known whether another agent
+        has taken over.
+    run_ms : float
+        Moving average of what a request takes at the backend server.
+    changed : gevent.event.Event
+        Set when there may be something to plan.
+    """
+
+    agent_id: str
+    incarnation: str
+    service: str
+    zone: str
+    configuration: Configuration | None = None
+    slots: SlotTable = attrs.field(factory=lambda: SlotTable(0))
+    attempts: dict[str, Attempt] = attrs.field(factory=dict)
+    sessions: set = attrs.field(factory=set)
+    is_leaving: bool = False
+    has_report: bool = False
+    batch_size_max: int = 1
+    engine_running_count: int = 0
+    may_order: bool = False
+    may_dispatch: bool = True
+    run_ms: float = 0.0
+    changed: gevent.event.Event = attrs.field(factory=gevent.event.Event)
+
+    @property
+    def policy(self):
+        """ServicePolicy in force, or None if there is none."""
+        if self.configuration is None:
+            return None
+        return self.configuration.services.get(self.service)
+
+    @property
+    def generation(self):
+        """Generation of the configuration in force, 0 before the first."""
+        return self.configuration.generation if self.configuration else 0
+
+    @property
+    def is_ready(self):
+        """True if new work can be taken."""
+        return self.policy is not None and self.has_report and not self.is_leaving
+
+    def waiting(self):
+        """Return the attempts that are not yet taken for dispatch, oldest first."""
+        return [
+            attempt
+            for attempt in self.attempts.values()
+            if attempt.state is AttemptState.WAITING
+        ]
+
+    def running_by_adapter(self):
+        """Return the number of attempts in the batch or about to be, by engine name."""
+        return collections.Counter(
+            attempt.adapter
+            for attempt in self.attempts.values()
+            if attempt.state in RUNNING_STATES
+        )
+
+    def notify(self):
+        """Wake the scheduler."""
+        self.changed.set()
--- /dev/null
+++ b/nutmegdeal/agent/budgets.py
@@ -0,0 +1,252 @@
+"""Shares of the weight store's limits that agents hold without a coordinator."""
+
+import attrs
+
+from nutmegdeal.agent.policy import LoadBudget
+
+MS_PER_S = 1_000.0
+
+
+class RateBudget(LoadBudget):
+    """A fixed part of the store's rate, with a bound on loads in transit.
+
+    Parameters
+    ----------
+    loads_per_s : float
+    transit_max : int
+        Loads that this agent may have in transit.
+    burst_count : float
+        Loads that may start at once after a pause.
+    """
+
+    def __init__(self, loads_per_s, transit_max=1, burst_count=1.0):
+        self._burst_count = burst_count
+        self._level_count = burst_count
+        self._updated_ms = 0.0
+        self.transit_count = 0
+        self.set_share(loads_per_s, transit_max)
+
+    def set_share(self, loads_per_s, transit_max):
+        """Change the share from now on."""
+        self._loads_per_s = loads_per_s
+        self._transit_max = transit_max
+
+    def try_start(self, now_ms):
+        """Take leave to start one load; return whether it is given."""
+        self._fill(now_ms)
+        if self._level_count < 1.0 or self.transit_count >= self._transit_max:
+            return False
+        self._level_count -= 1.0
+        self.transit_count += 1
+        return True
+
+    def finish(self, now_ms):
+        """Give back a load in transit that has ended."""
+        self.transit_count = max(0, self.transit_count - 1)
+
+    def next_start_ms(self, now_ms):
+        """Return when the next load may start, as far as the rate decides."""
+        self._fill(now_ms)
+        missing_count = max(0.0, 1.0 - self._level_count)
+        return now_ms + missing_count / self._loads_per_s * MS_PER_S
+
+    def _fill(self, now_ms):
+        elapsed_s = max(0.0, now_ms - self._updated_ms) / MS_PER_S
+        level_count = self._level_count + elapsed_s * self._loads_per_s
+        # Rounding must not leave a bucket a hair below a whole load for ever.
+        self._level_count = min(self._burst_count, round(level_count, 9))
+        self._updated_ms = max(self._updated_ms, now_ms)
+
+
+class EqualShareBudget(RateBudget):
+    """The store's limits divided by the number of live agents.
+
+    Parameters
+    ----------
+    weight_store : WeightStorePolicy
+    agent_count : int
+    """
+
+    def __init__(self, weight_store, agent_count):
+        self._weight_store = weight_store
+        super().__init__(weight_store.loads_per_s / agent_count)
+        self.set_agent_count(agent_count)
+
+    def set_agent_count(self, agent_count):
+        """Note how many agents share the store now."""
+        self._share(1.0 / max(1, agent_count))
+
+    def _share(self, fraction):
+        transit_max = int(self._weight_store.transit_max * fraction)
+        self.set_share(self._weight_store.loads_per_s * fraction, max(1, transit_max))
+
+
+class DemandShareBudget(EqualShareBudget):
+    """The store's limits divided by demand, as it was reported last.
+
+    Parameters
+    ----------
+    weight_store : WeightStorePolicy
+    agent_count : int
+    """
+
+    def set_demand(self, own_count, total_count, agent_count):
+        """Note the loads that are wanted here and at all agents.
+
+        Each agent counts as if it wanted one load more, so that none is left without.
+        """
+        self._share((own_count + 1) / (total_count + agent_count))
+
+
+@attrs.frozen
+class Hold:
+    """One load in transit, in the shared row.
+
+    Parameters
+    ----------
+    holder : str
+        Incarnation of the agent.
+    until_unix_ms : int
+        When the hold lapses, should its agent never give it back.
+    """
+
+    holder: str
+    until_unix_ms: int
+
+
+@attrs.frozen
+class TrancheRow:
+    """State of the weight store's limits, one row in the table service.
+
+    Parameters
+    ----------
+    next_start_unix_ms : float
+        When the next load may start.
+    holds : tuple of Hold
+    """
+
+    next_start_unix_ms: float = 0.0
+    holds: tuple[Hold, ...] = ()
+
+
+@attrs.frozen
+class Grant:
+    """Result of `take_grants`.
+
+    Parameters
+    ----------
+    row : TrancheRow
+        The row to write if nothing else was written meanwhile.
+    starts_unix_ms : tuple of float
+        When each granted load may start.
+    """
+
+    row: TrancheRow
+    starts_unix_ms: tuple[float, ...]
+
+
+HOLD_LAPSES_AFTER_MS = 4_000
+GRANT_AHEAD_MS = 500.0
+
+
+def take_grants(row, weight_store, holder, wanted_count, ended_count, now_unix_ms):
+    """Give back ended loads and take leave for new ones.
+
+    Parameters
+    ----------
+    row : TrancheRow
+    weight_store : WeightStorePolicy
+    holder : str
+        Incarnation of the agent.
+    wanted_count, ended_count : int
+    now_unix_ms : int
+
+    Returns
+    -------
+    Grant
+        With fewer starts than wanted if the limits leave no more, or none.
+    """
+    kept = _without_ended(row.holds, holder, ended_count, now_unix_ms)
+    gap_ms = MS_PER_S / weight_store.loads_per_s
+    burst_ms = gap_ms * (weight_store.full_speed_count - 1)
+    next_ms = max(row.next_start_unix_ms, now_unix_ms - burst_ms)
+    starts = []
+    room_count = weight_store.transit_max - len(kept)
+    while len(starts) < min(wanted_count, room_count):
+        if next_ms > now_unix_ms + GRANT_AHEAD_MS:
+            break
+        starts.append(max(next_ms, now_unix_ms))
+        next_ms += gap_ms
+    lapse = [Hold(holder, int(start) + HOLD_LAPSES_AFTER_MS) for start in starts]
+    return Grant(TrancheRow(next_ms, (*kept, *lapse)), tuple(starts))
+
+
+def _without_ended(holds, holder, ended_count, now_unix_ms):
+    live = [hold for hold in holds if hold.until_unix_ms > now_unix_ms]
+    own = [hold for hold in live if hold.holder == holder]
+    ended = sorted(own, key=lambda hold: hold.until_unix_ms)[:ended_count]
+    for hold in ended:
+        live.remove(hold)
+    return tuple(live)
+
+
+class TrancheBudget(LoadBudget):
+    """Starts loads by grants that a controller took from the shared row.
+
+    Parameters
+    ----------
+    clock : Clock
+        Grants are in wall-clock time, the budget's calls in monotonic time.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._starts_unix_ms = []
+        self.ended_count = 0
+        self.transit_count = 0
+        self.next_grant_unix_ms = 0.0
+
+    @property
+    def granted_count(self):
+        """Grants not yet used."""
+        return len(self._starts_unix_ms)
+
+    def accept(self, grant, returned_count):
+        """Take in a Grant whose row was written.
+
+        Parameters
+        ----------
+        grant : Grant
+        returned_count : int
+            Ended loads that the row no longer holds.
+        """
+        self._starts_unix_ms.extend(grant.starts_unix_ms)
+        self.next_grant_unix_ms = grant.row.next_start_unix_ms
+        self.ended_count -= returned_count
+
+    def drop_unused(self):
+        """Give back the grants that nothing waits for."""
+        self.ended_count += len(self._starts_unix_ms)
+        self._starts_unix_ms.clear()
+
+    def try_start(self, now_ms):
+        """Take leave to start one load; return whether it is given."""
+        if not self._starts_unix_ms:
+            return False
+        if self._starts_unix_ms[0] > self._clock.unix_ms():
+            return False
+        self._starts_unix_ms.pop(0)
+        self.transit_count += 1
+        return True
+
+    def finish(self, now_ms):
+        """Give back a load in transit that has ended."""
+        self.transit_count -= 1
+        self.ended_count += 1
+
+    def next_start_ms(self, now_ms):
+        """Return when the next load may start, as far as is known."""
+        next_unix_ms = self.next_grant_unix_ms
+        if self._starts_unix_ms:
+            next_unix_ms = self._starts_unix_ms[0]
+        return now_ms + max(0.0, next_unix_ms - self._clock.unix_ms())
--- /dev/null
+++ b/nutmegdeal/agent/claims.py
@@ -0,0 +1,198 @@
+"""Runs attempts at non-idempotent requests, each under a claim in the ledger."""
+
+import gevent
+
+from nutmegdeal.accounts import Outcome
+from nutmegdeal.agent.attempts import AttemptState
+from nutmegdeal.agent.dispatch import DeadlinePassed
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.ledger import (
+    AlreadyRecorded,
+    LedgerAnswer,
+    LedgerState,
+)
+from nutmegdeal.log import get_logger
+from nutmegdeal.messages import Fate
+
+logger = get_logger(__name__)
+
+OUTCOME_POLL_FIRST_MS = 50
+OUTCOME_POLL_MAX_MS = 1_000
+RECORD_RETRY_FIRST_MS = 200
+RECORD_RETRY_MAX_MS = 10_000
+RECORDED_BYTES_MAX = 262_144
+SERVER_ERROR_STATUS = 500
+
+
+class ClaimRunner:
+    """Sends a non-idempotent request only once its claim is confirmed.
+
+    Parameters
+    ----------
+    board : Blackboard
+    ledger : Ledger
+    dispatcher : Dispatcher
+    endings : Endings
+    events : EventLog
+    clock : Clock
+    """
+
+    def __init__(self, board, ledger, dispatcher, endings, events, clock):
+        self._board = board
+        self._ledger = ledger
+        self._dispatcher = dispatcher
+        self._endings = endings
+        self._events = events
+        self._clock = clock
+
+    def run(self, attempt):
+        """Run an attempt until its outcome is recorded.
+
+        The answer of a request that was sent is read and recorded even if the entry
+        has gone, so that a repeat of its key learns what happened.
+        """
+        attempt.state = AttemptState.CLAIMING
+        claim = self._ledger.begin(attempt.submit, self._board.incarnation)
+        if isinstance(claim, Failure):
+            self._end_unclaimed(attempt, claim)
+            return
+        if isinstance(claim, AlreadyRecorded):
+            self._replay(attempt, claim.row)
+            return
+        self._events.note(attempt.submit, Step.LEDGER, Outcome.CLAIMED)
+        if self._is_unwanted(attempt):
+            failure = Failure(
+                Reason.CANCELLED, Step.LEDGER, self._board.agent_id, "not sent"
+            )
+            self._endings.refuse(attempt, failure)
+            self._record(attempt, claim, LedgerState.NOT_RUN)
+            return
+        self._send(attempt, claim)
+
+    def _end_unclaimed(self, attempt, failure):
+        self._endings.refuse(attempt, failure)
+        if failure.maybe_applied:
+            self._ledger.withdraw(attempt.submit)
+
+    def _is_unwanted(self, attempt):
+        is_late = self._clock.monotonic_ms() >= attempt.deadline_ms
+        return attempt.is_cancelled or is_late
+
+    def _send(self, attempt, claim):
+        attempt.state = AttemptState.DISPATCHED
+        alarm = self._set_alarm(attempt)
+        until_expiry_ms = attempt.submit.expiry_unix_ms - self._clock.unix_ms()
+        try:
+            with gevent.Timeout(max(until_expiry_ms, 0) / 1000, DeadlinePassed):
+                self._exchange(attempt, claim)
+        except DeadlinePassed:
+            failure = Failure(
+                Reason.KEY_EXPIRED, Step.RELAY, self._board.agent_id, "no answer"
+            )
+            self._endings.fail(attempt, Fate.IN_DOUBT, failure)
+        finally:
+            alarm.kill(block=False)
+
+    def _set_alarm(self, attempt):
+        remaining_ms = attempt.deadline_ms - self._clock.monotonic_ms()
+        return gevent.spawn_later(
+            max(remaining_ms, 0.0) / 1000, self._tell_in_doubt, attempt
+        )
+
+    def _tell_in_doubt(self, attempt):
+        """Tell the entry at the deadline; the answer is still read and recorded."""
+        failure = Failure(
+            Reason.DEADLINE_PASSED,
+            Step.RELAY,
+            self._board.agent_id,
+            "sent, and not answered in time",
+        )
+        self._events.note(attempt.submit, Step.RELAY, failure.reason)
+        attempt.send_failure(Fate.IN_DOUBT, failure)
+        attempt.is_muted = True
+
+    def _exchange(self, attempt, claim):
+        started_ms = self._clock.monotonic_ms()
+        answer = self._dispatcher.call(attempt)
+        if isinstance(answer, Failure):
+            self._end_unanswered(attempt, claim, answer)
+            return
+        body = []
+        failure = self._dispatcher.relay(attempt, answer, body.append)
+        self._dispatcher.note_run(started_ms)
+        if failure is not None:
+            self._endings.fail(attempt, Fate.FAILED, failure)
+            self._record(attempt, claim, LedgerState.FAILED)
+            return
+        self._endings.complete(attempt)
+        is_error = answer.head.status_code >= SERVER_ERROR_STATUS
+        state = LedgerState.FAILED if is_error else LedgerState.COMPLETED
+        self._record(attempt, claim, state, _recorded(answer.head, b"".join(body)))
+
+    def _end_unanswered(self, attempt, claim, failure):
+        self._dispatcher.end_unanswered(attempt, failure)
+        if not failure.maybe_applied:
+            self._record(attempt, claim, LedgerState.NOT_RUN)
+        elif failure.reason is not Reason.CONNECTION_LOST:
+            self._record(attempt, claim, LedgerState.FAILED)
+
+    def _record(self, attempt, claim, state, answer=None):
+        """Write the outcome, again and again until the key expires."""
+        pause_ms = RECORD_RETRY_FIRST_MS
+        while True:
+            outcome = self._ledger.finish(claim, state, answer)
+            if not isinstance(outcome, Failure):
+                return
+            if outcome.reason is not Reason.STORE_UNAVAILABLE:
+                break
+            if self._clock.unix_ms() >= attempt.submit.expiry_unix_ms:
+                break
+            gevent.sleep(pause_ms / 1000)
+            pause_ms = min(2 * pause_ms, RECORD_RETRY_MAX_MS)
+        logger.warning("outcome_not_recorded", attempt=attempt.attempt_id)
+
+    def _replay(self, attempt, row):
+        """Answer a repeat by the recorded outcome, and wait for it if it is open."""
+        attempt.state = AttemptState.AWAITING_OUTCOME
+        self._board.notify()
+        row = self._await_outcome(attempt, row)
+        if isinstance(row, Failure):
+            self._endings.fail(attempt, Fate.IN_DOUBT, row)
+        elif row.state is LedgerState.NOT_RUN:
+            failure = self._failure(Reason.FENCED, "the attempt was withdrawn")
+            self._endings.refuse(attempt, failure)
+        elif row.answer is None:
+            failure = self._failure(
+                Reason.INCOMPLETE_ANSWER, f"{row.state.value}, no answer on record"
+            )
+            self._endings.fail(attempt, Fate.FAILED, failure)
+        else:
+            attempt.send_head(row.answer.status_code, row.answer.content_type)
+            attempt.send_frame(row.answer.body)
+            self._endings.complete(attempt)
+
+    def _failure(self, reason, detail):
+        return Failure(reason, Step.LEDGER, self._board.agent_id, detail)
+
+    def _await_outcome(self, attempt, row):
+        """Return the LedgerRow with an outcome, or a Failure at the deadline."""
+        pause_ms = OUTCOME_POLL_FIRST_MS
+        while True:
+            if row is not None and row.state is not LedgerState.DISPATCHED:
+                return row
+            if self._is_unwanted(attempt):
+                return self._failure(
+                    Reason.DEADLINE_PASSED, "another attempt's outcome is not known"
+                )
+            left_ms = attempt.deadline_ms - self._clock.monotonic_ms()
+            gevent.sleep(min(pause_ms, max(left_ms, 0.0)) / 1000)
+            pause_ms = min(2 * pause_ms, OUTCOME_POLL_MAX_MS)
+            found = self._ledger.lookup(attempt.submit)
+            row = None if isinstance(found, Failure) else found
+
+
+def _recorded(head, body):
+    """Return the LedgerAnswer to keep, or None for a body too large to keep."""
+    if len(body) > RECORDED_BYTES_MAX:
+        return None
+    return LedgerAnswer(head.status_code, head.content_type, body)
--- /dev/null
+++ b/nutmegdeal/agent/demand.py
@@ -0,0 +1,50 @@
+"""Decayed rates at which adapters are used."""
+
+import math
+
+import attrs
+
+RATE_DECAY_MS = 120_000.0
+RATES_MAX = 20_000
+MS_PER_S = 1_000.0
+
+
+@attrs.define
+class _Rate:
+    rate_per_s: float
+    last_used_ms: float
+
+
+class UseRates:
+    """Rates of use by adapter with exponential decay; the oldest are forgotten.
+
+    Parameters
+    ----------
+    decay_ms : float
+        Time after which an unused adapter's rate has fallen to 1/e.
+    """
+
+    def __init__(self, decay_ms=RATE_DECAY_MS):
+        self._decay_ms = decay_ms
+        self._rates = {}
+
+    def record(self, adapter, now_ms):
+        """Count one request for an adapter."""
+        rate_per_s = self.rate_per_s(adapter, now_ms) + MS_PER_S / self._decay_ms
+        self._rates.pop(adapter, None)
+        self._rates[adapter] = _Rate(rate_per_s, now_ms)
+        if len(self._rates) > RATES_MAX:
+            del self._rates[next(iter(self._rates))]
+
+    def rate_per_s(self, adapter, now_ms):
+        """Return the decayed rate of an adapter (float)."""
+        rate = self._rates.get(adapter)
+        if rate is None:
+            return 0.0
+        age_ms = now_ms - rate.last_used_ms
+        return rate.rate_per_s * math.exp(-age_ms / self._decay_ms)
+
+    def last_used_ms(self, adapter):
+        """Return when an adapter was last used, 0 if it is not known."""
+        rate = self._rates.get(adapter)
+        return rate.last_used_ms if rate else 0.0
--- /dev/null
+++ b/nutmegdeal/agent/dispatch.py
@@ -0,0 +1,158 @@
+"""Sends one attempt to the backend server and relays its answer."""
+
+import gevent
+
+from nutmegdeal import telemetry
+from nutmegdeal.accounts import Outcome
+from nutmegdeal.agent.attempts import AttemptState
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.messages import Fate
+
+RUN_SMOOTHING = 0.1
+SUCCESS_STATUS_MIN = 200
+SUCCESS_STATUS_MAX = 299
+
+
+class AttemptCancelled(gevent.GreenletExit):
+    """Raised in the greenlet of an attempt that nobody wants any more."""
+
+
+class DeadlinePassed(Exception):
+    """Raised in the greenlet of an attempt at its deadline."""
+
+
+class Dispatcher:
+    """Runs attempts that need no ledger row.
+
+    Parameters
+    ----------
+    board : Blackboard
+    backend : Backend
+    relay : Relay
+    endings : Endings
+    events : EventLog
+    clock : Clock
+    peer : str
+        Address of the backend server.
+    """
+
+    def __init__(self, board, backend, relay, endings, events, clock, peer):
+        self._board = board
+        self._backend = backend
+        self._relay = relay
+        self._endings = endings
+        self._events = events
+        self._clock = clock
+        self._peer = peer
+
+    def run(self, attempt):
+        """Run an attempt until it has ended; called in a greenlet of its own."""
+        if attempt.is_cancelled:
+            failure = Failure(
+                Reason.CANCELLED, Step.CANCEL, self._board.agent_id, "not sent"
+            )
+            self._endings.refuse(attempt, failure)
+            return
+        attempt.state = AttemptState.DISPATCHED
+        remaining_ms = attempt.deadline_ms - self._clock.monotonic_ms()
+        try:
+            with gevent.Timeout(max(remaining_ms, 0.0) / 1000, DeadlinePassed):
+                self._exchange(attempt)
+        except DeadlinePassed:
+            self._end_interrupted(attempt, Reason.DEADLINE_PASSED)
+        except AttemptCancelled:
+            self._end_interrupted(attempt, Reason.CANCELLED)
+
+    def _end_interrupted(self, attempt, reason):
+        failure = Failure(
+            reason, Step.RELAY, self._board.agent_id, "stopped by the agent"
+        )
+        self._endings.fail(attempt, Fate.FAILED, failure)
+
+    def _exchange(self, attempt):
+        started_ms = self._clock.monotonic_ms()
+        answer = self.call(attempt)
+        if isinstance(answer, Failure):
+            self.end_unanswered(attempt, answer)
+            return
+        failure = self.relay(attempt, answer)
+        self.note_run(started_ms)
+        if failure is None:
+            self._endings.complete(attempt)
+        else:
+            self._endings.fail(attempt, Fate.FAILED, failure)
+
+    def call(self, attempt):
+        """Send the request; return a BackendAnswer that was checked, or a Failure."""
+        submit = attempt.submit
+        self._events.note(submit, Step.DISPATCH, Outcome.SENT, self._peer)
+        with telemetry.start_span(
+            "agent.call",
+            submit.traceparent,
+            request_id=submit.request_id,
+            attempt=submit.attempt_id,
+            adapter=submit.adapter,
+            version=submit.version,
+            generation=submit.generation,
+        ):
+            answer = self._backend.call(submit)
+        if isinstance(answer, Failure):
+            return answer
+        mismatch = check_echo(attempt.adapter, answer.head, self._peer)
+        if mismatch is None:
+            return answer
+        answer.close()
+        return mismatch
+
+    def relay(self, attempt, answer, on_chunk=None):
+        """Send an answer on; return None if it was whole, or a Failure."""
+        try:
+            return self._relay.relay(attempt, answer, on_chunk)
+        except BaseException:
+            answer.close()
+            raise
+
+    def note_run(self, started_ms):
+        """Note that a request sent at `started_ms` has ended."""
+        run_ms = self._clock.monotonic_ms() - started_ms
+        self._board.run_ms += RUN_SMOOTHING * (run_ms - self._board.run_ms)
+
+    def end_unanswered(self, attempt, failure):
+        """End an attempt whose call returned a Failure."""
+        if failure.reason is Reason.NOT_FOUND:
+            self._board.slots.mark_missing(attempt.adapter, self._clock.monotonic_ms())
+        if not failure.maybe_applied:
+            self._endings.refuse(attempt, failure)
+            return
+        # An answer with a wrong adapter did run; after a lost connection nobody knows.
+        is_lost = failure.reason is Reason.CONNECTION_LOST
+        fate = Fate.IN_DOUBT if is_lost else Fate.FAILED
+        self._endings.fail(attempt, fate, failure)
+
+
+def check_echo(adapter, head, peer):
+    """Return a Failure if an answer isn't from the adapter that was asked for.
+
+    Parameters
+    ----------
+    adapter : str
+        Engine name asked for, "" for a plain service.
+    head : BackendHead
+    peer : str
+
+    Returns
+    -------
+    Failure or None
+    """
+    if not adapter or head.adapter == adapter:
+        return None
+    is_success = SUCCESS_STATUS_MIN <= head.status_code <= SUCCESS_STATUS_MAX
+    if not head.adapter and not is_success:
+        return None
+    return Failure(
+        Reason.WRONG_ADAPTER,
+        Step.DISPATCH,
+        peer,
+        f"asked for {adapter!r}, answered by {head.adapter!r}",
+        maybe_applied=True,
+    )
--- /dev/null
+++ b/nutmegdeal/agent/endings.py
@@ -0,0 +1,56 @@
+"""Ends attempts: the last message, the last event, and the queue's bookkeeping."""
+
+from nutmegdeal.agent.attempts import AttemptState
+from nutmegdeal.errors import Step
+from nutmegdeal.messages import Fate
+
+
+class Endings:
+    """Every attempt of an agent ends by one of these methods, once.
+
+    Parameters
+    ----------
+    board : Blackboard
+    events : EventLog
+    """
+
+    def __init__(self, board, events):
+        self._board = board
+        self._events = events
+
+    def complete(self, attempt):
+        """End an attempt whose whole answer was sent."""
+        self._events.note(attempt.submit, Step.ANSWER, Fate.COMPLETED)
+        attempt.send_end()
+        self._forget(attempt)
+
+    def fail(self, attempt, fate, failure, retry_at_unix_ms=0):
+        """End an attempt without a whole answer.
+
+        Parameters
+        ----------
+        attempt : Attempt
+        fate : Fate
+            ``NOT_RUN`` only if the backend server cannot have run any of it.
+        failure : Failure
+        retry_at_unix_ms : int
+        """
+        self._events.note(
+            attempt.submit, Step.ANSWER, fate, failure.peer, str(failure)
+        )
+        attempt.send_failure(fate, failure, retry_at_unix_ms)
+        self._forget(attempt)
+
+    def refuse(self, attempt, failure, retry_at_unix_ms=0):
+        """End an attempt that the backend server was never sent."""
+        self.fail(attempt, Fate.NOT_RUN, failure, retry_at_unix_ms)
+
+    def crash(self, attempt, failure):
+        """End an attempt at which this agent's own code failed."""
+        self.fail(attempt, Fate.IN_DOUBT, failure)
+
+    def _forget(self, attempt):
+        attempt.state = AttemptState.ENDED
+        attempt.is_muted = True
+        self._board.attempts.pop(attempt.attempt_id, None)
+        self._board.notify()
--- /dev/null
+++ b/nutmegdeal/agent/forecast.py
@@ -0,0 +1,79 @@
+"""Expected waits at this agent, for admission, reports and times to come back."""
+
+from nutmegdeal.agent.attempts import AttemptState
+from nutmegdeal.agent.loads import LoadOutlook
+from nutmegdeal.agent.slots import SlotState
+from nutmegdeal.messages import URGENCY_RANK
+
+
+class Forecast:
+    """Expected waits by the queue, the slots and the load budget.
+
+    Parameters
+    ----------
+    board : Blackboard
+    planner : Planner
+    load_times : LoadTimes
+    clock : Clock
+    """
+
+    def __init__(self, board, planner, load_times, clock):
+        self._board = board
+        self._planner = planner
+        self._load_times = load_times
+        self._clock = clock
+
+    def queue_wait_ms(self, urgency):
+        """Return the expected wait for a place in the batch (float)."""
+        board = self._board
+        running_count = sum(board.running_by_adapter().values())
+        ahead_count = self.ahead_count(urgency)
+        excess_count = max(0, ahead_count + 1 + running_count - board.batch_size_max)
+        return excess_count / board.batch_size_max * board.run_ms
+
+    def ahead_count(self, urgency):
+        """Return the number of waiting requests that are at least as urgent."""
+        rank = URGENCY_RANK[urgency]
+        resident = self._board.slots.adapters_in(SlotState.RESIDENT)
+        return sum(
+            URGENCY_RANK[attempt.submit.urgency] <= rank
+            for attempt in self._board.attempts.values()
+            if attempt.state is AttemptState.WAITING
+            and (not attempt.adapter or attempt.adapter in resident)
+        )
+
+    def load_wait_ms(self, item):
+        """Return the expected wait for the adapter of a Waiting to arrive (float)."""
+        if not item.adapter:
+            return 0.0
+        now_ms = self._clock.monotonic_ms()
+        state = self._board.slots.state(item.adapter)
+        if state is SlotState.RESIDENT:
+            return 0.0
+        if state is SlotState.LOADING:
+            elapsed_ms = now_ms - self._board.slots.changed_ms(item.adapter)
+            return max(0.0, self._load_times.load_ms - elapsed_ms)
+        return self._outlook(item, now_ms).arrival_ms(now_ms) - now_ms
+
+    def new_load_wait_ms(self):
+        """Return the expected wait for an adapter that nothing waits for yet."""
+        now_ms = self._clock.monotonic_ms()
+        queued_count = len(self._board.slots.adapters_in(SlotState.QUEUED))
+        return self._outlook_at("", queued_count, now_ms).arrival_ms(now_ms) - now_ms
+
+    def _outlook(self, item, now_ms):
+        present = self._board.slots.adapters_in(SlotState.RESIDENT, SlotState.LOADING)
+        waiting = [attempt.waiting for attempt in self._board.waiting()]
+        order = self._planner.batch_order.order_loads(
+            [*waiting, item], present, now_ms
+        )
+        return self._outlook_at(item.adapter, order.index(item.adapter), now_ms)
+
+    def _outlook_at(self, adapter, ahead_count, now_ms):
+        return LoadOutlook(
+            self._planner.budget.next_start_ms(now_ms),
+            ahead_count,
+            self._load_times.gap_ms,
+            self._load_times.load_ms,
+            self._planner.backoff.retry_at_ms(adapter),
+        )
--- /dev/null
+++ b/nutmegdeal/agent/orders.py
@@ -0,0 +1,128 @@
+"""Gives load and unload orders to a model engine and reads its reports."""
+
+import gevent
+
+from nutmegdeal.accounts import Outcome
+from nutmegdeal.agent.slots import OrderKind
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
+
+
+class OrderController:
+    """Carries out the orders of a plan, each in a greenlet of its own.
+
+    Parameters
+    ----------
+    board : Blackboard
+    engine : ModelEngine
+    planner : Planner
+    lease : Lease
+    endings : Endings
+    events : EventLog
+    clock : Clock
+    load_times : LoadTimes
+    """
+
+    def __init__(
+        self, board, engine, planner, lease, endings, events, clock, load_times
+    ):
+        self._board = board
+        self._engine = engine
+        self._planner = planner
+        self._lease = lease
+        self._endings = endings
+        self._events = events
+        self._clock = clock
+        self._load_times = load_times
+
+    def give(self, order):
+        """Give an order and hand in its outcome; blocks until it is answered."""
+        if not self._lease.may_order():
+            # The lease has lapsed since the plan was made; nothing was sent.
+            outcome = Failure(Reason.LEASE_LOST, Step.LEASE, self._board.agent_id)
+        elif order.kind is OrderKind.LOAD:
+            outcome = self._engine.load(order.adapter, self._lease.fence)
+        else:
+            outcome = self._engine.unload(order.adapter, self._lease.fence)
+        now_ms = self._clock.monotonic_ms()
+        self._planner.finish_order(order, outcome, now_ms)
+        if order.kind is OrderKind.LOAD:
+            self._finish_load(order, outcome, now_ms)
+        elif outcome is not None:
+            logger.warning("unload_failed", adapter=order.adapter, error=str(outcome))
+        self._board.notify()
+
+    def _finish_load(self, order, outcome, now_ms):
+        self._planner.budget.finish(now_ms)
+        if outcome is None:
+            self._load_times.record_load(now_ms - order.started_ms)
+            self._planner.backoff.record_success(order.adapter)
+            self._note_loaded(order)
+            return
+        logger.warning("load_failed", adapter=order.adapter, error=str(outcome))
+        retry_at_ms = self._planner.backoff.record_failure(order.adapter, now_ms)
+        self._refuse_late(order.adapter, outcome, retry_at_ms, now_ms)
+
+    def _waiting_for(self, adapter):
+        return [a for a in self._board.waiting() if a.adapter == adapter]
+
+    def _note_loaded(self, order):
+        for attempt in self._waiting_for(order.adapter):
+            self._events.note(attempt.submit, Step.LOAD, Outcome.LOADED)
+
+    def _refuse_late(self, adapter, failure, retry_at_ms, now_ms):
+        """Refuse at once those whom the next try would reach too late."""
+        arrival_ms = retry_at_ms + self._load_times.load_ms
+        retry_at_unix_ms = self._clock.unix_ms() + int(retry_at_ms - now_ms)
+        for attempt in self._waiting_for(adapter):
+            if attempt.deadline_ms > arrival_ms:
+                continue
+            reason = Failure(
+                Reason.LOAD_FAILED, Step.LOAD, failure.peer, str(failure)
+            )
+            self._endings.refuse(attempt, reason, retry_at_unix_ms)
+
+
+class ReportController:
+    """Reads the engine's reports into the slot table.
+
+    Parameters
+    ----------
+    board : Blackboard
+    engine : ModelEngine
+    clock : Clock
+    settings : AgentSettings
+    """
+
+    def __init__(self, board, engine, clock, settings):
+        self._board = board
+        self._engine = engine
+        self._clock = clock
+        self._settings = settings
+
+    def read_once(self):
+        """Read one report; return it, or a Failure."""
+        asked_ms = self._clock.monotonic_ms()
+        report = self._engine.report()
+        if isinstance(report, Failure):
+            logger.warning("report_failed", error=str(report))
+            return report
+        taken_after_ms = asked_ms - self._settings.report_lag_max_ms
+        is_restart = self._board.slots.observe_report(
+            report, taken_after_ms, self._clock.monotonic_ms()
+        )
+        if is_restart:
+            logger.warning("engine_restarted", incarnation=report.incarnation)
+        self._board.has_report = True
+        self._board.engine_running_count = report.running_count
+        self._board.batch_size_max = report.batch_size_max
+        self._board.notify()
+        return report
+
+    def run(self):
+        """Read reports until the greenlet is killed."""
+        while True:
+            self.read_once()
+            gevent.sleep(self._settings.report_every_ms / 1000)
--- /dev/null
+++ b/nutmegdeal/agent/planning.py
@@ -0,0 +1,169 @@
+"""What an agent does next: a pure decision over its queue, slots and budget."""
+
+import attrs
+
+from nutmegdeal.agent.demand import UseRates
+from nutmegdeal.agent.loads import LoadBackoff
+from nutmegdeal.agent.policy import BatchOrder, EvictionPolicy, LoadBudget, SlotView
+from nutmegdeal.agent.slots import Order, Pin, SlotState, SlotTable
+
+PRESENT_STATES = (SlotState.LOADING, SlotState.RESIDENT, SlotState.UNKNOWN)
+
+
+@attrs.frozen
+class Dispatch:
+    """A waiting request that may be sent now.
+
+    Parameters
+    ----------
+    attempt_id : str
+    pin : Pin or None
+        Held for it; None for a plain service.
+    """
+
+    attempt_id: str
+    pin: Pin | None
+
+
+@attrs.frozen
+class Plan:
+    """What to do now.
+
+    Parameters
+    ----------
+    dispatches : tuple of Dispatch
+    orders : tuple of slots.Order
+        Loads and unloads to give; their state in the table is open already.
+    wanted_load_count : int
+        Loads that wait for the weight store's budget.
+    """
+
+    dispatches: tuple[Dispatch, ...] = ()
+    orders: tuple[Order, ...] = ()
+    wanted_load_count: int = 0
+
+
+@attrs.define(eq=False)
+class Planner:
+    """Decides on dispatches, loads and evictions of one model engine.
+
+    Parameters
+    ----------
+    slots : SlotTable
+    batch_order : BatchOrder
+    eviction : EvictionPolicy
+    budget : LoadBudget
+    backoff : LoadBackoff
+    rates : UseRates
+    """
+
+    slots: SlotTable
+    batch_order: BatchOrder
+    eviction: EvictionPolicy
+    budget: LoadBudget
+    backoff: LoadBackoff
+    rates: UseRates = attrs.field(factory=UseRates)
+
+    def plan(self, waiting, running, free_batch_count, may_order, now_ms):
+        """Take the next steps and note them in the slot table.
+
+        Parameters
+        ----------
+        waiting : sequence of Waiting
+        running : mapping of str to int
+            Requests now running, by adapter.
+        free_batch_count : int
+            Requests that the backend server can take at once.
+        may_order : bool
+            False if the lease forbids load and unload orders now.
+        now_ms : float
+
+        Returns
+        -------
+        Plan
+        """
+        dispatches = self._dispatch(waiting, running, free_batch_count, now_ms)
+        sent = {dispatch.attempt_id for dispatch in dispatches}
+        left = [item for item in waiting if item.attempt_id not in sent]
+        self._queue_loads(left, now_ms)
+        if not may_order:
+            return Plan(dispatches)
+        repeats = self._repeat_unloads(now_ms)
+        orders, wanted_count = self._start_loads(left, now_ms)
+        return Plan(dispatches, (*repeats, *orders), wanted_count)
+
+    def _dispatch(self, waiting, running, free_batch_count, now_ms):
+        resident = self.slots.adapters_in(SlotState.RESIDENT)
+        ready = self.batch_order.order_dispatch(waiting, resident, running, now_ms)
+        chosen = []
+        for item in ready[: max(0, free_batch_count)]:
+            pin = self.slots.try_pin(item.adapter) if item.adapter else None
+            if item.adapter:
+                self.rates.record(item.adapter, now_ms)
+            chosen.append(Dispatch(item.attempt_id, pin))
+        return tuple(chosen)
+
+    def _queue_loads(self, waiting, now_ms):
+        wanted = {item.adapter for item in waiting if item.adapter}
+        for adapter in self.slots.adapters_in(SlotState.QUEUED) - wanted:
+            self.slots.dequeue(adapter)
+        for adapter in wanted:
+            self.slots.enqueue(adapter, now_ms)
+
+    def _repeat_unloads(self, now_ms):
+        unknown = sorted(self.slots.adapters_in(SlotState.UNKNOWN))
+        orders = [self.slots.repeat_unload(adapter, now_ms) for adapter in unknown]
+        return [order for order in orders if order]
+
+    def _start_loads(self, waiting, now_ms):
+        """Return the orders to give and the number of loads held back by the budget."""
+        present = self.slots.adapters_in(*PRESENT_STATES)
+        wanted = self.batch_order.order_loads(waiting, present, now_ms)
+        wanted = [a for a in wanted if self._may_load(a, now_ms)]
+        orders = []
+        while wanted:
+            if self.slots.free_count <= 0:
+                orders += self._make_room(waiting, len(wanted), now_ms)
+                break
+            if not self.budget.try_start(now_ms):
+                break
+            orders.append(self.slots.begin_load(wanted.pop(0), now_ms))
+        return orders, len(wanted)
+
+    def _may_load(self, adapter, now_ms):
+        if self.slots.state(adapter) is SlotState.EVICTING:
+            return False
+        return self.backoff.may_try(adapter, now_ms)
+
+    def _make_room(self, waiting, wanted_count, now_ms):
+        """Return unload orders for as many loads as may start soon."""
+        evicting_count = len(self.slots.adapters_in(SlotState.EVICTING))
+        if evicting_count >= wanted_count:
+            return []
+        if self.budget.next_start_ms(now_ms) > now_ms:
+            return []
+        victim = self.eviction.choose_victim(self._views(waiting, now_ms), now_ms)
+        if victim is None:
+            return []
+        order = self.slots.begin_evict(victim, now_ms)
+        return [order] if order else []
+
+    def _views(self, waiting, now_ms):
+        counts = {}
+        for item in waiting:
+            counts[item.adapter] = counts.get(item.adapter, 0) + 1
+        return [
+            SlotView(
+                adapter,
+                self.slots.pin_count(adapter),
+                counts.get(adapter, 0),
+                self.rates.last_used_ms(adapter),
+                self.rates.rate_per_s(adapter, now_ms),
+                self.slots.changed_ms(adapter),
+            )
+            for adapter in sorted(self.slots.adapters_in(SlotState.RESIDENT))
+        ]
+
+    def finish_order(self, order, outcome, now_ms):
+        """Hand in the outcome of an order of a Plan (None or Failure)."""
+        self.slots.finish(order, outcome, now_ms)
--- /dev/null
+++ b/nutmegdeal/agent/scheduling.py
@@ -0,0 +1,131 @@
+"""Carries out plans: expires what waits too long, dispatches, gives orders."""
+
+import gevent
+
+from nutmegdeal import telemetry
+from nutmegdeal.agent.attempts import AttemptState
+from nutmegdeal.agent.slots import SlotState
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
+
+PAUSE_MAX_MS = 100.0
+PAUSE_MIN_MS = 1.0
+
+
+class Scheduler:
+    """Plans whenever something has changed.
+
+    Parameters
+    ----------
+    board : Blackboard
+    planner : Planner
+    run_attempt : callable
+        Runs an Attempt until it has ended.
+    give_order : callable
+        Carries out an Order of the slot table.
+    endings : Endings
+    clock : Clock
+    """
+
+    def __init__(self, board, planner, run_attempt, give_order, endings, clock):
+        self._board = board
+        self._planner = planner
+        self._run_attempt = run_attempt
+        self._give_order = give_order
+        self._endings = endings
+        self._clock = clock
+        self.wanted_load_count = 0
+
+    def run(self):
+        """Plan until the greenlet is killed."""
+        while True:
+            self.step()
+            self._board.changed.wait(self._pause_ms() / 1000)
+            self._board.changed.clear()
+
+    def _pause_ms(self):
+        if not self.wanted_load_count:
+            return PAUSE_MAX_MS
+        now_ms = self._clock.monotonic_ms()
+        next_ms = self._planner.budget.next_start_ms(now_ms)
+        return min(max(next_ms - now_ms, PAUSE_MIN_MS), PAUSE_MAX_MS)
+
+    def step(self):
+        """Plan once and carry the plan out."""
+        now_ms = self._clock.monotonic_ms()
+        self._expire(now_ms)
+        if not self._board.may_dispatch:
+            return
+        running = self._board.running_by_adapter()
+        free_count = self._board.batch_size_max - sum(running.values())
+        plan = self._planner.plan(
+            [attempt.waiting for attempt in self._board.waiting()],
+            running,
+            free_count,
+            self._board.may_order,
+            now_ms,
+        )
+        self.wanted_load_count = plan.wanted_load_count
+        self._note_load_waits(now_ms)
+        for dispatch in plan.dispatches:
+            self._dispatch(dispatch, now_ms)
+        for order in plan.orders:
+            gevent.spawn(self._give_order, order)
+
+    def _expire(self, now_ms):
+        for attempt in self._board.waiting():
+            if attempt.deadline_ms > now_ms:
+                continue
+            failure = Failure(
+                Reason.DEADLINE_PASSED,
+                Step.QUEUE,
+                self._board.agent_id,
+                "its deadline passed in the queue",
+            )
+            self._endings.refuse(attempt, failure, self._clock.unix_ms())
+
+    def _note_load_waits(self, now_ms):
+        """Note since when each attempt has waited for its adapter to arrive."""
+        resident = self._board.slots.adapters_in(SlotState.RESIDENT)
+        for attempt in self._board.waiting():
+            is_absent = attempt.adapter and attempt.adapter not in resident
+            if is_absent and attempt.load_wait_from_ms is None:
+                attempt.load_wait_from_ms = now_ms
+            if not is_absent and attempt.load_wait_from_ms is not None:
+                attempt.load_stall_ms += now_ms - attempt.load_wait_from_ms
+                attempt.load_wait_from_ms = None
+
+    def _dispatch(self, dispatch, now_ms):
+        attempt = self._board.attempts[dispatch.attempt_id]
+        attempt.state = AttemptState.CLAIMING
+        if attempt.load_wait_from_ms is not None:
+            attempt.load_stall_ms += now_ms - attempt.load_wait_from_ms
+        waited_ms = now_ms - attempt.arrived_ms
+        attempt.queue_ms = max(0.0, waited_ms - attempt.load_stall_ms)
+        telemetry.record_load_stall(attempt.load_stall_ms, self._board.service)
+        running_count = sum(self._board.running_by_adapter().values())
+        telemetry.record_batch(
+            running_count, self._board.batch_size_max, self._board.service
+        )
+        attempt.greenlet = gevent.spawn(self._run_pinned, attempt, dispatch.pin)
+
+    def _run_pinned(self, attempt, pin):
+        try:
+            self._run_attempt(attempt)
+        except Exception as error:
+            logger.exception("attempt_crashed", attempt=attempt.attempt_id)
+            self._end_crashed(attempt, error)
+        finally:
+            if pin is not None:
+                self._board.slots.unpin(pin)
+            self._board.notify()
+
+    def _end_crashed(self, attempt, error):
+        if attempt.state is AttemptState.ENDED:
+            return
+        failure = Failure(
+            Reason.BACKEND_ERROR, Step.DISPATCH, self._board.agent_id, repr(error)
+        )
+        self._endings.crash(attempt, failure)
--- /dev/null
+++ b/nutmegdeal/agent/slots.py
@@ -0,0 +1,314 @@
+"""What an agent knows of the adapters at its model engine, and who uses them.
+
+The table is a plain state machine: it gives no orders itself. A controller asks it
+whether an order may be given, gives the order and hands in the outcome.
+"""
+
+import enum
+
+import attrs
+
+from nutmegdeal.errors import Failure
+
+ENGINE_INCARNATIONS_MAX = 16
+
+
+class SlotState(enum.Enum):
+    """State of an adapter at the engine, as far as the agent knows."""
+
+    ABSENT = "absent"
+    QUEUED = "queued"
+    LOADING = "loading"
+    RESIDENT = "resident"
+    EVICTING = "evicting"
+    UNKNOWN = "unknown"
+
+
+class OrderKind(enum.Enum):
+    """What an engine is ordered to do with an adapter."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@attrs.frozen
+class Order:
+    """An order that the table has allowed.
+
+    Parameters
+    ----------
+    number : int
+        Distinguishes this order from all others of the table.
+    kind : OrderKind
+    adapter : str
+    started_ms : float
+    """
+
+    number: int
+    kind: OrderKind
+    adapter: str
+    started_ms: float
+
+
+@attrs.frozen
+class Pin:
+    """Proof that a request uses an adapter; it stays until it is released."""
+
+    number: int
+    adapter: str
+
+
+@attrs.define
+class Slot:
+    """One adapter's entry in the table.
+
+    Parameters
+    ----------
+    adapter : str
+    state : SlotState
+    changed_ms : float
+        When the state was entered.
+    order : Order or None
+        Last order given; its outcome is open in LOADING, EVICTING and UNKNOWN.
+    is_unload_due : bool
+        True if an unload got no answer and a later report still shows the adapter.
+    """
+
+    adapter: str
+    state: SlotState
+    changed_ms: float
+    order: Order | None = None
+    is_unload_due: bool = False
+
+
+OCCUPYING_STATES = frozenset(
+    {SlotState.LOADING, SlotState.RESIDENT, SlotState.EVICTING, SlotState.UNKNOWN}
+)
+
+
+class SlotTable:
+    """Adapters of one model engine.
+
+    Parameters
+    ----------
+    slot_count : int
+        Adapters that the engine holds at once.
+    """
+
+    def __init__(self, slot_count):
+        self.slot_count = slot_count
+        self._slots = {}
+        self._pins = {}
+        self._pin_counts = {}
+        self._absent_since_ms = {}
+        self._incarnations = []
+        self._next_number = 0
+
+    @property
+    def engine_incarnation(self):
+        """Incarnation of the engine by its newest report, "" before the first."""
+        return self._incarnations[-1] if self._incarnations else ""
+
+    @property
+    def free_count(self):
+        """Slots that no adapter occupies or may occupy."""
+        occupied = [s for s in self._slots.values() if s.state in OCCUPYING_STATES]
+        return self.slot_count - len(occupied)
+
+    def state(self, adapter):
+        """Return the SlotState of an adapter."""
+        slot = self._slots.get(adapter)
+        return slot.state if slot else SlotState.ABSENT
+
+    def changed_ms(self, adapter):
+        """Return when the adapter's state was entered, 0 for an unknown adapter."""
+        slot = self._slots.get(adapter)
+        return slot.changed_ms if slot else 0.0
+
+    def adapters_in(self, *states):
+        """Return the adapters in any of the states (frozenset of str)."""
+        slots = self._slots.values()
+        return frozenset(slot.adapter for slot in slots if slot.state in states)
+
+    def pin_count(self, adapter):
+        """Return the number of requests that use an adapter."""
+        return self._pin_counts.get(adapter, 0)
+
+    def try_pin(self, adapter):
+        """Return a Pin if the adapter is resident, otherwise None."""
+        if self.state(adapter) is not SlotState.RESIDENT:
+            return None
+        pin = Pin(self._take_number(), adapter)
+        self._pins[pin.number] = pin
+        self._pin_counts[adapter] = self.pin_count(adapter) + 1
+        return pin
+
+    def unpin(self, pin):
+        """Release a Pin; releasing it again changes nothing.
+
+        Pins outlive a restart of the engine: a request that started just after the
+        restart, before a report told of it, still protects its adapter.
+        """
+        if self._pins.pop(pin.number, None) is None:
+            return
+        count = self._pin_counts[pin.adapter] - 1
+        if count:
+            self._pin_counts[pin.adapter] = count
+        else:
+            del self._pin_counts[pin.adapter]
+
+    def enqueue(self, adapter, now_ms):
+        """Note that an absent adapter is wanted."""
+        if self.state(adapter) is SlotState.ABSENT:
+            self._slots[adapter] = Slot(adapter, SlotState.QUEUED, now_ms)
+
+    def dequeue(self, adapter):
+        """Note that nothing waits any more for an adapter that is only queued."""
+        if self.state(adapter) is SlotState.QUEUED:
+            del self._slots[adapter]
+
+    def begin_load(self, adapter, now_ms):
+        """Return an Order to load, or None if the state or the room forbids it."""
+        if self.state(adapter) not in (SlotState.ABSENT, SlotState.QUEUED):
+            return None
+        if self.free_count <= 0:
+            return None
+        return self._begin(OrderKind.LOAD, SlotState.LOADING, adapter, now_ms)
+
+    def begin_evict(self, adapter, now_ms):
+        """Return an Order to unload, or None if the adapter is in use or not there."""
+        if self.pin_count(adapter):
+            return None
+        if self.state(adapter) is not SlotState.RESIDENT:
+            return None
+        return self._begin(OrderKind.UNLOAD, SlotState.EVICTING, adapter, now_ms)
+
+    def repeat_unload(self, adapter, now_ms):
+        """Return an Order to unload again if a report says that the first one failed.
+
+        An unload without an answer may still take effect, so the adapter takes no pin
+        until the order has been repeated and answered.
+        """
+        slot = self._slots.get(adapter)
+        if slot is None or not slot.is_unload_due or self.pin_count(adapter):
+            return None
+        return self._begin(OrderKind.UNLOAD, SlotState.EVICTING, adapter, now_ms)
+
+    def _begin(self, kind, state, adapter, now_ms):
+        order = Order(self._take_number(), kind, adapter, now_ms)
+        self._slots[adapter] = Slot(adapter, state, now_ms, order)
+        return order
+
+    def finish(self, order, outcome, now_ms):
+        """Hand in the outcome of an order.
+
+        Parameters
+        ----------
+        order : Order
+        outcome : None or Failure
+            As the engine's client returned it.
+        now_ms : float
+        """
+        slot = self._slots.get(order.adapter)
+        if slot is None or slot.order is not order:
+            self._finish_overtaken(order, outcome, now_ms)
+            return
+        if isinstance(outcome, Failure) and outcome.maybe_applied:
+            self._set_state(slot, SlotState.UNKNOWN, now_ms)
+            return
+        is_done = outcome is None
+        if is_done == (order.kind is OrderKind.LOAD):
+            self._set_state(slot, SlotState.RESIDENT, now_ms)
+        else:
+            self._remove(order.adapter, now_ms)
+
+    def _finish_overtaken(self, order, outcome, now_ms):
+        """Keep room for a load that was answered after a restart was noticed."""
+        is_loaded = order.kind is OrderKind.LOAD and outcome is None
+        if is_loaded and self.state(order.adapter) in (
+            SlotState.ABSENT,
+            SlotState.QUEUED,
+        ):
+            slot = Slot(order.adapter, SlotState.UNKNOWN, now_ms, order)
+            self._slots[order.adapter] = slot
+
+    def mark_missing(self, adapter, now_ms):
+        """Note that the engine refused a request because it lacks the adapter."""
+        if self.state(adapter) is SlotState.RESIDENT:
+            self._remove(adapter, now_ms)
+
+    def observe_report(self, report, taken_after_ms, now_ms):
+        """Settle the table by the engine's own report.
+
+        Parameters
+        ----------
+        report : EngineReport
+        taken_after_ms : float
+            Earliest time at which the engine can have taken the report. What
+            changed later than that isn't settled by it.
+        now_ms : float
+
+        Returns
+        -------
+        bool
+            True if the report tells of a restart of the engine.
+        """
+        if report.incarnation in self._incarnations[:-1]:
+            return False
+        is_restart = self._observe_incarnation(report.incarnation)
+        for slot in tuple(self._slots.values()):
+            if slot.changed_ms <= taken_after_ms:
+                self._settle(slot, report, now_ms)
+        for adapter in report.resident:
+            self._adopt(adapter, taken_after_ms, now_ms)
+        self._forget_absences(taken_after_ms)
+        return is_restart
+
+    def _observe_incarnation(self, incarnation):
+        if incarnation == self.engine_incarnation:
+            return False
+        is_restart = bool(self._incarnations)
+        self._incarnations.append(incarnation)
+        del self._incarnations[:-ENGINE_INCARNATIONS_MAX]
+        self._slots.clear()
+        self._absent_since_ms.clear()
+        return is_restart
+
+    def _settle(self, slot, report, now_ms):
+        is_resident = slot.adapter in report.resident
+        is_loading = slot.adapter in report.loading
+        if slot.state is SlotState.RESIDENT and not is_resident:
+            self._remove(slot.adapter, now_ms)
+        if slot.state is not SlotState.UNKNOWN or is_loading:
+            return
+        if not is_resident:
+            self._remove(slot.adapter, now_ms)
+            return
+        if slot.order.kind is OrderKind.UNLOAD:
+            slot.is_unload_due = True
+            return
+        self._set_state(slot, SlotState.RESIDENT, now_ms)
+
+    def _adopt(self, adapter, taken_after_ms, now_ms):
+        """Take in an adapter that was there before this agent was."""
+        if self.state(adapter) not in (SlotState.ABSENT, SlotState.QUEUED):
+            return
+        if self._absent_since_ms.get(adapter, taken_after_ms) > taken_after_ms:
+            return
+        self._slots[adapter] = Slot(adapter, SlotState.RESIDENT, now_ms)
+
+    def _forget_absences(self, before_ms):
+        kept = {a: t for a, t in self._absent_since_ms.items() if t > before_ms}
+        self._absent_since_ms = kept
+
+    def _set_state(self, slot, state, now_ms):
+        slot.state = state
+        slot.changed_ms = now_ms
+
+    def _remove(self, adapter, now_ms):
+        del self._slots[adapter]
+        self._absent_since_ms[adapter] = now_ms
+
+    def _take_number(self):
+        self._next_number += 1
+        return self._next_number
--- /dev/null
+++ b/nutmegdeal/agent/streams.py
@@ -0,0 +1,153 @@
+"""Handles the streams of entries: what they ask for, and their end."""
+
+from nutmegdeal.accounts import Outcome
+from nutmegdeal.agent.admission import AdmissionView, Refusal, admit
+from nutmegdeal.agent.attempts import Attempt, AttemptState
+from nutmegdeal.agent.degrees import advise_degree
+from nutmegdeal.agent.dispatch import AttemptCancelled
+from nutmegdeal.agent.slots import SlotState
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.log import get_logger
+from nutmegdeal.messages import Cancel, EntryHello, GenerationNotice, Submit
+
+logger = get_logger(__name__)
+
+
+class StreamHandler:
+    """Reads one stream after another; called by the channel's server.
+
+    Parameters
+    ----------
+    board : Blackboard
+    forecast : Forecast
+    reporter : Reporter
+    configuration : ConfigurationController
+    endings : Endings
+    events : EventLog
+    clock : Clock
+    settings : AgentSettings
+    """
+
+    def __init__(
+        self,
+        board,
+        forecast,
+        reporter,
+        configuration,
+        endings,
+        events,
+        clock,
+        settings,
+    ):
+        self._board = board
+        self._forecast = forecast
+        self._reporter = reporter
+        self._configuration = configuration
+        self._endings = endings
+        self._events = events
+        self._clock = clock
+        self._settings = settings
+
+    def accept(self, session):
+        """Serve a stream until it is closed."""
+        self._board.sessions.add(session)
+        try:
+            self._reporter.report_to(session)
+            for message in session.messages():
+                self._handle(session, message)
+        finally:
+            self._board.sessions.discard(session)
+            self._abandon(session)
+
+    def _handle(self, session, message):
+        if isinstance(message, Submit):
+            self.submit(session, message)
+        elif isinstance(message, Cancel):
+            self.cancel(message.attempt_id)
+        elif isinstance(message, EntryHello | GenerationNotice):
+            self._configuration.observe(message.generation)
+        else:
+            logger.warning("unexpected_message", type=type(message).__name__)
+
+    def submit(self, session, submit):
+        """Admit an attempt to the queue, or refuse it."""
+        now_ms = self._clock.monotonic_ms()
+        remaining_ms = submit.deadline_unix_ms - self._clock.unix_ms()
+        attempt = Attempt(submit, session, now_ms, now_ms + remaining_ms)
+        if submit.attempt_id in self._board.attempts:
+            logger.warning("attempt_repeated", attempt=submit.attempt_id)
+            return
+        self._events.note(submit, Step.SUBMIT, Outcome.RECEIVED, session.peer)
+        self._configuration.observe(submit.generation)
+        view = self._view(attempt)
+        refusal = admit(submit, view, self._clock.unix_ms())
+        attempt.degree_hint = self._advise(attempt, view)
+        if isinstance(refusal, Refusal):
+            retry_at_unix_ms = self._clock.unix_ms() + int(refusal.retry_after_ms)
+            self._endings.refuse(attempt, refusal.failure, retry_at_unix_ms)
+            return
+        self._board.attempts[submit.attempt_id] = attempt
+        self._events.note(submit, Step.QUEUE, Outcome.QUEUED)
+        self._board.notify()
+
+    def _view(self, attempt):
+        board = self._board
+        is_resident = (
+            not attempt.adapter
+            or board.slots.state(attempt.adapter) is SlotState.RESIDENT
+        )
+        is_servable = board.policy is not None and board.has_report
+        return AdmissionView(
+            peer=board.agent_id,
+            configuration=board.configuration,
+            is_leaving=board.is_leaving,
+            has_policy=board.policy is not None,
+            has_report=board.has_report,
+            queued_count=len(board.waiting()),
+            queue_max=self._settings.queue_max,
+            queue_wait_ms=(
+                self._forecast.queue_wait_ms(attempt.submit.urgency)
+                if is_servable
+                else 0.0
+            ),
+            load_wait_ms=(
+                self._forecast.load_wait_ms(attempt.waiting) if is_servable else 0.0
+            ),
+            needs_order=not is_resident,
+            may_order=board.may_order,
+        )
+
+    def _advise(self, attempt, view):
+        if not attempt.adapter:
+            return 0
+        others = self._board.attempts.values()
+        own_count = sum(other.adapter == attempt.adapter for other in others)
+        return advise_degree(
+            view.queue_wait_ms,
+            self._forecast.new_load_wait_ms(),
+            own_count + 1,
+            len(others) + 1,
+        )
+
+    def cancel(self, attempt_id):
+        """Stop an attempt: not run if it still waits, otherwise as far as possible."""
+        attempt = self._board.attempts.get(attempt_id)
+        if attempt is None:
+            return
+        attempt.is_cancelled = True
+        if attempt.state is AttemptState.WAITING:
+            failure = Failure(
+                Reason.CANCELLED, Step.CANCEL, self._board.agent_id, "not sent"
+            )
+            self._endings.refuse(attempt, failure)
+            return
+        is_stoppable = attempt.submit.idempotent
+        if is_stoppable and attempt.state is AttemptState.DISPATCHED:
+            attempt.greenlet.kill(AttemptCancelled, block=False)
+
+    def _abandon(self, session):
+        """Cancel all attempts of a stream that has ended."""
+        for attempt in tuple(self._board.attempts.values()):
+            if attempt.session is session:
+                attempt.is_muted = True
+                self.cancel(attempt.attempt_id)
--- /dev/null
+++ b/nutmegdeal/backends/http.py
@@ -0,0 +1,160 @@
+"""HTTP calls to a backend server: sending, reading whole answers, naming errors."""
+
+import json
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NameResolutionError,
+    NewConnectionError,
+)
+
+from nutmegdeal.backends.base import BackendAnswer, BackendHead
+from nutmegdeal.errors import Failure, Reason, Step
+
+CONNECT_WITHIN_MS = 1_000
+READ_BYTES_MAX = 65_536
+ERROR_BODY_BYTES_MAX = 65_536
+CONNECTIONS_MAX = 256
+TAIL_BYTES = 64
+ERROR_STATUS = 400
+EVENT_STREAM_TYPE = "text/event-stream"
+LAST_EVENT = b"data: [DONE]"
+NOT_SENT_ERRORS = (ConnectTimeoutError, NewConnectionError, NameResolutionError)
+
+
+def new_pool():
+    """Return a urllib3 pool that never retries and never redirects."""
+    return urllib3.PoolManager(
+        maxsize=CONNECTIONS_MAX,
+        block=False,
+        retries=False,
+        timeout=urllib3.Timeout(connect=CONNECT_WITHIN_MS / 1000, read=None),
+    )
+
+
+def authorization(secret):
+    """Return the header that proves who gives an order, none without a secret."""
+    return {"Authorization": f"Bearer {secret}"} if secret else {}
+
+
+def transport_failure(error, step, peer):
+    """Return the Failure of a call that got no answer."""
+    return Failure(
+        Reason.CONNECTION_LOST,
+        step,
+        peer,
+        f"{type(error).__name__}: {error}",
+        maybe_applied=not isinstance(error, NOT_SENT_ERRORS),
+    )
+
+
+def read_error_word(body):
+    """Return the ``error`` word of an error body, "" if there is none."""
+    try:
+        word = json.loads(body)["error"]
+    except (ValueError, KeyError, TypeError):
+        return ""
+    return word if isinstance(word, str) else ""
+
+
+def head_of(response):
+    """Return the BackendHead of a urllib3 response."""
+    return BackendHead(
+        response.status,
+        response.headers.get("Content-Type", "application/octet-stream"),
+        response.headers.get("X-Adapter", ""),
+    )
+
+
+class BufferedAnswer(BackendAnswer):
+    """An answer whose body was read already.
+
+    Parameters
+    ----------
+    head : BackendHead
+    body : bytes
+    """
+
+    def __init__(self, head, body):
+        self.head = head
+        self._body = body
+
+    def chunks(self):
+        """Yield the body."""
+        if self._body:
+            yield self._body
+
+    def close(self):
+        """Do nothing: the connection is free already."""
+
+
+class HttpAnswer(BackendAnswer):
+    """An answer that is read from its connection, with a check that it is whole.
+
+    Parameters
+    ----------
+    response : urllib3.BaseHTTPResponse
+        Not preloaded.
+    peer : str
+    """
+
+    def __init__(self, response, peer):
+        self.head = head_of(response)
+        self._response = response
+        self._peer = peer
+        self._received_bytes = 0
+        self._tail = b""
+
+    def chunks(self):
+        """Yield bytes as they arrive, then a Failure unless the answer is whole."""
+        try:
+            while chunk := self._response.read1(READ_BYTES_MAX):
+                self._received_bytes += len(chunk)
+                self._tail = (self._tail + chunk)[-TAIL_BYTES:]
+                yield chunk
+        except (HTTPError, OSError) as error:
+            self._response.close()
+            yield self._incomplete(f"{type(error).__name__}: {error}")
+            return
+        if not self._is_whole():
+            self._response.close()
+            yield self._incomplete("the connection ended before the answer")
+            return
+        self._response.release_conn()
+
+    def _is_whole(self):
+        if self.head.content_type.startswith(EVENT_STREAM_TYPE):
+            return self._tail.rstrip().endswith(LAST_EVENT)
+        if self._response.chunked:
+            return True
+        length = self._response.headers.get("Content-Length")
+        return length is not None and int(length) == self._received_bytes
+
+    def _incomplete(self, detail):
+        return Failure(
+            Reason.INCOMPLETE_ANSWER,
+            Step.RELAY,
+            self._peer,
+            detail,
+            maybe_applied=True,
+        )
+
+    def close(self):
+        """Close the connection, by which the server notices the cancellation."""
+        self._response.close()
+
+
+def read_error_body(response, step, peer):
+    """Return the whole body of an error answer as bytes, or a Failure."""
+    body = b""
+    for chunk in HttpAnswer(response, peer).chunks():
+        if isinstance(chunk, Failure):
+            return Failure(chunk.reason, step, peer, chunk.detail, maybe_applied=True)
+        body += chunk
+        if len(body) > ERROR_BODY_BYTES_MAX:
+            response.close()
+            detail = f"an error body of more than {ERROR_BODY_BYTES_MAX} bytes"
+            return Failure(Reason.BACKEND_ERROR, step, peer, detail, maybe_applied=True)
+    return body
--- /dev/null
+++ b/nutmegdeal/backends/plain.py
@@ -0,0 +1,60 @@
+"""HTTP client of a plain service."""
+
+from urllib3.exceptions import HTTPError
+
+from nutmegdeal.backends import http
+from nutmegdeal.backends.base import Backend
+from nutmegdeal.errors import Failure, Reason, Step
+
+UNAVAILABLE_STATUS = 503
+
+
+class HttpPlainService(Backend):
+    """A plain service behind a base URL.
+
+    Parameters
+    ----------
+    base_url : str
+    secret : str
+        Sent with each call; "" for a service that doesn't check.
+    """
+
+    def __init__(self, base_url, secret=""):
+        self._base_url = base_url.rstrip("/")
+        self._secret_headers = http.authorization(secret)
+        self._pool = http.new_pool()
+
+    def call(self, submit):
+        """Send a request; return a BackendAnswer or a Failure.
+
+        Every status but a 503 that says ``not_run`` is the service's own answer.
+        """
+        headers = {
+            "Content-Type": submit.content_type,
+            "X-Attempt-Id": submit.attempt_id,
+            **self._secret_headers,
+        }
+        if submit.idempotency_key:
+            headers["Idempotency-Key"] = submit.idempotency_key
+        try:
+            response = self._pool.request(
+                submit.method,
+                self._base_url + submit.path,
+                body=submit.body,
+                headers=headers,
+                preload_content=False,
+            )
+        except (HTTPError, OSError) as error:
+            return http.transport_failure(error, Step.DISPATCH, self._base_url)
+        if response.status == UNAVAILABLE_STATUS:
+            return self._read_refusal(response)
+        return http.HttpAnswer(response, self._base_url)
+
+    def _read_refusal(self, response):
+        body = http.read_error_body(response, Step.DISPATCH, self._base_url)
+        if isinstance(body, Failure):
+            return body
+        if http.read_error_word(body) == "not_run":
+            detail = "the service says that it did not run the request"
+            return Failure(Reason.OVERLOADED, Step.DISPATCH, self._base_url, detail)
+        return http.BufferedAnswer(http.head_of(response), body)
--- a/nutmegdeal/settings.py
+++ b/nutmegdeal/settings.py
@@ -143,6 +143,9 @@
     report_every_ms: int = _key(
         500, "Pause between reports on an open stream.", Range(50, 60_000)
     )
+    report_lag_max_ms: int = _key(
+        2_000, "Greatest lag of the backend server's reports.", Range(0, 60_000)
+    )
     lease_term_ms: int = _key(
         60_000, "Time from a renewal to the lease's deadline.", Range(1_000, 3_600_000)
     )
