--- /dev/null
+++ b/nutmegdeal/fakes/hosts.py
@@ -0,0 +1,65 @@
+"""Stand-in of the host list."""
+
+import attrs
+import bottle
+import cattrs
+import gevent
+
+from nutmegdeal.fakes.lag import LaggingValue
+from nutmegdeal.fakes.server import StandIn, error_answer, json_answer
+from nutmegdeal.platform.hosts import Host
+
+_converter = cattrs.Converter()
+
+
+@attrs.define
+class HostsFaults:
+    """Fault switches of the host list.
+
+    Parameters
+    ----------
+    down : bool
+        Every reading answers 503.
+    slow_ms : float
+        Time added to every reading.
+    lag_ms : float
+        Age of a change before readers see it.
+    """
+
+    down: bool = False
+    slow_ms: float = 0.0
+    lag_ms: float = 0.0
+
+
+class HostsStandIn(StandIn):
+    """Host list that tests and scripts replace as a whole.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, clock):
+        super().__init__(HostsFaults)
+        self._clock = clock
+        self._hosts = LaggingValue(())
+        self.app.route("/hosts", "GET", self.read)
+        self.app.route("/hosts", "PUT", self.replace)
+
+    def read(self):
+        """Answer the list as it was a lag ago."""
+        gevent.sleep(self.faults.slow_ms / 1000)
+        if self.faults.down:
+            return error_answer(503, "unavailable", "the service is down")
+        hosts = self._hosts.read(self._clock.monotonic_ms(), self.faults.lag_ms)
+        return json_answer({"hosts": _converter.unstructure(hosts)})
+
+    def replace(self):
+        """Take a new list."""
+        try:
+            fields = bottle.request.json["hosts"]
+            hosts = _converter.structure(fields, tuple[Host, ...])
+        except Exception as error:
+            return error_answer(400, "bad_request", repr(error))
+        self._hosts.replace(hosts, self._clock.monotonic_ms())
+        return json_answer({})
--- /dev/null
+++ b/nutmegdeal/fakes/memory.py
@@ -0,0 +1,183 @@
+"""The platform's abstract classes in memory, with scripted faults, for unit tests."""
+
+import bisect
+
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.platform.hosts import HostList
+from nutmegdeal.platform.objects import ObjectStore
+from nutmegdeal.platform.table import Conflict, Row, TableService, Written
+
+
+class ScriptedFaults:
+    """Fault switches that the in-memory stores share.
+
+    Attributes
+    ----------
+    down : bool
+        Every call returns a Failure and has no effect.
+    lose_answers : int
+        Writes yet to be applied whose answer is lost.
+    drop_writes : int
+        Writes yet to be lost before they are applied.
+    read_count, write_count : int
+        Calls received, those that met a fault included.
+    """
+
+    peer = "memory"
+    step = Step.LEDGER
+
+    def __init__(self):
+        self.down = False
+        self.lose_answers = 0
+        self.drop_writes = 0
+        self.read_count = 0
+        self.write_count = 0
+
+    def _check_read(self):
+        """Count a read; return a Failure if the store is down, else None."""
+        self.read_count += 1
+        return self._failure() if self.down else None
+
+    def _check_write(self):
+        """Count a write; return a Failure if it must not be applied, else None."""
+        self.write_count += 1
+        if self.down:
+            return self._failure()
+        if self.drop_writes > 0:
+            self.drop_writes -= 1
+            return self._failure(maybe_applied=True)
+        return None
+
+    def _answer_write(self, answer):
+        """Return `answer`, or a Failure if it is to be lost."""
+        if self.lose_answers == 0:
+            return answer
+        self.lose_answers -= 1
+        return self._failure(maybe_applied=True)
+
+    def _failure(self, maybe_applied=False):
+        return Failure(
+            Reason.STORE_UNAVAILABLE,
+            self.step,
+            self.peer,
+            "the answer was lost" if maybe_applied else "the store is down",
+            maybe_applied=maybe_applied,
+        )
+
+
+class MemoryTable(ScriptedFaults, TableService):
+    """Table service in memory.
+
+    Attributes
+    ----------
+    rows : dict of str to Row
+        The rows as they are, for tests to look at and change.
+    """
+
+    peer = "memory-table"
+
+    def __init__(self):
+        super().__init__()
+        self.rows = {}
+
+    def read(self, key):
+        """Return the Row under `key`, None if there is none, or a Failure."""
+        failure = self._check_read()
+        return failure or self.rows.get(key)
+
+    def scan(self, prefix, after="", limit=1000):
+        """Return a tuple of up to `limit` Rows in key order, or a Failure."""
+        failure = self._check_read()
+        if failure:
+            return failure
+        return tuple(self.rows[key] for key in select(self.rows, prefix, after, limit))
+
+    def write(self, writes):
+        """Apply all writes or none; return Written, Conflict or a Failure."""
+        failure = self._check_write()
+        if failure:
+            return failure
+        return self._answer_write(self._apply(writes))
+
+    def _apply(self, writes):
+        failed_keys = [write.key for write in writes if not self._holds(write)]
+        if failed_keys:
+            found = (self.rows.get(key) for key in failed_keys)
+            return Conflict(tuple(row for row in found if row is not None))
+        return Written(tuple(self._apply_one(write) for write in writes))
+
+    def _holds(self, write):
+        row = self.rows.get(write.key)
+        return write.expected_version == (row.version if row else 0)
+
+    def _apply_one(self, write):
+        if write.value is None:
+            self.rows.pop(write.key, None)
+            return 0
+        version = write.expected_version + 1
+        self.rows[write.key] = Row(write.key, write.value, version)
+        return version
+
+
+class MemoryObjects(ScriptedFaults, ObjectStore):
+    """Object store in memory.
+
+    Attributes
+    ----------
+    objects : dict of str to bytes
+        The objects as they are, for tests to look at and change.
+    """
+
+    peer = "memory-objects"
+    step = Step.FLUSH
+
+    def __init__(self):
+        super().__init__()
+        self.objects = {}
+
+    def put(self, name, body):
+        """Store `body` under `name`; return None or a Failure."""
+        failure = self._check_write()
+        if failure:
+            return failure
+        self.objects[name] = bytes(body)
+        return self._answer_write(None)
+
+    def get(self, name):
+        """Return the bytes under `name`, None if there are none, or a Failure."""
+        failure = self._check_read()
+        return failure or self.objects.get(name)
+
+    def list_names(self, prefix, after="", limit=1000):
+        """Return a tuple of up to `limit` sorted names, or a Failure."""
+        failure = self._check_read()
+        return failure or tuple(select(self.objects, prefix, after, limit))
+
+
+class MemoryHosts(ScriptedFaults, HostList):
+    """Host list in memory.
+
+    Attributes
+    ----------
+    hosts : tuple of Host
+        What `read` returns; tests replace it.
+    """
+
+    peer = "memory-hosts"
+    step = Step.ROUTE
+
+    def __init__(self, hosts=()):
+        super().__init__()
+        self.hosts = tuple(hosts)
+
+    def read(self):
+        """Return a tuple of Host, or a Failure."""
+        failure = self._check_read()
+        return failure or self.hosts
+
+
+def select(names, prefix, after, limit):
+    """Return up to `limit` sorted names with a prefix and greater than `after`."""
+    ordered = sorted(name for name in names if name.startswith(prefix))
+    start = bisect.bisect_right(ordered, after)
+    return ordered[start : start + limit]
