--- a/nutmegdeal/agent/admission.py
+++ b/nutmegdeal/agent/admission.py
@@ -29,6 +29,8 @@
         Expected wait for a place in the batch.
     load_wait_ms : float
         Expected wait for the adapter, 0 if it is resident.
+    may_dispatch : bool
+        True if no other agent can be in charge of the backend server.
     needs_order : bool
         True if an order must be given before the request can run.
     may_order : bool
@@ -44,6 +46,7 @@
     queue_max: int = 512
     queue_wait_ms: float = 0.0
     load_wait_ms: float = 0.0
+    may_dispatch: bool = True
     needs_order: bool = False
     may_order: bool = True
 
@@ -94,6 +97,8 @@
         return refuse(view, Reason.NOT_CONFIGURED, text)
     if not view.has_report:
         return refuse(view, Reason.NO_REPLICA, "the backend server has not reported")
+    if not view.may_dispatch:
+        return refuse(view, Reason.LEASE_LOST, "the lease is not held")
     if view.needs_order and not view.may_order:
         text = "the adapter is not resident and the lease allows no load now"
         return refuse(view, Reason.LEASE_LOST, text)
--- a/nutmegdeal/agent/batches.py
+++ b/nutmegdeal/agent/batches.py
@@ -43,12 +43,16 @@
         for item in waiting:
             if item.adapter and item.adapter not in present:
                 ranks.setdefault(item.adapter, []).append(rank_ms(item))
-        return sorted(ranks, key=lambda adapter: (self._load_rank(ranks[adapter]), adapter))
+        return sorted(
+            ranks, key=lambda adapter: (self._load_rank(ranks[adapter]), adapter)
+        )
 
     def _load_rank(self, ranks_ms):
         first_ms = min(ranks_ms)
         # Only requests of about the same rank count, or bulk work would pull a load
         # ahead of urgent work.
-        sharing = [r for r in ranks_ms if r - first_ms < CLASS_OFFSET_MS[Urgency.NORMAL]]
+        sharing = [
+            r for r in ranks_ms if r - first_ms < CLASS_OFFSET_MS[Urgency.NORMAL]
+        ]
         sharing_count = min(len(sharing), SHARED_LOAD_COUNT_MAX)
         return first_ms - self._gain_ms * (sharing_count - 1)
--- a/nutmegdeal/agent/blackboard.py
+++ b/nutmegdeal/agent/blackboard.py
@@ -7,7 +7,8 @@
 
 from nutmegdeal.agent.attempts import Attempt, AttemptState
 from nutmegdeal.agent.slots import SlotTable
-from nutmegdeal.configuration import Configuration, ServicePolicy
+from nutmegdeal.configuration import Configuration
+from nutmegdeal.leases import Lease
 
 RUNNING_STATES = (AttemptState.CLAIMING, AttemptState.DISPATCHED)
 
@@ -27,21 +28,23 @@
         Adapters at the model engine; empty for a plain service.
     attempts : dict of str to Attempt
         All attempts that have not ended, by id.
+    running_greenlets : set of gevent.Greenlet
+        Those that run an attempt or record its outcome.
     sessions : set of channel.Session
         Open streams.
     is_leaving : bool
         True once no new work is taken.
     has_report : bool
         True once the model engine has reported; always for a plain service.
-    batch_size_max : int
-        Requests that the backend server runs at once.
+    engine_batch_size_max : int or None
+        Requests that the model engine says it runs at once, None if it said nothing.
     engine_running_count : int
         Requests in the model engine's batch by its newest report, of any sender.
-    may_order : bool
-        True while the lease allows load and unload orders.
+    lease : Lease or None
+        None for a plain service, which takes no orders.
     may_dispatch : bool
-        False after the lease has lapsed, until it is known whether another agent
-        has taken over.
+        False before the lease was held, and after it has lapsed until it is known
+        whether another agent has taken over.
     run_ms : float
         Moving average of what a request takes at the backend server.
     changed : gevent.event.Event
@@ -55,13 +58,14 @@
     configuration: Configuration | None = None
     slots: SlotTable = attrs.field(factory=lambda: SlotTable(0))
     attempts: dict[str, Attempt] = attrs.field(factory=dict)
+    running_greenlets: set = attrs.field(factory=set)
     sessions: set = attrs.field(factory=set)
     is_leaving: bool = False
     has_report: bool = False
-    batch_size_max: int = 1
+    engine_batch_size_max: int | None = None
     engine_running_count: int = 0
-    may_order: bool = False
-    may_dispatch: bool = True
+    lease: Lease | None = None
+    may_dispatch: bool = False
     run_ms: float = 0.0
     changed: gevent.event.Event = attrs.field(factory=gevent.event.Event)
 
@@ -72,6 +76,19 @@
             return None
         return self.configuration.services.get(self.service)
 
+    @property
+    def batch_size_max(self):
+        """Requests that the backend server runs at once (int)."""
+        if self.policy is None:
+            return 1
+        reported = self.engine_batch_size_max or self.policy.concurrency_max
+        return min(reported, self.policy.concurrency_max)
+
+    @property
+    def may_order(self):
+        """True if the lease allows load and unload orders now."""
+        return self.lease is not None and self.lease.may_order()
+
     @property
     def generation(self):
         """Generation of the configuration in force, 0 before the first."""
@@ -80,7 +97,8 @@
     @property
     def is_ready(self):
         """True if new work can be taken."""
-        return self.policy is not None and self.has_report and not self.is_leaving
+        is_known = self.policy is not None and self.has_report
+        return is_known and self.may_dispatch and not self.is_leaving
 
     def waiting(self):
         """Return the attempts that are not yet taken for dispatch, oldest first."""
--- a/nutmegdeal/agent/budgets.py
+++ b/nutmegdeal/agent/budgets.py
@@ -70,10 +70,11 @@
     def __init__(self, weight_store, agent_count):
         self._weight_store = weight_store
         super().__init__(weight_store.loads_per_s / agent_count)
-        self.set_agent_count(agent_count)
+        self.set_limits(weight_store, agent_count)
 
-    def set_agent_count(self, agent_count):
-        """Note how many agents share the store now."""
+    def set_limits(self, weight_store, agent_count):
+        """Note the store's limits and how many agents share them now."""
+        self._weight_store = weight_store
         self._share(1.0 / max(1, agent_count))
 
     def _share(self, fraction):
--- a/nutmegdeal/agent/claims.py
+++ b/nutmegdeal/agent/claims.py
@@ -4,7 +4,7 @@
 
 from nutmegdeal.accounts import Outcome
 from nutmegdeal.agent.attempts import AttemptState
-from nutmegdeal.agent.dispatch import DeadlinePassed
+from nutmegdeal.agent.dispatch import DeadlineError
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.ledger import (
     AlreadyRecorded,
@@ -83,9 +83,9 @@
         alarm = self._set_alarm(attempt)
         until_expiry_ms = attempt.submit.expiry_unix_ms - self._clock.unix_ms()
         try:
-            with gevent.Timeout(max(until_expiry_ms, 0) / 1000, DeadlinePassed):
+            with gevent.Timeout(max(until_expiry_ms, 0) / 1000, DeadlineError):
                 self._exchange(attempt, claim)
-        except DeadlinePassed:
+        except DeadlineError:
             failure = Failure(
                 Reason.KEY_EXPIRED, Step.RELAY, self._board.agent_id, "no answer"
             )
--- /dev/null
+++ b/nutmegdeal/agent/configuring.py
@@ -0,0 +1,106 @@
+"""Keeps the configuration in force, and fits the agent's policies to it."""
+
+import gevent
+import gevent.event
+
+from nutmegdeal.agent.batches import WeightedBatchOrder
+from nutmegdeal.agent.eviction import WeightedEviction
+from nutmegdeal.errors import Failure
+from nutmegdeal.log import get_logger
+from nutmegdeal.messages import BackendKind, GenerationNotice
+
+logger = get_logger(__name__)
+
+IDLE_POLL_FACTOR = 10
+
+
+def engine_count(configuration):
+    """Return the number of model engines that share the team's weight store."""
+    services = configuration.services.values()
+    engines = [s for s in services if s.kind is BackendKind.MODEL_ENGINE]
+    return max(1, sum(service.replica_count for service in engines))
+
+
+class ConfigurationController:
+    """Fetches newer generations when a peer has one, and seldom besides.
+
+    Parameters
+    ----------
+    board : Blackboard
+    keeper : ConfigurationKeeper
+    settings : PlatformSettings
+    """
+
+    def __init__(self, board, keeper, settings):
+        self._board = board
+        self._keeper = keeper
+        self._settings = settings
+        self._is_behind = gevent.event.Event()
+        self.on_change = []
+
+    def observe(self, generation):
+        """Note a generation that a peer has; never blocks."""
+        self._keeper.observe(generation)
+        if generation > self._board.generation:
+            self._is_behind.set()
+
+    def refresh(self):
+        """Read the head and put what is newer in force; return None or a Failure."""
+        result = self._keeper.refresh()
+        if isinstance(result, Failure):
+            logger.warning("configuration_not_read", error=str(result))
+            return result
+        if result is not None and result.generation > self._board.generation:
+            self._put_in_force(result)
+        return None
+
+    def _put_in_force(self, configuration):
+        self._board.configuration = configuration
+        logger.info("configuration_in_force", generation=configuration.generation)
+        for callback in self.on_change:
+            callback(configuration)
+        for session in tuple(self._board.sessions):
+            session.send(GenerationNotice(configuration.generation))
+        self._board.notify()
+
+    def run(self):
+        """Refresh until the greenlet is killed."""
+        while True:
+            failure = self.refresh()
+            is_current = failure is None and self._board.configuration is not None
+            factor = IDLE_POLL_FACTOR if is_current else 1
+            poll_ms = self._settings.head_poll_every_ms * factor
+            if failure is not None:
+                # A peer's notice must not turn an outage into a busy loop.
+                gevent.sleep(poll_ms / 1000)
+                continue
+            self._is_behind.wait(poll_ms / 1000)
+            self._is_behind.clear()
+
+
+class PolicyTuner:
+    """Fits a planner and its slots to the configuration.
+
+    Parameters
+    ----------
+    board : Blackboard
+    planner : Planner
+    load_times : LoadTimes
+    """
+
+    def __init__(self, board, planner, load_times):
+        self._board = board
+        self._planner = planner
+        self._load_times = load_times
+
+    def apply(self, configuration):
+        """Take over weights, slot count and the number of engines."""
+        weight = configuration.stall_weight
+        self._planner.batch_order = WeightedBatchOrder(weight)
+        self._planner.eviction = WeightedEviction(weight)
+        agent_count = engine_count(configuration)
+        weight_store = configuration.weight_store
+        self._planner.budget.set_limits(weight_store, agent_count)
+        self._load_times.set_limits(weight_store, agent_count)
+        if self._board.policy is not None:
+            self._board.slots.slot_count = self._board.policy.slot_count
--- a/nutmegdeal/agent/dispatch.py
+++ b/nutmegdeal/agent/dispatch.py
@@ -17,7 +17,7 @@
     """Raised in the greenlet of an attempt that nobody wants any more."""
 
 
-class DeadlinePassed(Exception):
+class DeadlineError(Exception):
     """Raised in the greenlet of an attempt at its deadline."""
 
 
@@ -56,9 +56,9 @@
         attempt.state = AttemptState.DISPATCHED
         remaining_ms = attempt.deadline_ms - self._clock.monotonic_ms()
         try:
-            with gevent.Timeout(max(remaining_ms, 0.0) / 1000, DeadlinePassed):
+            with gevent.Timeout(max(remaining_ms, 0.0) / 1000, DeadlineError):
                 self._exchange(attempt)
-        except DeadlinePassed:
+        except DeadlineError:
             self._end_interrupted(attempt, Reason.DEADLINE_PASSED)
         except AttemptCancelled:
             self._end_interrupted(attempt, Reason.CANCELLED)
--- a/nutmegdeal/agent/endings.py
+++ b/nutmegdeal/agent/endings.py
@@ -35,9 +35,7 @@
         failure : Failure
         retry_at_unix_ms : int
         """
-        self._events.note(
-            attempt.submit, Step.ANSWER, fate, failure.peer, str(failure)
-        )
+        self._events.note(attempt.submit, Step.ANSWER, fate, failure.peer, str(failure))
         attempt.send_failure(fate, failure, retry_at_unix_ms)
         self._forget(attempt)
 
--- a/nutmegdeal/agent/forecast.py
+++ b/nutmegdeal/agent/forecast.py
@@ -64,9 +64,7 @@
     def _outlook(self, item, now_ms):
         present = self._board.slots.adapters_in(SlotState.RESIDENT, SlotState.LOADING)
         waiting = [attempt.waiting for attempt in self._board.waiting()]
-        order = self._planner.batch_order.order_loads(
-            [*waiting, item], present, now_ms
-        )
+        order = self._planner.batch_order.order_loads([*waiting, item], present, now_ms)
         return self._outlook_at(item.adapter, order.index(item.adapter), now_ms)
 
     def _outlook_at(self, adapter, ahead_count, now_ms):
--- a/nutmegdeal/agent/loads.py
+++ b/nutmegdeal/agent/loads.py
@@ -6,6 +6,7 @@
 BACKOFF_MAX_MS = 30_000.0
 JITTER_FRACTION = 0.5
 DOUBLINGS_MAX = 10
+MS_PER_S = 1_000.0
 
 
 @attrs.frozen
@@ -95,10 +96,14 @@
     SMOOTHING = 0.2
 
     def __init__(self, weight_store, agent_count):
-        self.load_ms = weight_store.load_ms
-        self.gap_ms = 1_000.0 / weight_store.loads_per_s
-        self._equal_gap_ms = self.gap_ms * max(1, agent_count)
         self._last_start_ms = None
+        self.set_limits(weight_store, agent_count)
+
+    def set_limits(self, weight_store, agent_count):
+        """Start the averages anew from the store's limits."""
+        self.load_ms = weight_store.load_ms
+        self._equal_gap_ms = MS_PER_S * agent_count / weight_store.loads_per_s
+        self.gap_ms = self._equal_gap_ms
 
     def record_start(self, now_ms, was_waiting):
         """Note a start; the gap counts only if the load had to wait for its turn."""
--- a/nutmegdeal/agent/orders.py
+++ b/nutmegdeal/agent/orders.py
@@ -18,42 +18,49 @@
     board : Blackboard
     engine : ModelEngine
     planner : Planner
-    lease : Lease
     endings : Endings
     events : EventLog
     clock : Clock
     load_times : LoadTimes
+    on_fenced : callable
+        Called with the Failure of an order whose fencing number was refused.
     """
 
     def __init__(
-        self, board, engine, planner, lease, endings, events, clock, load_times
+        self, board, engine, planner, endings, events, clock, load_times, on_fenced
     ):
         self._board = board
         self._engine = engine
         self._planner = planner
-        self._lease = lease
         self._endings = endings
         self._events = events
         self._clock = clock
         self._load_times = load_times
+        self._on_fenced = on_fenced
 
     def give(self, order):
         """Give an order and hand in its outcome; blocks until it is answered."""
-        if not self._lease.may_order():
-            # The lease has lapsed since the plan was made; nothing was sent.
-            outcome = Failure(Reason.LEASE_LOST, Step.LEASE, self._board.agent_id)
-        elif order.kind is OrderKind.LOAD:
-            outcome = self._engine.load(order.adapter, self._lease.fence)
-        else:
-            outcome = self._engine.unload(order.adapter, self._lease.fence)
+        outcome = self._send(order)
         now_ms = self._clock.monotonic_ms()
         self._planner.finish_order(order, outcome, now_ms)
         if order.kind is OrderKind.LOAD:
             self._finish_load(order, outcome, now_ms)
         elif outcome is not None:
             logger.warning("unload_failed", adapter=order.adapter, error=str(outcome))
+        if outcome is not None and outcome.reason is Reason.FENCED:
+            self._on_fenced(outcome)
         self._board.notify()
 
+    def _send(self, order):
+        """Return None, or the Failure of an order that was refused or not answered."""
+        lease = self._board.lease
+        if not lease.may_order():
+            # The lease has lapsed since the plan was made; nothing was sent.
+            return Failure(Reason.LEASE_LOST, Step.LEASE, self._board.agent_id)
+        if order.kind is OrderKind.LOAD:
+            return self._engine.load(order.adapter, lease.fence)
+        return self._engine.unload(order.adapter, lease.fence)
+
     def _finish_load(self, order, outcome, now_ms):
         self._planner.budget.finish(now_ms)
         if outcome is None:
@@ -79,9 +86,7 @@
         for attempt in self._waiting_for(adapter):
             if attempt.deadline_ms > arrival_ms:
                 continue
-            reason = Failure(
-                Reason.LOAD_FAILED, Step.LOAD, failure.peer, str(failure)
-            )
+            reason = Failure(Reason.LOAD_FAILED, Step.LOAD, failure.peer, str(failure))
             self._endings.refuse(attempt, reason, retry_at_unix_ms)
 
 
@@ -117,7 +122,7 @@
             logger.warning("engine_restarted", incarnation=report.incarnation)
         self._board.has_report = True
         self._board.engine_running_count = report.running_count
-        self._board.batch_size_max = report.batch_size_max
+        self._board.engine_batch_size_max = report.batch_size_max
         self._board.notify()
         return report
 
--- /dev/null
+++ b/nutmegdeal/agent/platform.py
@@ -0,0 +1,47 @@
+"""The platform as an agent uses it."""
+
+import attrs
+
+from nutmegdeal.accounts import SegmentRecorder
+from nutmegdeal.generations import ConfigurationKeeper, StoredConfigurationKeeper
+from nutmegdeal.ledger import Ledger
+from nutmegdeal.platform.hosts import HostList, HttpHostList
+from nutmegdeal.platform.objects import HttpObjectStore
+from nutmegdeal.platform.table import HttpTableService, TableService
+from nutmegdeal.table_ledger import TableLedger
+
+
+@attrs.frozen
+class PlatformClients:
+    """What an agent reaches in the platform.
+
+    Parameters
+    ----------
+    table : TableService
+    hosts : HostList
+    keeper : ConfigurationKeeper
+    ledger : Ledger
+    recorder : SegmentRecorder
+    """
+
+    table: TableService
+    hosts: HostList
+    keeper: ConfigurationKeeper
+    ledger: Ledger
+    recorder: SegmentRecorder
+
+
+def connect_platform(settings, incarnation, clock):
+    """Return the PlatformClients of an agent's Settings."""
+    within_ms = settings.platform.call_within_ms
+    table = HttpTableService(settings.platform.table_url, within_ms)
+    objects = HttpObjectStore(settings.platform.objects_url, within_ms)
+    return PlatformClients(
+        table=table,
+        hosts=HttpHostList(settings.platform.hosts_url, within_ms),
+        keeper=StoredConfigurationKeeper(table, objects, clock),
+        ledger=TableLedger(table, clock),
+        recorder=SegmentRecorder(
+            objects, settings.process.name, incarnation, clock, settings.accounts
+        ),
+    )
--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -4,7 +4,7 @@
 
 from nutmegdeal import telemetry
 from nutmegdeal.agent.attempts import AttemptState
-from nutmegdeal.agent.slots import SlotState
+from nutmegdeal.agent.slots import OrderKind, SlotState
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.log import get_logger
 
@@ -27,15 +27,19 @@
         Carries out an Order of the slot table.
     endings : Endings
     clock : Clock
+    load_times : LoadTimes
     """
 
-    def __init__(self, board, planner, run_attempt, give_order, endings, clock):
+    def __init__(
+        self, board, planner, run_attempt, give_order, endings, clock, load_times
+    ):
         self._board = board
         self._planner = planner
         self._run_attempt = run_attempt
         self._give_order = give_order
         self._endings = endings
         self._clock = clock
+        self._load_times = load_times
         self.wanted_load_count = 0
 
     def run(self):
@@ -56,7 +60,7 @@
         """Plan once and carry the plan out."""
         now_ms = self._clock.monotonic_ms()
         self._expire(now_ms)
-        if not self._board.may_dispatch:
+        if not self._board.may_dispatch or self._board.policy is None:
             return
         running = self._board.running_by_adapter()
         free_count = self._board.batch_size_max - sum(running.values())
@@ -67,6 +71,7 @@
             self._board.may_order,
             now_ms,
         )
+        self._note_load_starts(plan, now_ms)
         self.wanted_load_count = plan.wanted_load_count
         self._note_load_waits(now_ms)
         for dispatch in plan.dispatches:
@@ -74,6 +79,12 @@
         for order in plan.orders:
             gevent.spawn(self._give_order, order)
 
+    def _note_load_starts(self, plan, now_ms):
+        had_waited = self.wanted_load_count > 0
+        for order in plan.orders:
+            if order.kind is OrderKind.LOAD:
+                self._load_times.record_start(now_ms, had_waited)
+
     def _expire(self, now_ms):
         for attempt in self._board.waiting():
             if attempt.deadline_ms > now_ms:
@@ -110,6 +121,7 @@
             running_count, self._board.batch_size_max, self._board.service
         )
         attempt.greenlet = gevent.spawn(self._run_pinned, attempt, dispatch.pin)
+        self._board.running_greenlets.add(attempt.greenlet)
 
     def _run_pinned(self, attempt, pin):
         try:
@@ -120,6 +132,7 @@
         finally:
             if pin is not None:
                 self._board.slots.unpin(pin)
+            self._board.running_greenlets.discard(attempt.greenlet)
             self._board.notify()
 
     def _end_crashed(self, attempt, error):
