--- /dev/null
+++ b/nutmegdeal/entry/account.py
@@ -0,0 +1,72 @@
+"""The entry's own events in the account of one request."""
+
+import attrs
+
+from nutmegdeal.accounts import Event
+from nutmegdeal.errors import Step
+
+
+class RequestAccount:
+    """Records the events of one request.
+
+    Parameters
+    ----------
+    recorder : Recorder
+    blackboard : Blackboard
+    request_id : str
+    """
+
+    def __init__(self, recorder, blackboard, request_id):
+        self._recorder = recorder
+        self._clock = blackboard.clock
+        self._common = Event(
+            request_id=request_id,
+            at_unix_ms=0,
+            process=blackboard.entry_id,
+            incarnation=blackboard.incarnation,
+            step=None,
+            outcome="",
+        )
+
+    def address(self, generation, adapter):
+        """Put the generation and the AdapterRef, or None, into all later events."""
+        self._common = attrs.evolve(
+            self._common,
+            generation=generation,
+            adapter=adapter.name if adapter else "",
+            version=adapter.version if adapter else "",
+        )
+
+    def add(self, step, outcome, attempt_id="", peer="", detail=""):
+        """Record that something happened now."""
+        event = attrs.evolve(
+            self._common,
+            at_unix_ms=self._clock.unix_ms(),
+            step=step,
+            outcome=outcome,
+            attempt_id=attempt_id,
+            peer=peer,
+            detail=detail,
+        )
+        self._recorder.record(event)
+
+    def add_failure(self, failure, attempt_id=""):
+        """Record a Failure at its own step."""
+        self.add(
+            failure.step,
+            failure.reason.value,
+            attempt_id,
+            failure.peer,
+            failure.detail,
+        )
+
+    def add_finish(self, finish):
+        """Record the fate that the caller is told."""
+        failure = finish.failure
+        peer = failure.peer if failure else ""
+        detail = str(failure) if failure else ""
+        self.add_answer(finish.fate.value, peer, detail)
+
+    def add_answer(self, outcome, peer="", detail=""):
+        """Record how the answer to the caller ended."""
+        self.add(Step.ANSWER, outcome, "", peer, detail)
--- /dev/null
+++ b/nutmegdeal/entry/admission.py
@@ -0,0 +1,42 @@
+"""Admission by class of urgency, bounded by the requests in progress."""
+
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.messages import Urgency
+
+IN_FLIGHT_SHARE = {Urgency.URGENT: 1.0, Urgency.NORMAL: 0.85, Urgency.BULK: 0.6}
+HOLD_MS_AT_START = 1_000.0
+HOLD_DECAY = 0.05
+
+
+class AdmissionGate:
+    """Counts requests in progress; refuses less urgent classes at lower counts.
+
+    Parameters
+    ----------
+    in_flight_max : int
+    """
+
+    def __init__(self, in_flight_max):
+        self._in_flight_max = in_flight_max
+        self._hold_ms = HOLD_MS_AT_START
+        self.in_flight_count = 0
+        self.refused_count = 0
+
+    def try_admit(self, urgency):
+        """Count a request in; return None, or a Failure with reason OVERLOADED."""
+        allowed = max(1, int(self._in_flight_max * IN_FLIGHT_SHARE[urgency]))
+        if self.in_flight_count >= allowed:
+            self.refused_count += 1
+            detail = f"{self.in_flight_count} requests in progress"
+            return Failure(Reason.OVERLOADED, Step.ADMIT, "", detail)
+        self.in_flight_count += 1
+        return None
+
+    def release(self, held_ms):
+        """Count a request out that was in progress for `held_ms`."""
+        self.in_flight_count -= 1
+        self._hold_ms += HOLD_DECAY * (held_ms - self._hold_ms)
+
+    def free_at_unix_ms(self, now_unix_ms):
+        """Return when a refused caller may come back: one mean request from now."""
+        return now_unix_ms + int(self._hold_ms)
--- /dev/null
+++ b/nutmegdeal/entry/agents.py
@@ -0,0 +1,231 @@
+"""Streams to agents: opened when needed, closed when idle."""
+
+import random
+
+import attrs
+import gevent
+import gevent.event
+
+from nutmegdeal.channel import Address
+from nutmegdeal.entry.routing import ReplicaView
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.log import get_logger
+from nutmegdeal.messages import AgentReport, EntryHello, GenerationNotice
+
+logger = get_logger(__name__)
+
+CONNECT_WITHIN_MS = 1_000
+IDLE_CLOSE_AFTER_MS = 10_000
+AVOID_AFTER_FAILURE_MS = 1_000
+AVOID_JITTER = 0.5
+HOLD_DECAY = 0.1
+
+
+@attrs.frozen
+class AttemptLost:
+    """The stream that an attempt was on is closed."""
+
+    attempt_id: str
+    failure: Failure
+
+
+class AgentLink:
+    """What this entry has with one agent.
+
+    Parameters
+    ----------
+    host : Host
+    """
+
+    def __init__(self, host):
+        self.host = host
+        self.session = None
+        self.opening = None
+        self.report = None
+        self.resident = frozenset()
+        self.reported_at_ms = 0.0
+        self.sent_since_report_count = 0
+        self.avoid_until_ms = 0.0
+        self.close_at_ms = 0.0
+        self.hold_ms = 0.0
+        self.inboxes = {}
+
+    @property
+    def address(self):
+        """Address of the agent's channel."""
+        return Address(self.host.agent_host, self.host.agent_port)
+
+    @property
+    def is_open(self):
+        """True if a stream is open."""
+        return self.session is not None and self.session.is_open
+
+    @property
+    def is_leaving(self):
+        """True if the agent said that it takes no new work."""
+        return self.is_open and self.report is not None and self.report.leaving
+
+    def take_report(self, report, now_ms):
+        """Note an AgentReport."""
+        self.report = report
+        self.resident = frozenset(report.resident)
+        self.reported_at_ms = now_ms
+        self.sent_since_report_count = 0
+
+    def take_hold(self, held_ms):
+        """Note how long an attempt that has ended was under way."""
+        self.hold_ms += HOLD_DECAY * (held_ms - self.hold_ms)
+
+    def view(self, adapter, concurrency_max, now_ms):
+        """Return the ReplicaView of this agent for an engine name."""
+        report = self.report
+        return ReplicaView(
+            agent_id=self.host.host_id,
+            zone=self.host.zone,
+            reported_wait_ms=report.queue_wait_ms if report else 0.0,
+            reported_age_ms=now_ms - self.reported_at_ms if report else 0.0,
+            service_ms=self.hold_ms / concurrency_max,
+            sent_since_report_count=self.sent_since_report_count,
+            in_flight_count=len(self.inboxes),
+            is_resident=adapter in self.resident,
+            load_wait_ms=report.load_wait_ms if report else 0.0,
+        )
+
+
+class AgentLinks:
+    """The streams of one entry.
+
+    Parameters
+    ----------
+    blackboard : Blackboard
+    client : ChannelClient
+    """
+
+    def __init__(self, blackboard, client):
+        self._blackboard = blackboard
+        self._client = client
+        self._links = {}
+
+    @property
+    def open_links(self):
+        """The AgentLinks with an open stream."""
+        return [link for link in self._links.values() if link.is_open]
+
+    def link_of(self, host_id):
+        """Return the AgentLink of a host in the list, or None."""
+        host = self._blackboard.hosts.get(host_id)
+        if host is None:
+            return None
+        link = self._links.get(host_id)
+        if link is not None and link.address == Address(host.agent_host, host.agent_port):
+            link.host = host
+            return link
+        link = AgentLink(host)
+        self._links[host_id] = link
+        return link
+
+    def may_be_chosen(self, link):
+        """Return whether new work may go to an agent now."""
+        now_ms = self._blackboard.clock.monotonic_ms()
+        return not link.is_leaving and now_ms >= link.avoid_until_ms
+
+    def submit(self, link, submit, inbox):
+        """Send a Submit; what comes of it is put into the queue `inbox`.
+
+        Returns
+        -------
+        None or Failure
+            After a Failure the agent cannot have received the Submit.
+        """
+        failure = self._open(link)
+        if failure is not None:
+            self._avoid(link)
+            return failure
+        link.inboxes[submit.attempt_id] = inbox
+        link.sent_since_report_count += 1
+        if link.session.send(submit):
+            return None
+        self.forget(link, submit.attempt_id)
+        return link.session.close_reason
+
+    def forget(self, link, attempt_id):
+        """Stop listening to an attempt."""
+        link.inboxes.pop(attempt_id, None)
+        now_ms = self._blackboard.clock.monotonic_ms()
+        link.close_at_ms = now_ms + IDLE_CLOSE_AFTER_MS
+
+    def close_idle(self):
+        """Close the streams that have not been used for a while."""
+        now_ms = self._blackboard.clock.monotonic_ms()
+        for host_id, link in tuple(self._links.items()):
+            if link.inboxes or link.opening or now_ms < link.close_at_ms:
+                continue
+            if link.is_open:
+                link.session.close()
+            if host_id not in self._blackboard.hosts:
+                del self._links[host_id]
+
+    def close(self):
+        """Close all streams."""
+        for link in self.open_links:
+            link.session.close()
+
+    def _open(self, link):
+        """Have the link open; return None or a Failure."""
+        if link.is_open:
+            return None
+        if link.opening is not None:
+            return link.opening.get()
+        link.opening = gevent.event.AsyncResult()
+        result = Failure(Reason.CONNECTION_LOST, Step.SUBMIT, link.host.host_id)
+        try:
+            result = self._connect(link)
+        finally:
+            link.opening.set(result)
+            link.opening = None
+        return result
+
+    def _connect(self, link):
+        session = self._client.connect(link.address, CONNECT_WITHIN_MS)
+        if isinstance(session, Failure):
+            return attrs.evolve(session, step=Step.SUBMIT, peer=link.host.host_id)
+        link.session = session
+        link.report = None
+        link.resident = frozenset()
+        link.sent_since_report_count = 0
+        link.close_at_ms = self._blackboard.clock.monotonic_ms() + IDLE_CLOSE_AFTER_MS
+        link.inboxes = {}
+        session.send(self._hello())
+        gevent.spawn(self._read, link, session, link.inboxes)
+        return None
+
+    def _hello(self):
+        board = self._blackboard
+        configuration = board.keeper.current
+        generation = configuration.generation if configuration else 0
+        zone = board.settings.process.zone
+        return EntryHello(board.entry_id, zone, generation)
+
+    def _read(self, link, session, inboxes):
+        for message in session.messages():
+            if isinstance(message, AgentReport | GenerationNotice):
+                self._take_notice(link, session, message)
+                continue
+            inbox = inboxes.get(getattr(message, "attempt_id", None))
+            if inbox is not None:
+                inbox.put(message)
+        failure = attrs.evolve(session.close_reason, peer=link.host.host_id)
+        for attempt_id, inbox in inboxes.items():
+            inbox.put(AttemptLost(attempt_id, failure))
+        if failure.reason is not Reason.CANCELLED:
+            self._avoid(link)
+
+    def _take_notice(self, link, session, message):
+        self._blackboard.keeper.observe(message.generation)
+        if isinstance(message, AgentReport) and link.session is session:
+            link.take_report(message, self._blackboard.clock.monotonic_ms())
+
+    def _avoid(self, link):
+        spread = 1 + AVOID_JITTER * random.random()
+        now_ms = self._blackboard.clock.monotonic_ms()
+        link.avoid_until_ms = now_ms + AVOID_AFTER_FAILURE_MS * spread
--- /dev/null
+++ b/nutmegdeal/entry/attempts.py
@@ -0,0 +1,251 @@
+"""What to do next for a request, from what became of its attempts.
+
+The decisions are pure: the caller of these methods sends, fences and waits, and
+reports what came of it. ``NOT_RUN`` is concluded only if every attempt made so far is
+proved not to have run.
+"""
+
+import attrs
+
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.ledger import AlreadyRecorded, Fenced, LedgerAnswer, LedgerState
+from nutmegdeal.messages import Fate
+
+FINAL_REFUSALS = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.BODY_TOO_LARGE,
+        Reason.UNKNOWN_OPERATION,
+        Reason.KEY_MISSING,
+        Reason.KEY_REUSED,
+        Reason.KEY_EXPIRED,
+        Reason.DEADLINE_PASSED,
+        Reason.STORE_UNAVAILABLE,
+    }
+)
+RECORD_REASONS = frozenset({Reason.STORE_CONFLICT, Reason.FENCED})
+STEPS_BEFORE_LEDGER = frozenset({Step.RECEIVE, Step.ADMIT, Step.QUEUE, Step.DRAIN})
+
+
+@attrs.frozen
+class SendAttempt:
+    """Choose a replica and send the attempt of this number (from 1)."""
+
+    number: int
+
+
+@attrs.frozen
+class FindRecord:
+    """Read the ledger row of the request's key before anything is sent."""
+
+
+@attrs.frozen
+class FenceAttempt:
+    """Fence the last attempt off in the ledger."""
+
+
+@attrs.frozen
+class WithdrawAttempt:
+    """Record in the ledger that the last attempt was not run."""
+
+
+@attrs.frozen
+class ReadRecord:
+    """Wait a little and read the ledger row of the request's key."""
+
+
+@attrs.frozen
+class Finish:
+    """Give the caller its final answer.
+
+    Parameters
+    ----------
+    fate : Fate
+    failure : Failure or None
+        None if and only if the fate is COMPLETED.
+    answer : LedgerAnswer or None
+        The whole answer, if it was not streamed; it came from an attempt or from the
+        ledger.
+    retry_at_unix_ms : int
+        When the caller may come back, 0 if unknown.
+    """
+
+    fate: Fate
+    failure: Failure | None = None
+    answer: LedgerAnswer | None = None
+    retry_at_unix_ms: int = 0
+
+
+class AttemptPlan:
+    """The state of one request's attempts.
+
+    Parameters
+    ----------
+    idempotent : bool
+    attempts_max : int
+    budget : RetryBudget
+    """
+
+    def __init__(self, idempotent, attempts_max, budget):
+        self._idempotent = idempotent
+        self._attempts_max = attempts_max
+        self._budget = budget
+        self._attempt_count = 0
+        self._outstanding = False
+        self._maybe_ran = None
+        self._last_refusal = None
+        self._retry_at_unix_ms = 0
+
+    @property
+    def attempt_count(self):
+        """Number of attempts begun."""
+        return self._attempt_count
+
+    def start(self):
+        """Begin: idempotent work is sent at once, other work looked up first."""
+        self._budget.earn()
+        return self._send() if self._idempotent else FindRecord()
+
+    def on_found(self, result):
+        """Go on after FindRecord.
+
+        Parameters
+        ----------
+        result : LedgerRow, None or Failure
+        """
+        if isinstance(result, Failure):
+            return self._conclude(result)
+        if result is None or result.state is LedgerState.NOT_RUN:
+            return self._send()
+        return self._judge_row(result)
+
+    def on_sent(self):
+        """Note that the current attempt may have reached an agent from now on."""
+        self._outstanding = True
+
+    def on_no_replica(self, failure):
+        """Conclude: no replica is left to choose."""
+        return self._conclude(self._last_refusal or failure)
+
+    def on_not_sent(self, failure):
+        """Go on after an attempt that cannot have reached an agent."""
+        return self._retry_or_conclude(failure, is_free=True)
+
+    def on_refused(self, ended):
+        """Go on after an AttemptEnded with fate NOT_RUN."""
+        self._outstanding = False
+        self._retry_at_unix_ms = max(self._retry_at_unix_ms, ended.retry_at_unix_ms)
+        failure = failure_of(ended)
+        self._last_refusal = failure
+        if not self._idempotent and ended.reason in RECORD_REASONS:
+            return ReadRecord()
+        if ended.reason in FINAL_REFUSALS:
+            return self._conclude(failure)
+        if not self._idempotent and ended.step not in STEPS_BEFORE_LEDGER:
+            return WithdrawAttempt()
+        return self._retry_or_conclude(failure, ended.reason is Reason.LEAVING)
+
+    def on_ended(self, ended):
+        """Go on after an AttemptEnded of any fate."""
+        if ended.fate is Fate.NOT_RUN:
+            return self.on_refused(ended)
+        return self._on_ran(failure_of(ended), ended.fate)
+
+    def on_broken(self, failure):
+        """Go on after an answer that arrived incomplete or altered."""
+        return self._on_ran(failure, Fate.FAILED)
+
+    def on_inconsistent(self, failure):
+        """Conclude: the replacement of a broken stream does not continue it."""
+        return Finish(Fate.FAILED, failure)
+
+    def on_lost(self, failure):
+        """Go on after the stream to the agent broke with the attempt under way."""
+        if self._idempotent:
+            return self._on_ran(failure, Fate.IN_DOUBT)
+        self._last_refusal = failure
+        return FenceAttempt()
+
+    def on_fence(self, result):
+        """Go on after FenceAttempt or WithdrawAttempt.
+
+        Parameters
+        ----------
+        result : Fenced, AlreadyRecorded or Failure
+        """
+        if isinstance(result, Fenced):
+            self._outstanding = False
+            failure = self._last_refusal
+            return self._retry_or_conclude(failure, is_free=False)
+        if isinstance(result, AlreadyRecorded):
+            return self._judge_row(result.row)
+        if not self._outstanding:
+            return Finish(
+                Fate.NOT_RUN, self._last_refusal, None, self._retry_at_unix_ms
+            )
+        return Finish(Fate.IN_DOUBT, result)
+
+    def on_record(self, result):
+        """Go on after ReadRecord.
+
+        Parameters
+        ----------
+        result : LedgerRow, None or Failure
+        """
+        if result is None or isinstance(result, Failure):
+            return ReadRecord()
+        return self._judge_row(result)
+
+    def on_whole(self, answer=None):
+        """Conclude with the whole answer that arrived, None if it was streamed."""
+        return Finish(Fate.COMPLETED, None, answer)
+
+    def on_deadline(self, failure):
+        """Conclude at the request's deadline or when its caller went away."""
+        if self._outstanding:
+            return Finish(Fate.IN_DOUBT, failure)
+        return self._conclude(failure)
+
+    def _judge_row(self, row):
+        if row.state is LedgerState.COMPLETED and row.answer is not None:
+            return Finish(Fate.COMPLETED, None, row.answer)
+        if row.state in (LedgerState.COMPLETED, LedgerState.FAILED):
+            detail = "it ran, but its answer was not recorded"
+            failure = Failure(Reason.INCOMPLETE_ANSWER, Step.LEDGER, "", detail)
+            return Finish(Fate.FAILED, failure, row.answer)
+        if row.state is LedgerState.NOT_RUN:
+            self._outstanding = False
+            detail = "the ledger says that it was not run"
+            refusal = Failure(Reason.FENCED, Step.LEDGER, "", detail)
+            return self._retry_or_conclude(self._last_refusal or refusal, False)
+        self._outstanding = True
+        return ReadRecord()
+
+    def _on_ran(self, failure, fate):
+        self._outstanding = False
+        if not self._idempotent:
+            return Finish(fate, failure)
+        self._maybe_ran = Finish(fate, failure)
+        return self._retry_or_conclude(failure, is_free=False)
+
+    def _retry_or_conclude(self, failure, is_free):
+        self._last_refusal = failure
+        if self._attempt_count >= self._attempts_max:
+            return self._conclude(failure)
+        if not is_free and not self._budget.try_spend():
+            return self._conclude(failure)
+        return self._send()
+
+    def _send(self):
+        self._attempt_count += 1
+        return SendAttempt(self._attempt_count)
+
+    def _conclude(self, failure):
+        if self._maybe_ran is not None:
+            return self._maybe_ran
+        return Finish(Fate.NOT_RUN, failure, None, self._retry_at_unix_ms)
+
+
+def failure_of(ended):
+    """Return what an AttemptEnded says as a Failure."""
+    return Failure(ended.reason, ended.step, ended.peer, ended.detail)
--- /dev/null
+++ b/nutmegdeal/entry/http.py
@@ -0,0 +1,238 @@
+"""The web application towards callers."""
+
+import json
+
+import attrs
+import bottle
+import gevent
+
+from nutmegdeal.entry.attempts import Finish
+from nutmegdeal.entry.relay import StreamStarted
+from nutmegdeal.entry.replies import (
+    FATE_PENDING,
+    JSON_TYPE,
+    describe_event,
+    reply_to_finish,
+    standard_headers,
+)
+from nutmegdeal.entry.requests import (
+    COMPLETION_PATHS,
+    SERVICES_PREFIX,
+    CallerHeaders,
+    CallerRequest,
+)
+from nutmegdeal.entry.server import RAW_PATH_KEY, SOCKET_KEY, DisconnectWatch
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.messages import Fate
+
+DISCARD_BYTES_MAX = 16_777_216
+BODY_WITHIN_MS = 30_000
+
+
+class CallerApplication:
+    """Routes of an entry, as a bottle application.
+
+    Parameters
+    ----------
+    service : EntryService
+    blackboard : Blackboard
+    describe_status : callable
+        Returns what ``/status`` shows, an attrs object.
+    """
+
+    def __init__(self, service, blackboard, describe_status):
+        self._service = service
+        self._blackboard = blackboard
+        self._describe_status = describe_status
+        self.open_count = 0
+        self.wsgi = bottle.Bottle()
+        self.wsgi.default_error_handler = self._answer_error
+        for path in COMPLETION_PATHS:
+            self.wsgi.route(path, "POST", self._answer_call)
+        self.wsgi.route(f"{SERVICES_PREFIX}<rest:path>", "ANY", self._answer_call)
+        self.wsgi.route("/healthz", "GET", self._answer_health)
+        self.wsgi.route("/readyz", "GET", self._answer_readiness)
+        self.wsgi.route("/status", "GET", self._answer_status)
+
+    def reply_to_invalid(self, failure):
+        """Return the Reply to a request that could not be read."""
+        opened = self._service.open("", "")
+        return self._reply(opened, opened.refuse(failure))
+
+    def _answer_call(self, rest=""):
+        environ = bottle.request.environ
+        opened = self._service.open(environ["REQUEST_METHOD"], environ[RAW_PATH_KEY])
+        body = self._read_body(environ)
+        if isinstance(body, Failure):
+            return _respond(self._reply(opened, opened.refuse(body)))
+        watch = DisconnectWatch(environ.get(SOCKET_KEY), opened.cancel)
+        answer = CallerAnswer(self, opened, watch, _read_request(environ, body))
+        return answer.respond()
+
+    def _reply(self, opened, finish):
+        now_unix_ms = self._blackboard.clock.unix_ms()
+        return reply_to_finish(finish, opened.request_id, now_unix_ms)
+
+    def _read_body(self, environ):
+        """Return the body, or a Failure if it is too large, cut or slow."""
+        bytes_max = self._blackboard.settings.entry.body_bytes_max
+        stream = environ["wsgi.input"]
+        try:
+            with gevent.Timeout(BODY_WITHIN_MS / 1000):
+                if int(environ.get("CONTENT_LENGTH") or 0) <= bytes_max:
+                    body = stream.read(bytes_max + 1)
+                    if len(body) <= bytes_max:
+                        return body
+                _discard(stream)
+        except (gevent.Timeout, OSError, ValueError) as error:
+            _close_after_answer(stream)
+            detail = f"the body did not arrive whole: {error}"
+            return Failure(Reason.BAD_REQUEST, Step.RECEIVE, "", detail)
+        detail = f"the body exceeds {bytes_max} bytes"
+        return Failure(Reason.BODY_TOO_LARGE, Step.RECEIVE, "", detail)
+
+    def _answer_error(self, error):
+        """Answer what no route takes, and unexpected errors."""
+        reason = Reason.NOT_FOUND if error.status_code < 500 else Reason.BACKEND_ERROR
+        opened = self._service.open(bottle.request.method, bottle.request.path)
+        detail = f"{bottle.request.method} {bottle.request.path}: {error.status_line}"
+        failure = Failure(reason, Step.RECEIVE, "", detail)
+        reply = self._reply(opened, opened.refuse(failure))
+        if error.status_code < 500:
+            reply = attrs.evolve(reply, status_code=error.status_code)
+        return _respond(reply)
+
+    def _answer_health(self):
+        return {"healthy": True}
+
+    def _answer_readiness(self):
+        if not self._blackboard.is_ready:
+            bottle.response.status = 503
+        return {"ready": self._blackboard.is_ready}
+
+    def _answer_status(self):
+        bottle.response.content_type = JSON_TYPE
+        return json.dumps(attrs.asdict(self._describe_status()))
+
+
+class CallerAnswer:
+    """The answer to one request, produced while the caller reads it.
+
+    Parameters
+    ----------
+    application : CallerApplication
+    opened : OpenRequest
+    watch : DisconnectWatch
+    request : CallerRequest
+    """
+
+    def __init__(self, application, opened, watch, request):
+        self._application = application
+        self._opened = opened
+        self._watch = watch
+        self._events = opened.events(request)
+        self._is_closed = False
+        application.open_count += 1
+
+    def respond(self):
+        """Return the bottle response once its head is known."""
+        try:
+            first = next(self._events)
+        except BaseException:
+            self.close()
+            raise
+        if isinstance(first, Finish):
+            reply = self._application._reply(self._opened, first)
+            return _respond(reply, ClosingBody([reply.body], self.close))
+        if not isinstance(first, StreamStarted):
+            raise TypeError(f"unexpected {first!r}")
+        headers = standard_headers(
+            self._opened.request_id, FATE_PENDING, first.content_type
+        )
+        pairs = [(header.name, header.value) for header in headers]
+        body = ClosingBody(self._stream(), self.close)
+        return bottle.HTTPResponse(body, first.status_code, pairs)
+
+    def _stream(self):
+        for event in self._events:
+            if not isinstance(event, Finish):
+                yield event
+                continue
+            if event.fate is not Fate.COMPLETED:
+                yield describe_event(event, self._opened.request_id)
+
+    def close(self):
+        """Release what the answer holds; cancels what still runs."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._watch.stop()
+        self._events.close()
+        self._application.open_count -= 1
+
+
+class ClosingBody:
+    """Iterable of bytes that calls a function when the server is done with it.
+
+    Parameters
+    ----------
+    chunks : iterable of bytes
+    on_close : callable
+    """
+
+    def __init__(self, chunks, on_close):
+        self._chunks = iter(chunks)
+        self._on_close = on_close
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        return next(self._chunks)
+
+    def close(self):
+        """Call the function."""
+        self._on_close()
+
+
+def _respond(reply, body=None):
+    """Return the bottle response of a Reply."""
+    pairs = [(header.name, header.value) for header in reply.headers]
+    pairs.append(("Content-Length", str(len(reply.body))))
+    return bottle.HTTPResponse(
+        reply.body if body is None else body, reply.status_code, pairs
+    )
+
+
+def _read_request(environ, body):
+    headers = CallerHeaders(
+        content_type=environ.get("CONTENT_TYPE", ""),
+        idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY", ""),
+        deadline=environ.get("HTTP_X_DEADLINE_MS", ""),
+        expires=environ.get("HTTP_X_EXPIRES_MS", ""),
+        unrepeatable=environ.get("HTTP_X_UNREPEATABLE", "").lower(),
+        traceparent=environ.get("HTTP_TRACEPARENT", ""),
+    )
+    return CallerRequest(
+        method=environ["REQUEST_METHOD"],
+        path=environ[RAW_PATH_KEY],
+        query=environ.get("QUERY_STRING", ""),
+        headers=headers,
+        body=body,
+    )
+
+
+def _discard(stream):
+    """Read the rest of a body that is too large, so that its sender gets an answer."""
+    left = DISCARD_BYTES_MAX
+    while left > 0:
+        chunk = stream.read(65_536)
+        if not chunk:
+            return
+        left -= len(chunk)
+    _close_after_answer(stream)
+
+
+def _close_after_answer(stream):
+    """Have the server not read the rest of the body; it closes the connection."""
+    stream._chunked_input_error = True
--- /dev/null
+++ b/nutmegdeal/entry/placement.py
@@ -0,0 +1,78 @@
+"""Chooses the agent of each attempt from what the blackboard and the links know."""
+
+from nutmegdeal.entry.rendezvous import rank_agents
+from nutmegdeal.entry.routing import RouteRequest
+from nutmegdeal.errors import Failure
+
+CANDIDATES_MAX = 16
+
+
+class Placement:
+    """Turns hosts and links into the views that a ReplicaChooser reads.
+
+    Parameters
+    ----------
+    blackboard : Blackboard
+    links : AgentLinks
+    chooser : ReplicaChooser
+    degrees : DegreeTracker
+    """
+
+    def __init__(self, blackboard, links, chooser, degrees):
+        self._blackboard = blackboard
+        self._links = links
+        self._chooser = chooser
+        self._degrees = degrees
+
+    def observe_request(self, target):
+        """Note the demand of a request."""
+        if target.adapter is None:
+            return
+        now_ms = self._blackboard.clock.monotonic_ms()
+        self._degrees.observe_request(target.adapter.engine_name, now_ms)
+
+    def observe_hint(self, target, degree_hint):
+        """Note an agent's advice on the number of homes."""
+        if target.adapter is None:
+            return
+        now_ms = self._blackboard.clock.monotonic_ms()
+        self._degrees.observe_hint(target.adapter.engine_name, degree_hint, now_ms)
+
+    def choose(self, target, excluded):
+        """Return the AgentLink for an attempt, or a Failure.
+
+        Parameters
+        ----------
+        target : Target
+        excluded : frozenset of str
+            Hosts tried before.
+        """
+        now_ms = self._blackboard.clock.monotonic_ms()
+        adapter = target.adapter.engine_name if target.adapter else ""
+        key = adapter or self._blackboard.entry_id
+        concurrency_max = target.service.concurrency_max
+        links = self._find_links(target.service.name, key, excluded)
+        request = RouteRequest(
+            adapter=adapter,
+            urgency=target.urgency,
+            zone=self._blackboard.settings.process.zone,
+            degree=self._degrees.degree(adapter, now_ms) if adapter else 1,
+            prefix_digest=target.prefix_digest,
+            excluded=excluded,
+        )
+        views = [link.view(adapter, concurrency_max, now_ms) for link in links]
+        chosen = self._chooser.choose(request, views, now_ms)
+        if isinstance(chosen, Failure):
+            return chosen
+        return self._links.link_of(chosen.agent_id)
+
+    def _find_links(self, service, key, excluded):
+        links = []
+        for host_id in rank_agents(key, self._blackboard.live_hosts(service)):
+            link = self._links.link_of(host_id)
+            if host_id in excluded or not self._links.may_be_chosen(link):
+                continue
+            links.append(link)
+            if len(links) == CANDIDATES_MAX:
+                break
+        return links
--- /dev/null
+++ b/nutmegdeal/entry/pollers.py
@@ -0,0 +1,65 @@
+"""Controllers that keep the host list and the configuration up to date."""
+
+import random
+
+import gevent
+
+from nutmegdeal.errors import Failure
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
+
+POLL_JITTER = 0.2
+
+
+class Poller:
+    """Calls a function again and again, in a greenlet of its own.
+
+    Parameters
+    ----------
+    read : callable
+        Returns a Failure, which is logged, or anything else.
+    every_ms : int
+    """
+
+    def __init__(self, read, every_ms):
+        self._read = read
+        self._every_ms = every_ms
+        self._was_failing = False
+
+    def run(self):
+        """Poll until killed."""
+        while True:
+            self.poll_once()
+            spread = 1 + POLL_JITTER * (2 * random.random() - 1)
+            gevent.sleep(self._every_ms * spread / 1000)
+
+    def poll_once(self):
+        """Poll now; log the first failure of a series."""
+        result = self._read()
+        is_failing = isinstance(result, Failure)
+        if is_failing and not self._was_failing:
+            logger.warning("poll_failed", failure=str(result))
+        self._was_failing = is_failing
+
+
+class HostsController:
+    """Reads the host list into the blackboard.
+
+    Parameters
+    ----------
+    blackboard : Blackboard
+    host_list : HostList
+    """
+
+    def __init__(self, blackboard, host_list):
+        self._blackboard = blackboard
+        self._host_list = host_list
+
+    def refresh(self):
+        """Read the list; an outage leaves the last one in place."""
+        hosts = self._host_list.read()
+        if isinstance(hosts, Failure):
+            return hosts
+        self._blackboard.replace_hosts(hosts)
+        return None
--- /dev/null
+++ b/nutmegdeal/entry/process.py
@@ -0,0 +1,154 @@
+"""Builds the parts of an entry process, runs them and shuts them down."""
+
+import random
+
+import attrs
+import gevent
+import gevent.event
+import gevent.pool
+
+from nutmegdeal import telemetry
+from nutmegdeal.accounts import SegmentRecorder
+from nutmegdeal.channel import ChannelClient, GreenletBridge
+from nutmegdeal.clock import SystemClock
+from nutmegdeal.entry.admission import AdmissionGate
+from nutmegdeal.entry.agents import AgentLinks
+from nutmegdeal.entry.blackboard import Blackboard
+from nutmegdeal.entry.budget import RetryBudget
+from nutmegdeal.entry.degree import DegreeTracker
+from nutmegdeal.entry.http import CallerApplication
+from nutmegdeal.entry.placement import Placement
+from nutmegdeal.entry.pollers import HostsController, Poller
+from nutmegdeal.entry.relay import Parts
+from nutmegdeal.entry.rendezvous import RendezvousChooser
+from nutmegdeal.entry.server import CallerServer
+from nutmegdeal.entry.service import EntryService
+from nutmegdeal.entry.status import describe_status
+from nutmegdeal.generations import StoredConfigurationKeeper
+from nutmegdeal.identifiers import RequestIdSource, new_incarnation
+from nutmegdeal.ledger import TableLedger
+from nutmegdeal.log import get_logger
+from nutmegdeal.platform.hosts import HttpHostList
+from nutmegdeal.platform.objects import HttpObjectStore
+from nutmegdeal.platform.table import HttpTableService
+
+logger = get_logger(__name__)
+
+IDLE_CHECK_EVERY_MS = 1_000
+DRAIN_CHECK_EVERY_MS = 20
+FLUSH_AT_EXIT_MS = 5_000
+
+
+@attrs.frozen
+class Platform:
+    """The platform's services, as this process reaches them."""
+
+    table: object
+    objects: object
+    hosts: object
+
+
+def connect_platform(settings):
+    """Return the Platform that the settings name."""
+    within_ms = settings.call_within_ms
+    return Platform(
+        HttpTableService(settings.table_url, within_ms),
+        HttpObjectStore(settings.objects_url, within_ms),
+        HttpHostList(settings.hosts_url, within_ms),
+    )
+
+
+class EntryProcess:
+    """One entry.
+
+    Parameters
+    ----------
+    settings : Settings
+    platform : Platform
+    clock : Clock
+    """
+
+    def __init__(self, settings, platform, clock=None):
+        clock = clock or SystemClock()
+        incarnation = new_incarnation()
+        name = settings.process.name or f"entry-{settings.listen.port}"
+        keeper = StoredConfigurationKeeper(platform.table, platform.objects, clock)
+        self._settings = settings
+        self._board = Blackboard(settings, clock, keeper, name, incarnation)
+        self._recorder = SegmentRecorder(
+            platform.objects, name, incarnation, clock, settings.accounts
+        )
+        self._hosts = HostsController(self._board, platform.hosts)
+        client = ChannelClient(GreenletBridge(), settings.channel)
+        self._links = AgentLinks(self._board, client)
+        self._parts = self._build_parts(TableLedger(platform.table, clock))
+        service = EntryService(
+            self._parts, self._recorder, RequestIdSource(incarnation)
+        )
+        self._application = CallerApplication(
+            service, self._board, lambda: describe_status(self._board, self._parts)
+        )
+        self._server = None
+        self._stop_asked = gevent.event.Event()
+        self._greenlets = gevent.pool.Group()
+
+    def _build_parts(self, ledger):
+        chooser = RendezvousChooser(random.Random())
+        entry_settings = self._settings.entry
+        return Parts(
+            blackboard=self._board,
+            links=self._links,
+            placement=Placement(self._board, self._links, chooser, DegreeTracker()),
+            ledger=ledger,
+            gate=AdmissionGate(entry_settings.in_flight_max),
+            budget=RetryBudget(entry_settings.retry_ratio),
+        )
+
+    def start(self):
+        """Listen and start the controllers; return the TCP port in use."""
+        listen = self._settings.listen
+        self._server = CallerServer(
+            (listen.host, listen.port),
+            self._application.wsgi,
+            self._settings.entry.header_bytes_max,
+            self._application.reply_to_invalid,
+        )
+        self._server.start()
+        platform = self._settings.platform
+        pollers = (
+            Poller(self._board.keeper.refresh, platform.head_poll_every_ms),
+            Poller(self._hosts.refresh, platform.hosts_poll_every_ms),
+            Poller(self._links.close_idle, IDLE_CHECK_EVERY_MS),
+        )
+        for poller in pollers:
+            self._greenlets.spawn(poller.run)
+        self._greenlets.spawn(self._recorder.run)
+        logger.info("started", host=listen.host, port=self._server.server_port)
+        return self._server.server_port
+
+    def ask_to_stop(self):
+        """Have `run` drain and return; may be called from a signal handler."""
+        self._board.is_draining = True
+        self._stop_asked.set()
+
+    def run(self):
+        """Serve until asked to stop, then finish what runs and flush accounts."""
+        self._stop_asked.wait()
+        logger.info("draining", open_count=self._application.open_count)
+        self._wait_until_idle()
+        self._server.stop(timeout=0)
+        self._links.close()
+        self._greenlets.kill()
+        self._flush()
+        telemetry.shutdown()
+        logger.info("stopped")
+
+    def _wait_until_idle(self):
+        clock = self._board.clock
+        end_ms = clock.monotonic_ms() + self._settings.entry.drain_within_ms
+        while self._application.open_count and clock.monotonic_ms() < end_ms:
+            gevent.sleep(DRAIN_CHECK_EVERY_MS / 1000)
+
+    def _flush(self):
+        with gevent.Timeout(FLUSH_AT_EXIT_MS / 1000, False):
+            self._recorder.flush()
--- /dev/null
+++ b/nutmegdeal/entry/server.py
@@ -0,0 +1,129 @@
+"""The HTTP/1.1 listener towards callers: limits on headers, the caller's socket."""
+
+import socket
+
+import gevent
+from gevent import pywsgi
+from gevent.socket import wait_read
+
+from nutmegdeal.errors import Failure, Reason, Step
+
+RAW_PATH_KEY = "nutmegdeal.raw_path"
+SOCKET_KEY = "nutmegdeal.socket"
+REASON_PHRASES = {400: "Bad Request", 431: "Request Header Fields Too Large"}
+
+
+class HeadersTooLargeError(ValueError):
+    """The request headers are larger than the settings allow."""
+
+
+class LimitedLines:
+    """Reads lines of a file up to a total size.
+
+    Parameters
+    ----------
+    file : file object
+    bytes_max : int
+    """
+
+    def __init__(self, file, bytes_max):
+        self._file = file
+        self._left = bytes_max
+
+    def readline(self, size=-1):
+        """Return a line, or raise HeadersTooLargeError."""
+        line = self._file.readline(self._left + 1 if size < 0 else size)
+        self._left -= len(line)
+        if self._left < 0:
+            raise HeadersTooLargeError
+        return line
+
+
+class CallerHandler(pywsgi.WSGIHandler):
+    """Bounds the headers and tells the application of the raw path and the socket."""
+
+    def MessageClass(self, rfile, *arguments):  # noqa: N802
+        """Parse the headers within the limit."""
+        limited = LimitedLines(rfile, self.server.header_bytes_max)
+        return super().MessageClass(limited, *arguments)
+
+    def get_environ(self):
+        """Return the WSGI environment."""
+        environ = super().get_environ()
+        environ[RAW_PATH_KEY] = self.path.partition("?")[0]
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def _handle_client_error(self, ex):
+        super()._handle_client_error(ex)
+        if isinstance(ex, HeadersTooLargeError):
+            detail = f"the headers exceed {self.server.header_bytes_max} bytes"
+            failure = Failure(Reason.HEADERS_TOO_LARGE, Step.RECEIVE, "", detail)
+        else:
+            detail = "the request is not valid HTTP/1.1"
+            failure = Failure(Reason.BAD_REQUEST, Step.RECEIVE, "", detail)
+        reply = self.server.reply_to_invalid(failure)
+        return str(reply.status_code), encode_reply(reply)
+
+
+def encode_reply(reply):
+    """Return the bytes of a Reply that closes the connection."""
+    phrase = REASON_PHRASES[reply.status_code]
+    lines = [f"HTTP/1.1 {reply.status_code} {phrase}", "Connection: close"]
+    lines += [f"{header.name}: {header.value}" for header in reply.headers]
+    lines.append(f"Content-Length: {len(reply.body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + reply.body
+
+
+class CallerServer(pywsgi.WSGIServer):
+    """The listener of an entry.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+    application : callable
+        A WSGI application.
+    header_bytes_max : int
+    reply_to_invalid : callable
+        Returns the Reply to a request that could not be parsed, from a Failure.
+    """
+
+    handler_class = CallerHandler
+
+    def __init__(self, address, application, header_bytes_max, reply_to_invalid):
+        environ = {"SERVER_NAME": address[0]}
+        super().__init__(
+            address, application, log=None, error_log=None, environ=environ
+        )
+        self.header_bytes_max = header_bytes_max
+        self.reply_to_invalid = reply_to_invalid
+
+
+class DisconnectWatch:
+    """Calls a function once if the caller closes its connection.
+
+    Parameters
+    ----------
+    caller_socket : socket or None
+        None watches nothing.
+    on_disconnect : callable
+    """
+
+    def __init__(self, caller_socket, on_disconnect):
+        self._socket = caller_socket
+        self._on_disconnect = on_disconnect
+        self._greenlet = gevent.spawn(self._watch) if caller_socket else None
+
+    def stop(self):
+        """Stop watching."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+
+    def _watch(self):
+        try:
+            wait_read(self._socket.fileno())
+            if self._socket.recv(1, socket.MSG_PEEK):
+                return
+        except OSError:
+            pass
+        self._on_disconnect()
--- a/nutmegdeal/errors.py
+++ b/nutmegdeal/errors.py
@@ -10,6 +10,7 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     UNKNOWN_ADAPTER = "unknown_adapter"
     UNKNOWN_VERSION = "unknown_version"
     UNKNOWN_SERVICE = "unknown_service"
