--- a/nutmegdeal/entry/account.py
+++ b/nutmegdeal/entry/account.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from nutmegdeal.accounts import Event
+from nutmegdeal.accounts import Event, Outcome
 from nutmegdeal.errors import Step
 
 
@@ -50,6 +50,19 @@
         )
         self._recorder.record(event)
 
+    def add_sent(self, attempt_id, peer, peer_incarnation):
+        """Record that an attempt is about to be sent to an agent."""
+        event = attrs.evolve(
+            self._common,
+            at_unix_ms=self._clock.unix_ms(),
+            step=Step.SUBMIT,
+            outcome=Outcome.SENT.value,
+            attempt_id=attempt_id,
+            peer=peer,
+            peer_incarnation=peer_incarnation,
+        )
+        self._recorder.record(event)
+
     def add_failure(self, failure, attempt_id=""):
         """Record a Failure at its own step."""
         self.add(
--- a/nutmegdeal/entry/agents.py
+++ b/nutmegdeal/entry/agents.py
@@ -41,6 +41,7 @@
         self.host = host
         self.session = None
         self.opening = None
+        self.reported = gevent.event.Event()
         self.report = None
         self.resident = frozenset()
         self.reported_at_ms = 0.0
@@ -60,6 +61,11 @@
         """True if a stream is open."""
         return self.session is not None and self.session.is_open
 
+    @property
+    def incarnation(self):
+        """Incarnation of the agent, "" if it has not told yet."""
+        return self.report.incarnation if self.report else ""
+
     @property
     def is_leaving(self):
         """True if the agent said that it takes no new work."""
@@ -71,6 +77,7 @@
         self.resident = frozenset(report.resident)
         self.reported_at_ms = now_ms
         self.sent_since_report_count = 0
+        self.reported.set()
 
     def take_hold(self, held_ms):
         """Note how long an attempt that has ended was under way."""
@@ -117,7 +124,9 @@
         if host is None:
             return None
         link = self._links.get(host_id)
-        if link is not None and link.address == Address(host.agent_host, host.agent_port):
+        if link is not None and link.address == Address(
+            host.agent_host, host.agent_port
+        ):
             link.host = host
             return link
         link = AgentLink(host)
@@ -129,7 +138,14 @@
         now_ms = self._blackboard.clock.monotonic_ms()
         return not link.is_leaving and now_ms >= link.avoid_until_ms
 
-    def submit(self, link, submit, inbox):
+    def open(self, link):
+        """Have the stream of a link open; return None or a Failure."""
+        failure = self._open(link)
+        if failure is not None:
+            self._avoid(link)
+        return failure
+
+    def send(self, link, submit, inbox):
         """Send a Submit; what comes of it is put into the queue `inbox`.
 
         Returns
@@ -137,16 +153,12 @@
         None or Failure
             After a Failure the agent cannot have received the Submit.
         """
-        failure = self._open(link)
-        if failure is not None:
-            self._avoid(link)
-            return failure
         link.inboxes[submit.attempt_id] = inbox
         link.sent_since_report_count += 1
         if link.session.send(submit):
             return None
         self.forget(link, submit.attempt_id)
-        return link.session.close_reason
+        return self._describe_loss(link, link.session)
 
     def forget(self, link, attempt_id):
         """Stop listening to an attempt."""
@@ -171,7 +183,6 @@
             link.session.close()
 
     def _open(self, link):
-        """Have the link open; return None or a Failure."""
         if link.is_open:
             return None
         if link.opening is not None:
@@ -195,9 +206,16 @@
         link.sent_since_report_count = 0
         link.close_at_ms = self._blackboard.clock.monotonic_ms() + IDLE_CLOSE_AFTER_MS
         link.inboxes = {}
+        link.reported.clear()
         session.send(self._hello())
         gevent.spawn(self._read, link, session, link.inboxes)
-        return None
+        link.reported.wait(CONNECT_WITHIN_MS / 1000)
+        return None if session.is_open else self._describe_loss(link, session)
+
+    def _describe_loss(self, link, session):
+        return attrs.evolve(
+            session.close_reason, step=Step.SUBMIT, peer=link.host.host_id
+        )
 
     def _hello(self):
         board = self._blackboard
@@ -214,7 +232,8 @@
             inbox = inboxes.get(getattr(message, "attempt_id", None))
             if inbox is not None:
                 inbox.put(message)
-        failure = attrs.evolve(session.close_reason, peer=link.host.host_id)
+        link.reported.set()
+        failure = self._describe_loss(link, session)
         for attempt_id, inbox in inboxes.items():
             inbox.put(AttemptLost(attempt_id, failure))
         if failure.reason is not Reason.CANCELLED:
--- a/nutmegdeal/entry/relay.py
+++ b/nutmegdeal/entry/relay.py
@@ -24,7 +24,7 @@
 from nutmegdeal.entry.streams import EventRelay, is_event_stream
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.ledger import Ledger, LedgerAnswer
-from nutmegdeal.messages import AnswerHead, AttemptEnded, Cancel
+from nutmegdeal.messages import AnswerEnd, AnswerHead, AttemptEnded, Cancel
 
 ANSWER_BYTES_MAX = 67_108_864
 VERDICT_GRACE_MS = 50
@@ -67,9 +67,7 @@
     account : RequestAccount
     """
 
-    def __init__(
-        self, parts, request_id, target, terms, headers, generation, account
-    ):
+    def __init__(self, parts, request_id, target, terms, headers, generation, account):
         self._parts = parts
         self._request_id = request_id
         self._target = target
@@ -85,6 +83,7 @@
         self._started = None
         self._tried = frozenset()
         self._submit = None
+        self._is_attempt_over = True
         self._record_poll_ms = 0
 
     def cancel(self):
@@ -114,13 +113,14 @@
         host_id = link.host.host_id
         self._tried |= {host_id}
         self._submit = self._build_submit(number)
-        self._account.add(Step.ROUTE, "chosen", self._submit.attempt_id, host_id)
-        failure = self._parts.links.submit(link, self._submit, self._inbox)
+        failure = self._parts.links.open(link)
         if failure is not None:
-            self._account.add_failure(failure, self._submit.attempt_id)
-            return self._plan.on_not_sent(failure)
+            return self._note(self._plan.on_not_sent, failure)
+        self._account.add_sent(self._submit.attempt_id, host_id, link.incarnation)
+        failure = self._parts.links.send(link, self._submit, self._inbox)
+        if failure is not None:
+            return self._note(self._plan.on_not_sent, failure)
         self._plan.on_sent()
-        self._account.add(Step.SUBMIT, "sent", self._submit.attempt_id, host_id)
         return (yield from self._follow(link))
 
     def _build_submit(self, number):
@@ -138,15 +138,13 @@
         attempt_id = self._submit.attempt_id
         session = link.session
         begun_ms = self._clock.monotonic_ms()
-        is_over = False
+        self._is_attempt_over = False
         try:
-            action = yield from self._read_answer(link.host.host_id)
-            is_over = not isinstance(action, Finish) or action.failure is None
-            return action
+            return (yield from self._read_answer(link.host.host_id))
         finally:
             self._parts.links.forget(link, attempt_id)
             link.take_hold(self._clock.monotonic_ms() - begun_ms)
-            if not is_over:
+            if not self._is_attempt_over:
                 session.send(Cancel(attempt_id))
 
     def _read_answer(self, peer):
@@ -159,6 +157,8 @@
                 return self._plan.on_deadline(message)
             if message.attempt_id != self._submit.attempt_id:
                 continue
+            if isinstance(message, AttemptLost | AttemptEnded | AnswerEnd):
+                self._is_attempt_over = True
             if isinstance(message, AttemptLost):
                 return self._note(self._plan.on_lost, message.failure)
             if isinstance(message, AttemptEnded):
@@ -172,9 +172,7 @@
                 failure = attrs.evolve(result, peer=peer)
                 return self._note(self._plan.on_broken, failure)
             if isinstance(result, Whole):
-                self._parts.placement.observe_hint(
-                    self._target, result.end.degree_hint
-                )
+                self._parts.placement.observe_hint(self._target, result.end.degree_hint)
                 if not self._is_streamed(reader.head):
                     return self._plan.on_whole(_join(reader.head, chunks))
                 rest = self._relay.finish()
--- a/nutmegdeal/entry/requests.py
+++ b/nutmegdeal/entry/requests.py
@@ -218,9 +218,7 @@
     deadline = _read_unix_ms(headers.deadline, now_unix_ms + default_within_ms)
     expiry = _read_unix_ms(headers.expires, now_unix_ms + KEY_TERM_MS)
     if deadline is None or expiry is None:
-        return _refuse(
-            Reason.BAD_REQUEST, "X-Deadline-Ms and X-Expires-Ms are Unix ms"
-        )
+        return _refuse(Reason.BAD_REQUEST, "X-Deadline-Ms and X-Expires-Ms are Unix ms")
     if headers.unrepeatable not in ("", YES):
         return _refuse(Reason.BAD_REQUEST, "X-Unrepeatable may only be 'yes'")
     deadline = min(deadline, now_unix_ms + DEADLINE_TERM_MAX_MS)
--- a/nutmegdeal/entry/service.py
+++ b/nutmegdeal/entry/service.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from nutmegdeal.accounts import Outcome
 from nutmegdeal.entry.account import RequestAccount
 from nutmegdeal.entry.attempts import Finish
 from nutmegdeal.entry.relay import RequestRun
@@ -33,7 +34,7 @@
         """Return the OpenRequest of a request that begins to arrive."""
         request_id = self._request_ids.next_id()
         account = RequestAccount(self._recorder, self._parts.blackboard, request_id)
-        account.add(Step.RECEIVE, "received", detail=f"{method} {path}")
+        account.add(Step.RECEIVE, Outcome.RECEIVED.value, detail=f"{method} {path}")
         return OpenRequest(self._parts, request_id, account)
 
 
@@ -82,7 +83,7 @@
         if failure is not None:
             yield self.refuse(failure)
             return
-        self._account.add(Step.ADMIT, "admitted", detail=urgency.value)
+        self._account.add(Step.ADMIT, Outcome.ADMITTED.value, detail=urgency.value)
         yield from self._run_admitted(prepared)
 
     def _prepare(self, request):
@@ -105,7 +106,9 @@
             return terms
         self._account.address(configuration.generation, target.adapter)
         self._account.add(
-            Step.RESOLVE, "resolved", detail=f"service {target.service.name}"
+            Step.RESOLVE,
+            Outcome.RESOLVED.value,
+            detail=f"service {target.service.name}",
         )
         return Prepared(target, terms, request.headers, configuration.generation)
 
@@ -142,9 +145,7 @@
         now_unix_ms = self._parts.blackboard.clock.unix_ms()
         if finish.fate is not Fate.NOT_RUN or finish.retry_at_unix_ms > now_unix_ms:
             return finish
-        return attrs.evolve(
-            finish, retry_at_unix_ms=now_unix_ms + COME_BACK_AFTER_MS
-        )
+        return attrs.evolve(finish, retry_at_unix_ms=now_unix_ms + COME_BACK_AFTER_MS)
 
 
 @attrs.frozen
--- a/nutmegdeal/entry/streams.py
+++ b/nutmegdeal/entry/streams.py
@@ -71,8 +71,11 @@
 
     def _find_cut(self):
         done = self._find_done()
-        ends = (self._held.rfind(end, 0, done) + len(end) for end in EVENT_ENDS
-                if end in self._held[:done])
+        ends = (
+            self._held.rfind(end, 0, done) + len(end)
+            for end in EVENT_ENDS
+            if end in self._held[:done]
+        )
         return max(ends, default=0)
 
     def _find_done(self):
