--- a/nutmegdeal/ledger.py
+++ b/nutmegdeal/ledger.py
@@ -55,6 +55,14 @@
     state: LedgerState
     expiry_unix_ms: int
     answer: LedgerAnswer | None = None
+    fenced_attempts: tuple[str, ...] = ()
+    service: str = ""
+
+    def forbids(self, attempt_id):
+        """Return whether an attempt was fenced off, now or earlier."""
+        if self.state is LedgerState.NOT_RUN and self.attempt_id == attempt_id:
+            return True
+        return attempt_id in self.fenced_attempts
 
 
 @attrs.frozen
--- /dev/null
+++ b/nutmegdeal/ledger_rules.py
@@ -0,0 +1,204 @@
+"""What each party writes to a ledger row, as pure decisions.
+
+A decision takes the row as it was last seen and returns the LedgerRow to write in its
+place, or the final result of the call.
+"""
+
+import abc
+
+import attrs
+
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.identifiers import body_digest
+from nutmegdeal.ledger import (
+    AlreadyRecorded,
+    Fenced,
+    LedgerRow,
+    LedgerState,
+    MayDispatch,
+)
+
+FENCED_ATTEMPTS_MAX = 64
+ANSWER_BYTES_MAX = 65_536
+
+
+def request_digest(submit):
+    """Return the SHA-256 of a Submit's method, path and body in hexadecimal."""
+    head = f"{submit.method} {submit.path}\n".encode()
+    return body_digest(head + submit.body)
+
+
+def ledger_key(service, idempotency_key):
+    """Return the key of a row in the table service."""
+    return f"ledger/{service}/{idempotency_key}"
+
+
+@attrs.frozen
+class StoredRow:
+    """A row as it was last seen.
+
+    Parameters
+    ----------
+    row : LedgerRow or None
+        None if there is none.
+    version : int
+        Version in the table service, 0 if there is none.
+    """
+
+    row: LedgerRow | None = None
+    version: int = 0
+
+
+def find_misuse(submit, row, unix_ms):
+    """Return the Failure of a Submit that may not use a row, else None."""
+    if row.body_digest != request_digest(submit):
+        detail = "the key was used for another request"
+        return Failure(Reason.KEY_REUSED, Step.LEDGER, "", detail)
+    if unix_ms >= row.expiry_unix_ms:
+        return fail_expired()
+    return None
+
+
+def fail_expired(maybe_applied=False):
+    """Return the Failure of a key whose expiry has passed."""
+    detail = "the key's expiry has passed"
+    return Failure(
+        Reason.KEY_EXPIRED, Step.LEDGER, "", detail, maybe_applied=maybe_applied
+    )
+
+
+def _new_row(submit, state, agent_incarnation=""):
+    return LedgerRow(
+        key=submit.idempotency_key,
+        body_digest=request_digest(submit),
+        request_id=submit.request_id,
+        attempt_id=submit.attempt_id,
+        agent_incarnation=agent_incarnation,
+        state=state,
+        expiry_unix_ms=submit.expiry_unix_ms,
+        service=submit.service,
+    )
+
+
+def _succeed(row, successor):
+    """Return `successor` with the attempts that `row` shows to be fenced off.
+
+    The later expiry holds, so that the row outlives every attempt it fences off.
+    """
+    return attrs.evolve(
+        successor,
+        expiry_unix_ms=max(row.expiry_unix_ms, successor.expiry_unix_ms),
+        fenced_attempts=(*row.fenced_attempts, row.attempt_id),
+    )
+
+
+def _takes_no_attempt(row):
+    return len(row.fenced_attempts) >= FENCED_ATTEMPTS_MAX
+
+
+class Rule(abc.ABC):
+    """One party's call, decided anew for each state of the row."""
+
+    @abc.abstractmethod
+    def decide(self, stored, in_doubt):
+        """Return the LedgerRow to write, or the result of the call.
+
+        Parameters
+        ----------
+        stored : StoredRow
+        in_doubt : bool
+            True if a write of this call may have taken effect.
+        """
+
+    @abc.abstractmethod
+    def confirm(self, row, version):
+        """Return the result of the call once `row` is known to be written."""
+
+
+class BeginRule(Rule):
+    """An agent claims the right to send."""
+
+    def __init__(self, submit, agent_incarnation):
+        self._own = _new_row(submit, LedgerState.DISPATCHED, agent_incarnation)
+
+    def decide(self, stored, in_doubt):
+        """Insert the row, or take it over from attempts that never ran."""
+        row = stored.row
+        if row is None:
+            return self._own
+        if in_doubt and self._is_own_claim(row):
+            return MayDispatch(row, stored.version)
+        if row.state is not LedgerState.NOT_RUN:
+            return AlreadyRecorded(row)
+        if row.forbids(self._own.attempt_id) or _takes_no_attempt(row):
+            return AlreadyRecorded(row)
+        return _succeed(row, self._own)
+
+    def _is_own_claim(self, row):
+        return (
+            row.state is LedgerState.DISPATCHED
+            and row.attempt_id == self._own.attempt_id
+            and row.agent_incarnation == self._own.agent_incarnation
+        )
+
+    def confirm(self, row, version):
+        """Return the claim."""
+        return MayDispatch(row, version)
+
+
+class FenceRule(Rule):
+    """An entry stops an attempt whose agent was lost."""
+
+    def __init__(self, submit):
+        self._own = _new_row(submit, LedgerState.NOT_RUN)
+
+    def decide(self, stored, in_doubt):
+        """Record the attempt as fenced off unless a row shows that one was sent."""
+        row = stored.row
+        if row is None:
+            return self._own
+        if row.forbids(self._own.attempt_id):
+            return Fenced(row)
+        if row.state is not LedgerState.NOT_RUN:
+            return self._decide_sent(row)
+        return Fenced(row) if _takes_no_attempt(row) else _succeed(row, self._own)
+
+    def _decide_sent(self, row):
+        return AlreadyRecorded(row)
+
+    def confirm(self, row, version):
+        """Return that the attempt never runs."""
+        return Fenced(row)
+
+
+class WithdrawRule(FenceRule):
+    """An agent gives back a claim that it knows it did not use."""
+
+    def _decide_sent(self, row):
+        is_own = row.attempt_id == self._own.attempt_id
+        if is_own and row.state is LedgerState.DISPATCHED:
+            return attrs.evolve(row, state=LedgerState.NOT_RUN)
+        return AlreadyRecorded(row)
+
+
+class FinishRule(Rule):
+    """An agent records what became of a request that it sent."""
+
+    def __init__(self, claim, state, answer):
+        if answer is not None and len(answer.body) > ANSWER_BYTES_MAX:
+            answer = None
+        self._claim = claim
+        self._outcome = attrs.evolve(claim.row, state=state, answer=answer)
+
+    def decide(self, stored, in_doubt):
+        """Replace the claim by the outcome."""
+        if stored.row == self._outcome:
+            return stored.row
+        if stored.row == self._claim.row:
+            return self._outcome
+        detail = "the row no longer holds this attempt's claim"
+        return Failure(Reason.STORE_CONFLICT, Step.LEDGER, "", detail)
+
+    def confirm(self, row, version):
+        """Return the recorded row."""
+        return row
--- /dev/null
+++ b/nutmegdeal/questionnaire.py
@@ -0,0 +1,316 @@
+"""A team's answers, from which its configuration is generated."""
+
+import re
+
+import attrs
+
+from nutmegdeal import settings
+from nutmegdeal.configuration import (
+    AdapterPolicy,
+    Configuration,
+    ServicePolicy,
+    WeightStorePolicy,
+)
+from nutmegdeal.policy_sections import (
+    ADAPTER_WANTED,
+    OperationSection,
+    ServiceSection,
+    TeamSection,
+    WeightStoreSection,
+    format_answer,
+    parse_adapter,
+    parse_one,
+)
+from nutmegdeal.settings import InvalidFile, Mistake
+
+ADAPTERS_MAX = 200_000
+RANGE_PATTERN = re.compile(
+    r"(?P<before>[a-z][a-z0-9._-]*)\[(?P<low>\d+)-(?P<high>\d+)\](?P<after>[a-z0-9._-]*)"
+)
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]*")
+NAME_WANTED = "lower-case letters, digits, '.', '_' and '-'"
+
+
+@attrs.frozen
+class AdapterRange:
+    """Adapters whose names differ in a number only.
+
+    Parameters
+    ----------
+    before, after : str
+        Parts of each name around the number.
+    low, high : int
+        First and last number.
+    digit_count : int
+        Width to which numbers are padded with zeros; 0 for one adapter that has no
+        number.
+    policy : AdapterPolicy
+        What holds for each, under the name as it stands in the file.
+    """
+
+    before: str
+    after: str
+    low: int
+    high: int
+    digit_count: int
+    policy: AdapterPolicy
+
+    @property
+    def count(self):
+        """Number of adapters."""
+        return self.high - self.low + 1
+
+    def adapters(self):
+        """Yield the AdapterPolicy of each adapter, in order."""
+        if not self.digit_count:
+            yield self.policy
+            return
+        for number in range(self.low, self.high + 1):
+            name = f"{self.before}{number:0{self.digit_count}}{self.after}"
+            yield attrs.evolve(self.policy, name=name)
+
+
+@attrs.frozen
+class Questionnaire:
+    """Checked answers of one team.
+
+    Parameters
+    ----------
+    team, region : str
+    zones : tuple of str
+    stall_weight : float
+    weight_store : WeightStorePolicy
+    services : tuple of ServicePolicy
+    adapters : tuple of AdapterRange
+    """
+
+    team: str
+    region: str
+    zones: tuple[str, ...]
+    stall_weight: float
+    weight_store: WeightStorePolicy
+    services: tuple[ServicePolicy, ...]
+    adapters: tuple[AdapterRange, ...]
+
+
+def load(path):
+    """Read and check the questionnaire at `path`.
+
+    Returns
+    -------
+    Questionnaire or InvalidFile
+        An InvalidFile names all mistakes at once.
+    """
+    parser = settings.read_ini(path)
+    if isinstance(parser, InvalidFile):
+        return parser
+    reader = _Reader(parser)
+    questionnaire = reader.read()
+    if reader.mistakes:
+        return InvalidFile(str(path), tuple(reader.mistakes))
+    return questionnaire
+
+
+def generate(questionnaire):
+    """Return the Configuration of a Questionnaire, with generation 0."""
+    services = sorted(questionnaire.services, key=lambda service: service.name)
+    adapters = sorted(
+        (policy for answer in questionnaire.adapters for policy in answer.adapters()),
+        key=lambda policy: policy.name,
+    )
+    return Configuration(
+        generation=0,
+        team=questionnaire.team,
+        region=questionnaire.region,
+        zones=questionnaire.zones,
+        stall_weight=questionnaire.stall_weight,
+        weight_store=questionnaire.weight_store,
+        services={service.name: service for service in services},
+        adapters={policy.name: policy for policy in adapters},
+    )
+
+
+def template():
+    """Return a commented questionnaire to fill in (str)."""
+    blocks = [TEMPLATE_HEAD]
+    for heading, section_class in TEMPLATE_SECTIONS:
+        lines = [f"[{heading}]"]
+        for field in attrs.fields(section_class):
+            lines.append(f"# {field.metadata['text']}")
+            lines.append(f"# Allowed: {field.metadata['allowed']}.")
+            default = "" if field.default is None else format_answer(field.default)
+            lines.append(f"{field.name} = {default}".rstrip())
+        blocks.append("\n".join(lines))
+    blocks.append(TEMPLATE_ADAPTERS)
+    return "\n\n".join(blocks) + "\n"
+
+
+class _Reader:
+    """Reads the sections of one file and collects what is wrong."""
+
+    def __init__(self, parser):
+        self.mistakes = []
+        self._parser = parser
+
+    def read(self):
+        """Return a Questionnaire; it is worth nothing if there are mistakes."""
+        self._check_sections()
+        team = parse_one(self._parser, "team", TeamSection, self.mistakes)
+        store = parse_one(
+            self._parser, "weight_store", WeightStoreSection, self.mistakes
+        )
+        self._check_name("team", "name", team.name)
+        for zone in team.zones or ():
+            self._check_name("team", "zones", zone)
+        services = self._read_services()
+        adapters = self._read_adapters({service.name: service for service in services})
+        return Questionnaire(
+            team=team.name,
+            region=team.region,
+            zones=team.zones,
+            stall_weight=team.stall_weight,
+            weight_store=store.as_policy(),
+            services=services,
+            adapters=adapters,
+        )
+
+    def _add(self, section, key, text):
+        self.mistakes.append(Mistake(section, key, text))
+
+    def _check_name(self, section, key, name):
+        if name and not NAME_PATTERN.fullmatch(name):
+            self._add(section, key, f"{name!r} may only hold {NAME_WANTED}")
+
+    def _check_sections(self):
+        if self._parser.defaults():
+            self._add("DEFAULT", "", "not allowed: give each section its own keys")
+        for section in self._parser.sections():
+            words = section.split()
+            if len(words) != WORD_COUNTS.get(words[0] if words else "", 0):
+                self._add(section, "", f"unknown section; allowed: {SECTIONS_ALLOWED}")
+
+    def _sections(self, word):
+        for section in self._parser.sections():
+            words = section.split()
+            if len(words) == WORD_COUNTS[word] and words[0] == word:
+                yield section, words[1:]
+
+    def _read_services(self):
+        services = []
+        for section, (name,) in self._sections("service"):
+            self._check_name(section, "", name)
+            answers = parse_one(self._parser, section, ServiceSection, self.mistakes)
+            for key, text in answers.find_mistakes():
+                self._add(section, key, text)
+            operations = self._read_operations(name)
+            if not operations:
+                self._add(section, "", f"needs a section [operation {name} ...]")
+            services.append(answers.as_policy(name, operations))
+        if not services:
+            self._add("service ...", "", "at least one service must be described")
+        names = {service.name for service in services}
+        for section, words in (
+            *self._sections("operation"),
+            *self._sections("adapters"),
+        ):
+            if words[0] not in names:
+                self._add(section, "", f"there is no section [service {words[0]}]")
+        return tuple(services)
+
+    def _read_operations(self, service):
+        operations = []
+        for section, (owner, name) in self._sections("operation"):
+            if owner != service:
+                continue
+            self._check_name(section, "", name)
+            answers = parse_one(self._parser, section, OperationSection, self.mistakes)
+            operation = answers.as_policy(name)
+            if answers.is_complete:
+                self._check_reachable(section, operation, operations)
+            operations.append(operation)
+        return tuple(operations)
+
+    def _check_reachable(self, section, operation, earlier):
+        for other in earlier:
+            if _covers(other, operation):
+                text = (
+                    f"no call reaches it: operation {other.name!r} above takes them all"
+                )
+                self._add(section, "path", text)
+
+    def _read_adapters(self, services):
+        answers = []
+        for section, (service,) in self._sections("adapters"):
+            if service in services and not services[service].slot_count:
+                self._add(section, "", f"{service!r} is a plain service")
+            for key, text in self._parser[section].items():
+                answer = self._read_adapter(section, service, key, text)
+                if answer is not None:
+                    answers.append((section, answer))
+        total = sum(answer.count for _, answer in answers)
+        if total > ADAPTERS_MAX:
+            self._add("adapters ...", "", f"{total} adapters; at most {ADAPTERS_MAX}")
+        else:
+            self._check_unique(answers)
+        return tuple(answer for _, answer in answers)
+
+    def _read_adapter(self, section, service, key, text):
+        policy = parse_adapter(key, service, text)
+        if isinstance(policy, str):
+            self._add(section, key, policy)
+            return None
+        match = RANGE_PATTERN.fullmatch(key)
+        if match is None:
+            self._check_name(section, key, key)
+            return AdapterRange(key, "", 0, 0, 0, policy)
+        low, high = int(match["low"]), int(match["high"])
+        if low > high:
+            self._add(section, key, "the range is empty")
+            return None
+        digits = len(match["low"])
+        return AdapterRange(match["before"], match["after"], low, high, digits, policy)
+
+    def _check_unique(self, answers):
+        owners = {}
+        for section, answer in answers:
+            for adapter in answer.adapters():
+                owner = owners.setdefault(adapter.name, answer.policy.name)
+                if owner != answer.policy.name:
+                    text = f"{adapter.name!r} is also named by {owner!r}"
+                    self._add(section, answer.policy.name, text)
+                    break
+
+
+WORD_COUNTS = {
+    "team": 1,
+    "weight_store": 1,
+    "service": 2,
+    "operation": 3,
+    "adapters": 2,
+}
+TEMPLATE_HEAD = """\
+# Questionnaire of one team. Replace NAME, SERVICE and OPERATION in the headings and
+# repeat the sections as needed. Check it with: nutmegdeal-ctl questionnaire check"""
+TEMPLATE_SECTIONS = (
+    ("team", TeamSection),
+    ("weight_store", WeightStoreSection),
+    ("service SERVICE", ServiceSection),
+    ("operation SERVICE OPERATION", OperationSection),
+)
+TEMPLATE_ADAPTERS = f"""\
+[adapters SERVICE]
+# One adapter a line: NAME = {ADAPTER_WANTED}
+# A range stands for many: quote-[0000-1499] = versions 1, 2; current 2"""
+SECTIONS_ALLOWED = (
+    "[team], [weight_store], [service NAME], [operation SERVICE NAME], "
+    "[adapters SERVICE]"
+)
+
+
+def _covers(first, second):
+    """Return whether operation `first` matches all calls that `second` matches."""
+    if first.method != second.method:
+        return False
+    if not first.path.endswith("*"):
+        return first.path == second.path
+    return second.path.removesuffix("*").startswith(first.path[:-1])
--- a/nutmegdeal/settings.py
+++ b/nutmegdeal/settings.py
@@ -219,7 +219,7 @@
     allowed = field.metadata["allowed"]
     wanted = str(allowed) if allowed else f"a value of type {field.type.__name__}"
     try:
-        value = field.type(text)
+        value = field.metadata.get("parse", field.type)(text)
     except ValueError:
         raise ValueError(f"{text!r} is not {wanted}") from None
     if allowed and not allowed.accepts(value):
@@ -227,8 +227,25 @@
     return value
 
 
-def _parse_section(section_class, name, pairs, mistakes):
-    """Return the section's attrs object; append what is wrong to `mistakes`."""
+def parse_section(section_class, name, pairs, mistakes):
+    """Read one section of an INI file.
+
+    Parameters
+    ----------
+    section_class : type
+        attrs class with one field for each key. The metadata of a field holds its
+        ``text``, what is ``allowed`` (Range, OneOf or None) and, where the type does
+        not convert a str, ``parse``.
+    name : str
+    pairs : mapping of str to str
+    mistakes : list of Mistake
+        What is wrong is appended here.
+
+    Returns
+    -------
+    object of type `section_class`
+        With the default in place of each missing or invalid value.
+    """
     fields = attrs.fields_dict(section_class)
     values = {}
     for key, text in pairs.items():
@@ -279,7 +296,7 @@
             allowed = ", ".join(sorted(classes))
             mistakes.append(Mistake(name, "", f"unknown section; allowed: {allowed}"))
             continue
-        sections[name] = _parse_section(classes[name], name, parser[name], mistakes)
+        sections[name] = parse_section(classes[name], name, parser[name], mistakes)
     settings = Settings(**sections)
     for dotted in required:
         section, _, key = dotted.partition(".")
--- /dev/null
+++ b/nutmegdeal/tests/test_acceptance.py
@@ -0,0 +1,137 @@
+"""Tests of accepting a configuration and of the keeper that fetches it."""
+
+import attrs
+
+from nutmegdeal.acceptance import Accepted, Overtaken, accept
+from nutmegdeal.clock import ManualClock
+from nutmegdeal.configuration import AdapterPolicy
+from nutmegdeal.errors import Failure, Reason
+from nutmegdeal.generations import StoredConfigurationKeeper
+from nutmegdeal.tests.builders import build_configuration
+from nutmegdeal.tests.memory_platform import MemoryObjects, MemoryTable, unavailable
+
+BASE = build_configuration(generation=0)
+
+
+def with_adapter(name, configuration=BASE):
+    adapter = AdapterPolicy(name, "assist-llm", ("1",), "1")
+    return attrs.evolve(
+        configuration, adapters={**configuration.adapters, name: adapter}
+    )
+
+
+def with_many_adapters(count):
+    names = [f"jaw-{number:05}" for number in range(count)]
+    adapters = {name: AdapterPolicy(name, "assist-llm", ("1",), "1") for name in names}
+    return build_configuration(generation=0, adapters=adapters)
+
+
+def test_accepted_configuration_reaches_a_keeper():
+    table, objects = MemoryTable(), MemoryObjects()
+    keeper = StoredConfigurationKeeper(table, objects, ManualClock())
+    assert keeper.refresh().reason is Reason.NOT_CONFIGURED
+    assert accept(BASE, 0, "a1", table, objects) == Accepted(1)
+    assert keeper.refresh() == attrs.evolve(BASE, generation=1)
+    assert keeper.is_confirmed
+
+
+def test_loser_of_a_race_is_told_what_changed():
+    table, objects = MemoryTable(), MemoryObjects()
+    accept(BASE, 0, "a1", table, objects)
+    accept(with_adapter("won"), 1, "a2", table, objects)
+    lost = accept(with_adapter("lost"), 1, "a3", table, objects)
+    assert isinstance(lost, Overtaken)
+    assert (lost.generation, lost.accept_id) == (2, "a2")
+    assert lost.changes == ("adapter won: added (versions 1; current 1)",)
+
+
+def test_lost_answer_is_settled_by_the_accept_id():
+    table, objects = MemoryTable(), MemoryObjects()
+    table.lost_answer_count = 1
+    assert accept(BASE, 0, "a1", table, objects) == Accepted(1)
+    assert accept(BASE, 0, "a1", table, objects) == Accepted(1)
+
+
+def test_repeated_acceptance_is_recognised_after_later_ones():
+    table, objects = MemoryTable(), MemoryObjects()
+    accept(BASE, 0, "a1", table, objects)
+    accept(with_adapter("next"), 1, "a2", table, objects)
+    assert accept(BASE, 0, "a1", table, objects) == Accepted(1)
+
+
+def test_unknown_base_is_refused():
+    failure = accept(BASE, 7, "a1", MemoryTable(), MemoryObjects())
+    assert failure.reason is Reason.BAD_REQUEST
+    assert not failure.maybe_applied
+
+
+def test_body_is_stored_before_the_head():
+    table, objects = MemoryTable(), MemoryObjects()
+    objects.failures = [unavailable(maybe_applied=True)]
+    failure = accept(BASE, 0, "a1", table, objects)
+    assert isinstance(failure, Failure)
+    assert not failure.maybe_applied
+    assert not table.rows
+
+
+def test_one_changed_adapter_moves_one_part():
+    table, objects = MemoryTable(), MemoryObjects()
+    many = with_many_adapters(2_000)
+    accept(many, 0, "a1", table, objects)
+    keeper = StoredConfigurationKeeper(table, objects, ManualClock())
+    keeper.refresh()
+    objects.got_names.clear()
+    objects.put_names.clear()
+    accept(with_adapter("jaw-00007x", many), 1, "a2", table, objects)
+    assert len(objects.put_names) == 2
+    objects.got_names.clear()
+    assert "jaw-00007x" in keeper.refresh().adapters
+    assert len(objects.got_names) == 2
+
+
+def test_old_generations_are_forgotten(monkeypatch):
+    monkeypatch.setattr("nutmegdeal.acceptance.GENERATIONS_KEPT", 2)
+    table, objects = MemoryTable(), MemoryObjects()
+    for generation in range(5):
+        accepted = accept(BASE, generation, f"a{generation}", table, objects)
+        assert accepted == Accepted(generation + 1)
+    assert len(table.rows) == 3
+
+
+def test_keeper_never_steps_back():
+    table, objects = MemoryTable(), MemoryObjects()
+    accept(BASE, 0, "a1", table, objects)
+    older = dict(table.rows)
+    accept(with_adapter("next"), 1, "a2", table, objects)
+    keeper = StoredConfigurationKeeper(table, objects, ManualClock())
+    assert keeper.refresh().generation == 2
+    table.rows = older
+    assert keeper.refresh().generation == 2
+    table.rows = {}
+    assert keeper.refresh().generation == 2
+
+
+def test_peer_with_a_newer_generation_makes_refresh_due():
+    clock = ManualClock()
+    table, objects = MemoryTable(), MemoryObjects()
+    keeper = StoredConfigurationKeeper(table, objects, clock)
+    keeper.observe(1)
+    assert keeper.is_refresh_due
+    table.failures = [unavailable()]
+    assert isinstance(keeper.refresh(), Failure)
+    assert not keeper.is_refresh_due
+    clock.advance(1_000)
+    assert keeper.is_refresh_due
+    accept(BASE, 0, "a1", table, objects)
+    keeper.refresh()
+    assert not keeper.is_refresh_due
+
+
+def test_damaged_part_is_not_taken():
+    table, objects = MemoryTable(), MemoryObjects()
+    accept(BASE, 0, "a1", table, objects)
+    keeper = StoredConfigurationKeeper(table, objects, ManualClock())
+    for name in objects.bodies:
+        objects.bodies[name] = objects.bodies[name][:-1] + b"\x00"
+    assert isinstance(keeper.refresh(), Failure)
+    assert keeper.current is None
