--- a/nutmegdeal/tests/test_agent_path.py
+++ b/nutmegdeal/tests/test_agent_path.py
@@ -63,9 +63,7 @@
 
 def test_refused_connection_is_not_run_and_lost_connection_is_in_doubt():
     refused = Failure(Reason.CONNECTION_LOST, Step.DISPATCH, "service")
-    lost = Failure(
-        Reason.CONNECTION_LOST, Step.DISPATCH, "service", maybe_applied=True
-    )
+    lost = Failure(Reason.CONNECTION_LOST, Step.DISPATCH, "service", maybe_applied=True)
     rig = build_rig(ScriptedService(failures=[refused, lost]))
     rig.submit(build_lookup())
     rig.submit(build_lookup(attempt_id="r-1.2"))
