--- a/nutmegdeal/tests/test_acceptance.py
+++ b/nutmegdeal/tests/test_acceptance.py
@@ -6,9 +6,27 @@
 from nutmegdeal.clock import ManualClock
 from nutmegdeal.configuration import AdapterPolicy
 from nutmegdeal.errors import Failure, Reason
+from nutmegdeal.fakes.memory import MemoryObjects, MemoryTable
 from nutmegdeal.generations import StoredConfigurationKeeper
 from nutmegdeal.tests.builders import build_configuration
-from nutmegdeal.tests.memory_platform import MemoryObjects, MemoryTable, unavailable
+
+
+class CountingObjects(MemoryObjects):
+    """Keeps the names of the calls."""
+
+    def __init__(self):
+        super().__init__()
+        self.put_names = []
+        self.got_names = []
+
+    def put(self, name, body):
+        self.put_names.append(name)
+        return super().put(name, body)
+
+    def get(self, name):
+        self.got_names.append(name)
+        return super().get(name)
+
 
 BASE = build_configuration(generation=0)
 
@@ -47,7 +65,7 @@
 
 def test_lost_answer_is_settled_by_the_accept_id():
     table, objects = MemoryTable(), MemoryObjects()
-    table.lost_answer_count = 1
+    table.lose_answers = 1
     assert accept(BASE, 0, "a1", table, objects) == Accepted(1)
     assert accept(BASE, 0, "a1", table, objects) == Accepted(1)
 
@@ -67,7 +85,7 @@
 
 def test_body_is_stored_before_the_head():
     table, objects = MemoryTable(), MemoryObjects()
-    objects.failures = [unavailable(maybe_applied=True)]
+    objects.drop_writes = 1
     failure = accept(BASE, 0, "a1", table, objects)
     assert isinstance(failure, Failure)
     assert not failure.maybe_applied
@@ -75,7 +93,7 @@
 
 
 def test_one_changed_adapter_moves_one_part():
-    table, objects = MemoryTable(), MemoryObjects()
+    table, objects = MemoryTable(), CountingObjects()
     many = with_many_adapters(2_000)
     accept(many, 0, "a1", table, objects)
     keeper = StoredConfigurationKeeper(table, objects, ManualClock())
@@ -117,9 +135,10 @@
     keeper = StoredConfigurationKeeper(table, objects, clock)
     keeper.observe(1)
     assert keeper.is_refresh_due
-    table.failures = [unavailable()]
+    table.down = True
     assert isinstance(keeper.refresh(), Failure)
     assert not keeper.is_refresh_due
+    table.down = False
     clock.advance(1_000)
     assert keeper.is_refresh_due
     accept(BASE, 0, "a1", table, objects)
@@ -131,7 +150,7 @@
     table, objects = MemoryTable(), MemoryObjects()
     accept(BASE, 0, "a1", table, objects)
     keeper = StoredConfigurationKeeper(table, objects, ManualClock())
-    for name in objects.bodies:
-        objects.bodies[name] = objects.bodies[name][:-1] + b"\x00"
+    for name in objects.objects:
+        objects.objects[name] = objects.objects[name][:-1] + b"\x00"
     assert isinstance(keeper.refresh(), Failure)
     assert keeper.current is None
--- a/nutmegdeal/tests/test_questionnaire.py
+++ b/nutmegdeal/tests/test_questionnaire.py
@@ -2,11 +2,13 @@
 
 import pathlib
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from nutmegdeal import configuration_files, questionnaire
+from nutmegdeal.configuration import AdapterPolicy, WeightStorePolicy
 from nutmegdeal.messages import BackendKind, Urgency
 from nutmegdeal.policy_sections import (
     OperationSection,
@@ -15,6 +17,7 @@
     WeightStoreSection,
 )
 from nutmegdeal.settings import InvalidFile
+from nutmegdeal.tests.builders import build_configuration
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 EXAMPLES = ROOT / "examples"
@@ -188,11 +191,6 @@
 def test_configuration_text_is_read_back_to_the_same(
     stall_weight, load_ms, versions, urgency
 ):
-    import attrs
-
-    from nutmegdeal.configuration import AdapterPolicy, WeightStorePolicy
-    from nutmegdeal.tests.builders import build_configuration
-
     adapter = AdapterPolicy("a", "assist-llm", tuple(versions), versions[-1], urgency)
     configuration = attrs.evolve(
         build_configuration(),
