--- a/nutmegdeal/tests/stream_client.py
+++ b/nutmegdeal/tests/stream_client.py
@@ -6,7 +6,6 @@
 
 import nutmegdeal.tools  # noqa: F401  isort: skip
 
-import base64
 import os
 import sys
 
@@ -15,23 +14,12 @@
 
 from nutmegdeal.channel import Address, ChannelClient, GreenletBridge
 from nutmegdeal.errors import Failure
-from nutmegdeal.messages import decode_batch, encode_message, join_batch
 from nutmegdeal.settings import ChannelSettings
+from nutmegdeal.tests.stream_lines import decode_line, encode_line
 
 CONNECT_WITHIN_MS = 20_000
 
 
-def encode_line(message):
-    """Return a message as a line of text."""
-    data = join_batch([encode_message(message)])
-    return base64.b64encode(data) + b"\n"
-
-
-def decode_line(line):
-    """Return the message in a line of text."""
-    return decode_batch(base64.b64decode(line))[0]
-
-
 def _print_messages(session):
     for message in session.messages():
         os.write(sys.stdout.fileno(), encode_line(message))
--- a/nutmegdeal/tests/test_agent_program.py
+++ b/nutmegdeal/tests/test_agent_program.py
@@ -19,7 +19,7 @@
 from nutmegdeal.platform.table import HttpTableService
 from nutmegdeal.tests.builders import build_booking, build_configuration, build_submit
 from nutmegdeal.tests.programs import STOP_WITHIN_S, start_stand_in
-from nutmegdeal.tests.stream_client import decode_line, encode_line
+from nutmegdeal.tests.stream_lines import decode_line, encode_line
 
 pytestmark = pytest.mark.processes
 
