Let a keeper fetch a generation that a peer names while the table is down

GenerationNotice may carry the manifest's hash. TableLedger moves to ledger.py, the name that the other parts import; rows and results have a module of their own.

--- a/nutmegdeal/generations.py
+++ b/nutmegdeal/generations.py
@@ -4,7 +4,7 @@
 
 from nutmegdeal.configuration_store import PartCache
 from nutmegdeal.errors import Failure, Reason, Step
-from nutmegdeal.heads import HEAD_KEY, read_head
+from nutmegdeal.heads import HEAD_KEY, Head, read_head
 from nutmegdeal.log import get_logger
 
 logger = get_logger(__name__)
@@ -26,8 +26,16 @@
         """True if the head row has been read since this process started."""
 
     @abc.abstractmethod
-    def observe(self, generation):
-        """Note a generation that a peer has; a newer one makes `refresh` due."""
+    def observe(self, generation, manifest=""):
+        """Note a generation that a peer has; a newer one makes `refresh` due.
+
+        Parameters
+        ----------
+        generation : int
+        manifest : str
+            Hash of its manifest, if the peer told it. With it the generation can be
+            fetched while the table service is down.
+        """
 
     @abc.abstractmethod
     def refresh(self):
@@ -57,6 +65,8 @@
         self._current = None
         self._is_confirmed = False
         self._observed_generation = 0
+        self._named = Head(0, "", "")
+        self._manifest = ""
         self._retry_at_ms = 0.0
 
     @property
@@ -80,36 +90,57 @@
         is_behind = self._observed_generation > self.generation
         return is_behind and self._clock.monotonic_ms() >= self._retry_at_ms
 
-    def observe(self, generation):
+    @property
+    def manifest(self):
+        """Hash of the manifest in force, to tell peers; "" before the first."""
+        return self._manifest
+
+    def observe(self, generation, manifest=""):
         """Note a generation that a peer has; a newer one makes `refresh` due."""
         self._observed_generation = max(self._observed_generation, generation)
+        if manifest and generation > self._named.generation:
+            self._named = Head(generation, manifest, "")
 
     def refresh(self):
-        """Read the head and fetch what is newer."""
-        fetched = self._fetch_newer()
+        """Read the head and fetch what is newer.
+
+        While the table service is down, the newest generation that a peer named with
+        its manifest is fetched instead.
+        """
+        head = self._read_head()
+        if isinstance(head, Failure) and self._named.generation <= self.generation:
+            return self._fail(head)
+        newest = self._named if isinstance(head, Failure) else head
+        if newest.generation <= self.generation:
+            return self._current
+        fetched = self._parts.fetch(newest.manifest, newest.generation)
         if isinstance(fetched, Failure):
-            self._retry_at_ms = self._clock.monotonic_ms() + RETRY_PAUSE_MS
-            return fetched
-        if fetched is not None and fetched.generation > self.generation:
-            self._current = fetched
+            return self._fail(fetched)
+        self._put_in_force(fetched, newest.manifest)
         return self._current
 
-    def _fetch_newer(self):
-        """Return a newer Configuration, None if there is none, or a Failure."""
+    def _put_in_force(self, configuration, manifest):
+        """Take a fetched configuration unless a newer one was taken meanwhile."""
+        if configuration.generation > self.generation:
+            self._current = configuration
+            self._manifest = manifest
+
+    def _fail(self, failure):
+        self._retry_at_ms = self._clock.monotonic_ms() + RETRY_PAUSE_MS
+        return failure
+
+    def _read_head(self):
+        """Return the Head in the table service, or a Failure."""
         stored = read_head(self._table)
         if isinstance(stored, Failure):
             return stored
         if stored is None and self._current is None:
-            return Failure(
-                Reason.NOT_CONFIGURED,
-                Step.CONFIGURE,
-                HEAD_KEY,
-                "no configuration was accepted yet",
-            )
+            detail = "no configuration was accepted yet"
+            return Failure(Reason.NOT_CONFIGURED, Step.CONFIGURE, HEAD_KEY, detail)
         self._is_confirmed = True
-        generation = stored.head.generation if stored else 0
-        if generation < self.generation:
-            logger.warning("head_is_older", head=generation, in_force=self.generation)
-        if generation <= self.generation:
-            return None
-        return self._parts.fetch(stored.head.manifest, generation)
+        head = stored.head if stored else Head(0, "", "")
+        if head.generation < self.generation:
+            logger.warning(
+                "head_is_older", head=head.generation, in_force=self.generation
+            )
+        return head
--- a/nutmegdeal/ledger_rules.py
+++ b/nutmegdeal/ledger_rules.py
@@ -10,7 +10,7 @@
 
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.identifiers import body_digest
-from nutmegdeal.ledger import (
+from nutmegdeal.ledger_rows import (
     AlreadyRecorded,
     Fenced,
     LedgerRow,
--- a/nutmegdeal/messages.py
+++ b/nutmegdeal/messages.py
@@ -90,9 +90,17 @@
 
 @attrs.frozen
 class GenerationNotice:
-    """A peer has seen this configuration generation accepted."""
+    """A peer has seen this configuration generation accepted.
+
+    Parameters
+    ----------
+    generation : int
+    manifest : str
+        Hash of its manifest in the object store, "" if the sender does not have it.
+    """
 
     generation: int
+    manifest: str = ""
 
 
 @attrs.frozen
--- a/nutmegdeal/tests/test_acceptance.py
+++ b/nutmegdeal/tests/test_acceptance.py
@@ -154,3 +154,20 @@
         objects.objects[name] = objects.objects[name][:-1] + b"\x00"
     assert isinstance(keeper.refresh(), Failure)
     assert keeper.current is None
+
+
+def test_peer_names_the_manifest_while_the_table_is_down():
+    table, objects = MemoryTable(), MemoryObjects()
+    accept(BASE, 0, "a1", table, objects)
+    peer = StoredConfigurationKeeper(table, objects, ManualClock())
+    peer.refresh()
+    table.down = True
+    keeper = StoredConfigurationKeeper(table, objects, ManualClock())
+    assert isinstance(keeper.refresh(), Failure)
+    keeper.observe(peer.generation, peer.manifest)
+    keeper.observe(9)
+    assert keeper.refresh().generation == 1
+    assert not keeper.is_confirmed
+    table.down = False
+    assert keeper.refresh().generation == 1
+    assert keeper.is_confirmed
--- a/nutmegdeal/tests/test_ledger_rules.py
+++ b/nutmegdeal/tests/test_ledger_rules.py
@@ -12,9 +12,9 @@
     LedgerAnswer,
     LedgerState,
     MayDispatch,
+    TableLedger,
 )
 from nutmegdeal.ledger_rules import ANSWER_BYTES_MAX, FENCED_ATTEMPTS_MAX
-from nutmegdeal.table_ledger import TableLedger
 from nutmegdeal.tests.builders import build_booking
 
 FIRST = build_booking(attempt_id="r-1.1")
