Import the ledger from where it is now

Cause: the agent landed after the ledger had moved to ledger.py and ledger_rows.py; the tests had been run before that merge, so main could not import the agent for two minutes. After: 172 passed. Conclusion: run the tests after the last merge, not before it.

--- a/nutmegdeal/agent/claims.py
+++ b/nutmegdeal/agent/claims.py
@@ -6,7 +6,7 @@
 from nutmegdeal.agent.attempts import AttemptState
 from nutmegdeal.agent.dispatch import DeadlineError
 from nutmegdeal.errors import Failure, Reason, Step
-from nutmegdeal.ledger import (
+from nutmegdeal.ledger_rows import (
     AlreadyRecorded,
     LedgerAnswer,
     LedgerState,
