Protect adapters in use across pauses and takeovers of agents

Cause: pins know only this agent's requests. A successor could evict under its predecessor's requests, an old order could still reach an engine that had not seen the new fence, and a paused agent dispatched on what it knew before its pause. Added: a guard that forbids evictions until a report counts no foreign request, announcing the fence before reports are trusted, a check of the lease after each pause.

--- a/nutmegdeal/agent/assembly.py
+++ b/nutmegdeal/agent/assembly.py
@@ -1,5 +1,6 @@
 """Builds the parts of an agent and connects them, without opening any socket."""
 
+import math
 import random
 import urllib.parse
 
@@ -148,7 +149,7 @@
 
     def __init__(self, agent, service):
         agent.board.has_report = True
-        agent.board.may_dispatch = True
+        agent.board.in_charge_until_ms = math.inf
         self.scheduler = agent.build_scheduler(service, give_order=None)
 
     def loops(self):
@@ -167,7 +168,9 @@
 
     def __init__(self, agent, engine):
         agent.board.lease = agent.build_lease()
-        self.leases = LeaseController(agent.board, agent.drain.begin)
+        self.leases = LeaseController(
+            agent.board, engine, agent.clock, agent.drain.begin
+        )
         self.orders = OrderController(
             agent.board,
             engine,
--- a/nutmegdeal/agent/blackboard.py
+++ b/nutmegdeal/agent/blackboard.py
@@ -1,12 +1,14 @@
 """What an agent knows now; its controllers read it and write their own part."""
 
 import collections
+import math
 
 import attrs
 import gevent.event
 
 from nutmegdeal.agent.attempts import Attempt, AttemptState
 from nutmegdeal.agent.slots import SlotTable
+from nutmegdeal.agent.takeover import TakeoverGuard
 from nutmegdeal.configuration import Configuration
 from nutmegdeal.leases import Lease
 
@@ -38,13 +40,14 @@
         True once the model engine has reported; always for a plain service.
     engine_batch_size_max : int or None
         Requests that the model engine says it runs at once, None if it said nothing.
-    engine_running_count : int
-        Requests in the model engine's batch by its newest report, of any sender.
     lease : Lease or None
         None for a plain service, which takes no orders.
-    may_dispatch : bool
-        False before the lease was held, and after it has lapsed until it is known
-        whether another agent has taken over.
+    takeover : TakeoverGuard
+    trusted_from_ms : float
+        Reports of the engine that may be older say nothing reliable, since orders of
+        a predecessor could still take effect after them.
+    in_charge_until_ms : float
+        Until when no other agent can be in charge, by the last check of the lease.
     run_ms : float
         Moving average of what a request takes at the backend server.
     changed : gevent.event.Event
@@ -63,9 +66,10 @@
     is_leaving: bool = False
     has_report: bool = False
     engine_batch_size_max: int | None = None
-    engine_running_count: int = 0
     lease: Lease | None = None
-    may_dispatch: bool = False
+    takeover: TakeoverGuard = attrs.field(factory=TakeoverGuard)
+    trusted_from_ms: float = math.inf
+    in_charge_until_ms: float = 0.0
     run_ms: float = 0.0
     changed: gevent.event.Event = attrs.field(factory=gevent.event.Event)
 
@@ -94,11 +98,13 @@
         """Generation of the configuration in force, 0 before the first."""
         return self.configuration.generation if self.configuration else 0
 
-    @property
-    def is_ready(self):
-        """True if new work can be taken."""
-        is_known = self.policy is not None and self.has_report
-        return is_known and self.may_dispatch and not self.is_leaving
+    def may_dispatch(self, now_ms):
+        """Return whether this agent is known to be in charge (bool)."""
+        return self.policy is not None and now_ms < self.in_charge_until_ms
+
+    def is_ready(self, now_ms):
+        """Return whether new work can be taken (bool)."""
+        return self.may_dispatch(now_ms) and self.has_report and not self.is_leaving
 
     def waiting(self):
         """Return the attempts that are not yet taken for dispatch, oldest first."""
--- a/nutmegdeal/agent/leasing.py
+++ b/nutmegdeal/agent/leasing.py
@@ -1,57 +1,132 @@
 """Takes and keeps the lease that allows orders to the model engine."""
 
+import math
+
 import gevent
 
-from nutmegdeal.errors import Failure, Reason
+from nutmegdeal.configuration import Fencing
+from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.log import get_logger
 
 logger = get_logger(__name__)
 
 POLL_MS = 500
+# A gap between two checks that is longer than this means that the process was paused.
+PAUSE_MIN_MS = 3_000
+FIRST_FENCE = 1
 
 
 class LeaseController:
     """Acquires the lease, renews it, and notices that another agent has it.
 
+    Two agents may be alive at once: a paused one wakes after its successor has taken
+    over. The controller lets requests be dispatched only while this agent is known to
+    be in charge, and reports be trusted only from when no order of a predecessor can
+    take effect any more.
+
     Parameters
     ----------
     board : Blackboard
         Its lease must be set.
+    engine : ModelEngine
+    clock : Clock
     on_lost : callable
         Called once without arguments when another agent has taken over.
     """
 
-    def __init__(self, board, on_lost):
+    def __init__(self, board, engine, clock, on_lost):
         self._board = board
+        self._engine = engine
+        self._clock = clock
         self._on_lost = on_lost
         self._is_lost = False
+        self._is_suspect = False
+        self._last_step_ms = None
 
     def step(self):
-        """Acquire or renew the lease if it is due."""
+        """Acquire, renew or check the lease, whichever is due."""
         if self._is_lost:
             return
+        if not self._board.lease.fence:
+            self._acquire()
+            return
+        self._note_pause()
+        self._keep()
+
+    def _acquire(self):
         lease = self._board.lease
-        if not lease.fence:
-            self._acquire(lease)
+        failure = lease.acquire()
+        if isinstance(failure, Failure):
+            logger.info("lease_not_held", error=str(failure))
+            return
+        logger.info("lease_held", fence=lease.fence)
+        self._last_step_ms = self._clock.monotonic_ms()
+        if lease.fence == FIRST_FENCE:
+            self._board.trusted_from_ms = -math.inf
+            self._set_in_charge()
             return
-        had_lapsed = not lease.may_order()
-        failure = lease.renew()
+        self._board.takeover.begin(self._last_step_ms)
+        self._is_suspect = True
+        self._keep()
+
+    def _note_pause(self):
+        now_ms = self._clock.monotonic_ms()
+        gap_ms = now_ms - self._last_step_ms
+        self._last_step_ms = now_ms
+        if gap_ms >= PAUSE_MIN_MS:
+            logger.warning("process_was_paused", gap_ms=gap_ms)
+            self._is_suspect = True
+
+    def _keep(self):
+        had_lapsed = not self._board.lease.may_order()
+        failure = self._board.lease.renew()
         if isinstance(failure, Failure) and failure.reason is Reason.LEASE_LOST:
             self.lose(failure)
             return
         if isinstance(failure, Failure):
             logger.warning("lease_not_renewed", error=str(failure), lapsed=had_lapsed)
-        # While the store is down nobody can take over, so that what is resident is
-        # served on; without the lease no order is given.
-        self._board.may_dispatch = True
+        if not self._is_suspect:
+            # While the store is down nobody can take over, so that what is resident
+            # is served on; without the lease no order is given.
+            self._set_in_charge()
+            return
+        self._clear_suspicion(failure)
 
-    def _acquire(self, lease):
-        failure = lease.acquire()
-        if isinstance(failure, Failure):
-            logger.info("lease_not_held", error=str(failure))
+    def _clear_suspicion(self, renewal_failure):
+        """Find out after a pause or a takeover that no other agent is in charge."""
+        if self._board.policy.fencing is Fencing.CHECKED:
+            failure = self._announce_fence()
+        else:
+            failure = renewal_failure if not self._board.may_order else None
+        if failure is not None and failure.reason is Reason.FENCED:
+            self.lose(failure)
             return
-        logger.info("lease_held", fence=lease.fence)
-        self._board.may_dispatch = True
+        if failure is not None:
+            logger.warning("lease_not_confirmed", error=str(failure))
+            return
+        if self._board.trusted_from_ms == math.inf:
+            self._board.trusted_from_ms = self._clock.monotonic_ms()
+        self._is_suspect = False
+        self._set_in_charge()
+
+    def _announce_fence(self):
+        """Give an order without effect, so that the engine learns this fence.
+
+        Only then does it refuse orders of a predecessor that are still under way. A
+        load of an adapter that is resident changes nothing.
+        """
+        report = self._engine.report()
+        if isinstance(report, Failure):
+            return report
+        if not report.resident:
+            return None
+        outcome = self._engine.load(report.resident[0], self._board.lease.fence)
+        if isinstance(outcome, Failure) and outcome.reason is not Reason.FENCED:
+            return Failure(Reason.STORE_CONFLICT, Step.LEASE, "", str(outcome))
+        return outcome
+
+    def _set_in_charge(self):
+        self._board.in_charge_until_ms = self._clock.monotonic_ms() + PAUSE_MIN_MS
         self._board.notify()
 
     def lose(self, failure):
@@ -59,7 +134,7 @@
         if self._is_lost:
             return
         self._is_lost = True
-        self._board.may_dispatch = False
+        self._board.in_charge_until_ms = 0.0
         logger.error("lease_lost", error=str(failure))
         self._on_lost()
 
--- a/nutmegdeal/agent/orders.py
+++ b/nutmegdeal/agent/orders.py
@@ -115,16 +115,21 @@
             logger.warning("report_failed", error=str(report))
             return report
         taken_after_ms = asked_ms - self._settings.report_lag_max_ms
-        is_restart = self._board.slots.observe_report(
+        if taken_after_ms >= self._board.trusted_from_ms:
+            self._take_in(report, taken_after_ms)
+        return report
+
+    def _take_in(self, report, taken_after_ms):
+        board = self._board
+        is_restart = board.slots.observe_report(
             report, taken_after_ms, self._clock.monotonic_ms()
         )
         if is_restart:
             logger.warning("engine_restarted", incarnation=report.incarnation)
-        self._board.has_report = True
-        self._board.engine_running_count = report.running_count
-        self._board.engine_batch_size_max = report.batch_size_max
-        self._board.notify()
-        return report
+        board.takeover.observe_report(report.running_count, taken_after_ms)
+        board.engine_batch_size_max = report.batch_size_max
+        board.has_report = True
+        board.notify()
 
     def run(self):
         """Read reports until the greenlet is killed."""
--- a/nutmegdeal/agent/planning.py
+++ b/nutmegdeal/agent/planning.py
@@ -64,7 +64,7 @@
     backoff: LoadBackoff
     rates: UseRates = attrs.field(factory=UseRates)
 
-    def plan(self, waiting, running, free_batch_count, may_order, now_ms):
+    def plan(self, waiting, running, free_batch_count, may_order, may_evict, now_ms):
         """Take the next steps and note them in the slot table.
 
         Parameters
@@ -76,6 +76,8 @@
             Requests that the backend server can take at once.
         may_order : bool
             False if the lease forbids load and unload orders now.
+        may_evict : bool
+            False while requests of a predecessor may use any adapter.
         now_ms : float
 
         Returns
@@ -88,9 +90,12 @@
         self._queue_loads(left, now_ms)
         if not may_order:
             return Plan(dispatches)
-        repeats = self._repeat_unloads(now_ms)
-        orders, wanted_count = self._start_loads(left, now_ms)
-        return Plan(dispatches, (*repeats, *orders), wanted_count)
+        repeats = self._repeat_unloads(now_ms) if may_evict else []
+        loads, wanted_count = self._start_loads(left, now_ms)
+        evictions = []
+        if wanted_count and may_evict:
+            evictions = self._make_room(left, wanted_count, now_ms)
+        return Plan(dispatches, (*repeats, *loads, *evictions), wanted_count)
 
     def _dispatch(self, waiting, running, free_batch_count, now_ms):
         resident = self.slots.adapters_in(SlotState.RESIDENT)
@@ -116,16 +121,13 @@
         return [order for order in orders if order]
 
     def _start_loads(self, waiting, now_ms):
-        """Return the orders to give and the number of loads held back by the budget."""
+        """Return load orders and the number of loads that can't start yet."""
         present = self.slots.adapters_in(*PRESENT_STATES)
         wanted = self.batch_order.order_loads(waiting, present, now_ms)
         wanted = [a for a in wanted if self._may_load(a, now_ms)]
         orders = []
         while wanted:
-            if self.slots.free_count <= 0:
-                orders += self._make_room(waiting, len(wanted), now_ms)
-                break
-            if not self.budget.try_start(now_ms):
+            if self.slots.free_count <= 0 or not self.budget.try_start(now_ms):
                 break
             orders.append(self.slots.begin_load(wanted.pop(0), now_ms))
         return orders, len(wanted)
@@ -136,7 +138,9 @@
         return self.backoff.may_try(adapter, now_ms)
 
     def _make_room(self, waiting, wanted_count, now_ms):
-        """Return unload orders for as many loads as may start soon."""
+        """Return an unload order if a load could start but for the lack of room."""
+        if self.slots.free_count > 0:
+            return []
         evicting_count = len(self.slots.adapters_in(SlotState.EVICTING))
         if evicting_count >= wanted_count:
             return []
--- a/nutmegdeal/agent/process.py
+++ b/nutmegdeal/agent/process.py
@@ -35,7 +35,7 @@
         self._settings = settings
         self._platform = platform
         self._greenlets = []
-        self._status = StatusServer(self.agent.board, self.agent.forecast)
+        self._status = StatusServer(self.agent.board, self.agent.forecast, clock)
         self._server = ChannelServer(
             bridge, settings.channel, self.agent.streams.accept
         )
--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -60,7 +60,7 @@
         """Plan once and carry the plan out."""
         now_ms = self._clock.monotonic_ms()
         self._expire(now_ms)
-        if not self._board.may_dispatch or self._board.policy is None:
+        if not self._board.may_dispatch(now_ms):
             return
         running = self._board.running_by_adapter()
         free_count = self._board.batch_size_max - sum(running.values())
@@ -69,6 +69,7 @@
             running,
             free_count,
             self._board.may_order,
+            not self._board.takeover.is_open,
             now_ms,
         )
         self._note_load_starts(plan, now_ms)
@@ -116,13 +117,19 @@
         waited_ms = now_ms - attempt.arrived_ms
         attempt.queue_ms = max(0.0, waited_ms - attempt.load_stall_ms)
         telemetry.record_load_stall(attempt.load_stall_ms, self._board.service)
-        running_count = sum(self._board.running_by_adapter().values())
         telemetry.record_batch(
-            running_count, self._board.batch_size_max, self._board.service
+            self._note_running(), self._board.batch_size_max, self._board.service
         )
         attempt.greenlet = gevent.spawn(self._run_pinned, attempt, dispatch.pin)
         self._board.running_greenlets.add(attempt.greenlet)
 
+    def _note_running(self):
+        """Return the number of requests running, and tell the takeover's guard."""
+        running_count = sum(self._board.running_by_adapter().values())
+        now_ms = self._clock.monotonic_ms()
+        self._board.takeover.note_own(running_count, now_ms)
+        return running_count
+
     def _run_pinned(self, attempt, pin):
         try:
             self._run_attempt(attempt)
@@ -133,6 +140,7 @@
             if pin is not None:
                 self._board.slots.unpin(pin)
             self._board.running_greenlets.discard(attempt.greenlet)
+            self._note_running()
             self._board.notify()
 
     def _end_crashed(self, attempt, error):
--- a/nutmegdeal/agent/status.py
+++ b/nutmegdeal/agent/status.py
@@ -19,11 +19,13 @@
     ----------
     board : Blackboard
     forecast : Forecast
+    clock : Clock
     """
 
-    def __init__(self, board, forecast):
+    def __init__(self, board, forecast, clock):
         self._board = board
         self._forecast = forecast
+        self._clock = clock
         self._server = None
         self.app = bottle.Bottle()
         self.app.route("/healthz", "GET", lambda: _answer({"healthy": True}))
@@ -42,12 +44,13 @@
             self._server.stop(timeout=1)
 
     def _show_ready(self):
-        is_ready = self._board.is_ready
+        is_ready = self._board.is_ready(self._clock.monotonic_ms())
         return _answer({"ready": is_ready}, 200 if is_ready else NOT_READY_STATUS)
 
     def describe(self):
         """Return the content of ``/status`` (dict, for JSON)."""
         board = self._board
+        now_ms = self._clock.monotonic_ms()
         slots = {
             state.value: sorted(board.slots.adapters_in(state))
             for state in SlotState
@@ -59,7 +62,7 @@
             "service": board.service,
             "zone": board.zone,
             "generation": board.generation,
-            "ready": board.is_ready,
+            "ready": board.is_ready(now_ms),
             "leaving": board.is_leaving,
             "queued_count": len(board.waiting()),
             "running_count": sum(board.running_by_adapter().values()),
@@ -74,7 +77,7 @@
             "lease": {
                 "fence": board.lease.fence if board.lease else 0,
                 "may_order": board.may_order,
-                "may_dispatch": board.may_dispatch,
+                "may_dispatch": board.may_dispatch(now_ms),
             },
             "stream_count": len(board.sessions),
         }
