Choose replicas by cost, and keep each key's homes up to date by changes

The rank of 10,000 hosts costs about as many hashes for each key; a change of the host list now costs one hash for each key asked for again. A property test compares the table with ranking all members anew.

--- a/nutmegdeal/entry/agents.py
+++ b/nutmegdeal/entry/agents.py
@@ -9,6 +9,7 @@
 from nutmegdeal.channel import Address
 from nutmegdeal.entry.routing import ReplicaView
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.identifiers import AdapterRef
 from nutmegdeal.log import get_logger
 from nutmegdeal.messages import AgentReport, EntryHello, GenerationNotice
 
@@ -46,6 +47,7 @@
         self.resident = frozenset()
         self.reported_at_ms = 0.0
         self.sent_since_report_count = 0
+        self.sent_adapters = set()
         self.avoid_until_ms = 0.0
         self.close_at_ms = 0.0
         self.hold_ms = 0.0
@@ -77,8 +79,16 @@
         self.resident = frozenset(report.resident)
         self.reported_at_ms = now_ms
         self.sent_since_report_count = 0
+        self.sent_adapters.clear()
         self.reported.set()
 
+    def note_sent(self, submit):
+        """Note a Submit that the last report can't know of."""
+        self.sent_since_report_count += 1
+        if submit.adapter:
+            ref = AdapterRef(submit.adapter, submit.version)
+            self.sent_adapters.add(ref.engine_name)
+
     def take_hold(self, held_ms):
         """Note how long an attempt that has ended was under way."""
         self.hold_ms += HOLD_DECAY * (held_ms - self.hold_ms)
@@ -94,7 +104,7 @@
             service_ms=self.hold_ms / concurrency_max,
             sent_since_report_count=self.sent_since_report_count,
             in_flight_count=len(self.inboxes),
-            is_resident=adapter in self.resident,
+            is_resident=adapter in self.resident or adapter in self.sent_adapters,
             load_wait_ms=report.load_wait_ms if report else 0.0,
         )
 
@@ -154,7 +164,7 @@
             After a Failure the agent cannot have received the Submit.
         """
         link.inboxes[submit.attempt_id] = inbox
-        link.sent_since_report_count += 1
+        link.note_sent(submit)
         if link.session.send(submit):
             return None
         self.forget(link, submit.attempt_id)
@@ -204,6 +214,7 @@
         link.report = None
         link.resident = frozenset()
         link.sent_since_report_count = 0
+        link.sent_adapters.clear()
         link.close_at_ms = self._blackboard.clock.monotonic_ms() + IDLE_CLOSE_AFTER_MS
         link.inboxes = {}
         link.reported.clear()
--- a/nutmegdeal/entry/blackboard.py
+++ b/nutmegdeal/entry/blackboard.py
@@ -1,8 +1,11 @@
 """What an entry process knows now; controllers read it and write their own part."""
 
+import collections
+
 import attrs
 
 from nutmegdeal.clock import Clock
+from nutmegdeal.entry.homes import HomeTable
 from nutmegdeal.generations import ConfigurationKeeper
 from nutmegdeal.platform.hosts import Host, HostState
 from nutmegdeal.settings import Settings
@@ -22,8 +25,8 @@
     incarnation : str
     hosts : dict of str to Host
         The host list as last read, by host id.
-    hosts_version : int
-        Grows with each change of the list.
+    homes : dict of str to HomeTable
+        Homes among the live hosts of each service.
     are_hosts_known : bool
         True once the list was read.
     is_draining : bool
@@ -36,7 +39,7 @@
     entry_id: str
     incarnation: str
     hosts: dict[str, Host] = attrs.Factory(dict)
-    hosts_version: int = 0
+    homes: dict[str, HomeTable] = attrs.Factory(dict)
     are_hosts_known: bool = False
     is_draining: bool = False
 
@@ -47,13 +50,9 @@
             return False
         return self.keeper.current is not None
 
-    def live_hosts(self, service):
-        """Return the ids of a service's hosts that the list does not call leaving."""
-        return [
-            host.host_id
-            for host in self.hosts.values()
-            if host.service == service and host.state is HostState.LIVE
-        ]
+    def homes_of(self, service):
+        """Return the HomeTable of a service's hosts that are not leaving."""
+        return self.homes.setdefault(service, HomeTable())
 
     def replace_hosts(self, hosts):
         """Take over a host list, a sequence of Host."""
@@ -62,4 +61,9 @@
         if by_id == self.hosts:
             return
         self.hosts = by_id
-        self.hosts_version += 1
+        live = collections.defaultdict(list)
+        for host in hosts:
+            if host.state is HostState.LIVE:
+                live[host.service].append(host.host_id)
+        for service in live.keys() | self.homes.keys():
+            self.homes_of(service).replace_members(live[service])
--- a/nutmegdeal/entry/degree.py
+++ b/nutmegdeal/entry/degree.py
@@ -1,9 +1,12 @@
 """How many homes each adapter has now."""
 
+import math
+
 import attrs
 
 RATE_HALF_LIFE_MS = 10_000.0
 HINT_HALF_LIFE_MS = 30_000.0
+RATE_PER_REQUEST = 1_000.0 * math.log(2) / RATE_HALF_LIFE_MS
 REQUESTS_PER_S_PER_HOME = 8.0
 DEGREE_MAX = 64
 TRACKED_MAX = 50_000
@@ -35,7 +38,7 @@
     def observe_request(self, adapter, now_ms):
         """Note a request for an engine name."""
         demand = self._find(adapter, now_ms)
-        demand.rate_per_s = self._rate(demand, now_ms) + 693.0 / RATE_HALF_LIFE_MS
+        demand.rate_per_s = self._rate(demand, now_ms) + RATE_PER_REQUEST
         demand.rate_at_ms = now_ms
 
     def observe_hint(self, adapter, degree, now_ms):
--- a/nutmegdeal/entry/placement.py
+++ b/nutmegdeal/entry/placement.py
@@ -1,6 +1,6 @@
 """Chooses the agent of each attempt from what the blackboard and the links know."""
 
-from nutmegdeal.entry.rendezvous import rank_agents
+from nutmegdeal.entry.rendezvous import RoutingWeights
 from nutmegdeal.entry.routing import RouteRequest
 from nutmegdeal.errors import Failure
 
@@ -14,7 +14,7 @@
     ----------
     blackboard : Blackboard
     links : AgentLinks
-    chooser : ReplicaChooser
+    chooser : RendezvousChooser
     degrees : DegreeTracker
     """
 
@@ -23,6 +23,7 @@
         self._links = links
         self._chooser = chooser
         self._degrees = degrees
+        self._weighed = None
 
     def observe_request(self, target):
         """Note the demand of a request."""
@@ -60,15 +61,24 @@
             prefix_digest=target.prefix_digest,
             excluded=excluded,
         )
+        self._weigh()
         views = [link.view(adapter, concurrency_max, now_ms) for link in links]
         chosen = self._chooser.choose(request, views, now_ms)
         if isinstance(chosen, Failure):
             return chosen
         return self._links.link_of(chosen.agent_id)
 
+    def _weigh(self):
+        """Have the chooser weigh costs by the configuration in force."""
+        configuration = self._blackboard.keeper.current
+        if configuration is None or configuration is self._weighed:
+            return
+        self._weighed = configuration
+        self._chooser.weights = RoutingWeights.from_configuration(configuration)
+
     def _find_links(self, service, key, excluded):
         links = []
-        for host_id in rank_agents(key, self._blackboard.live_hosts(service)):
+        for host_id in self._blackboard.homes_of(service).rank(key):
             link = self._links.link_of(host_id)
             if host_id in excluded or not self._links.may_be_chosen(link):
                 continue
--- a/nutmegdeal/entry/rendezvous.py
+++ b/nutmegdeal/entry/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing, and the choice among an adapter's homes."""
+"""Rendezvous hashing, and the choice among the replicas of an adapter's service."""
 
 import hashlib
 
@@ -7,17 +7,15 @@
 from nutmegdeal.entry.routing import ReplicaChooser
 from nutmegdeal.errors import Failure, Reason, Step
 
-RANK_BYTES = 8
+SCORE_BYTES = 8
 REPORT_HALF_LIFE_MS = 2_000.0
-NEAR_EQUAL_MS = 20.0
-FOREIGN_ZONE_MS = 1.0
-LOAD_WAIT_MIN_MS = 1.0
+NEAR_EQUAL_MS = 10.0
 
 
 def rank_score(key, agent_id):
     """Return the rendezvous score (int) of an agent for a key."""
     text = f"{key}\x00{agent_id}".encode()
-    digest = hashlib.blake2b(text, digest_size=RANK_BYTES).digest()
+    digest = hashlib.blake2b(text, digest_size=SCORE_BYTES).digest()
     return int.from_bytes(digest)
 
 
@@ -37,17 +35,47 @@
     Parameters
     ----------
     stall_weight : float
-        Relative weight of load stalls from 0 to 1; queueing has the rest.
+        Relative weight of load stalls from 0 to 1; batch efficiency has the rest.
     load_ms : float
         Load stall that is assumed if no report says more.
+    spill_factor : float
+        Factor on the cost of a load that gives an adapter more copies than its degree:
+        such a load delays the loads of other adapters.
+    surplus_ms : float
+        Cost of using a copy beyond the degree, so that it falls idle and is evicted.
     """
 
     stall_weight: float = 0.5
     load_ms: float = 250.0
+    spill_factor: float = 2.0
+    surplus_ms: float = 20.0
+
+    @classmethod
+    def from_configuration(cls, configuration):
+        """Return the weights that a team's Configuration asks for."""
+        return cls(configuration.stall_weight, configuration.weight_store.load_ms)
+
+    @property
+    def load_factor(self):
+        """Weight of a ms of load stall relative to one of queueing."""
+        return 0.5 + self.stall_weight
+
+
+@attrs.frozen
+class _Candidate:
+    """A replica, its position among the homes, and its cost."""
+
+    replica: object
+    rank: int
+    cost_ms: float
 
 
 class RendezvousChooser(ReplicaChooser):
-    """Two choices among the homes of an adapter; spills to the next home under load.
+    """Keeps an adapter on few homes, and gives it another when queueing costs more.
+
+    Two random copies, and the best home without a copy, are compared by expected wait.
+    Where costs are nearly equal, the entry's own zone, then the prompt's prefix, then
+    the rank decide.
 
     Parameters
     ----------
@@ -56,49 +84,87 @@
     """
 
     def __init__(self, random, weights=None):
+        self.weights = weights or RoutingWeights()
         self._random = random
-        self._weights = weights or RoutingWeights()
 
     def choose(self, request, replicas, now_ms):
-        """Choose a home, or the next replica beyond them if a copy costs less."""
-        usable = [
-            replica for replica in replicas if replica.agent_id not in request.excluded
-        ]
+        """Choose among the live replicas of the service."""
+        usable = {
+            replica.agent_id: replica
+            for replica in replicas
+            if replica.agent_id not in request.excluded
+        }
         if not usable:
             return Failure(
                 Reason.NO_REPLICA, Step.ROUTE, "", "no replica takes this request now"
             )
         if not request.adapter:
-            return self._pick(request, usable)
-        by_id = {replica.agent_id: replica for replica in usable}
-        ranked = [by_id[agent_id] for agent_id in rank_agents(request.adapter, by_id)]
-        homes, others = ranked[: request.degree], ranked[request.degree :]
-        best = self._pick(request, homes)
-        if not others:
-            return best
-        spill = others[0]
-        if self.cost_ms(request, spill) < self.cost_ms(request, best):
-            return spill
-        return best
-
-    def cost_ms(self, request, replica):
-        """Return the weighed expected wait of a request at a replica."""
-        wait_ms = self.queue_ms(replica)
-        if replica.zone != request.zone:
-            wait_ms += FOREIGN_ZONE_MS
-        if not request.adapter or replica.is_resident:
-            return wait_ms
-        load_ms = max(replica.load_wait_ms, self._weights.load_ms, LOAD_WAIT_MIN_MS)
-        return wait_ms + load_ms * (0.5 + self._weights.stall_weight)
+            return self._choose_plain(request, list(usable.values()))
+        ranked = [usable[key] for key in rank_agents(request.adapter, usable)]
+        return self._pick(request, self._find_candidates(request, ranked))
 
     def queue_ms(self, replica):
         """Return the expected queue wait, the report corrected by own requests."""
         faded = 0.5 ** (replica.reported_age_ms / REPORT_HALF_LIFE_MS)
+        sent_ms = replica.sent_since_report_count * replica.service_ms
         own_ms = replica.in_flight_count * replica.service_ms
-        recent_ms = replica.sent_since_report_count * replica.service_ms
-        return max(replica.reported_wait_ms * faded + recent_ms, own_ms)
+        return max(replica.reported_wait_ms * faded + sent_ms, own_ms)
+
+    def load_cost_ms(self, replica, is_spill):
+        """Return the weighed cost of having a replica load the adapter."""
+        load_ms = max(replica.load_wait_ms, self.weights.load_ms)
+        factor = self.weights.load_factor
+        return load_ms * factor * (self.weights.spill_factor if is_spill else 1.0)
+
+    def _choose_plain(self, request, replicas):
+        if len(replicas) > 2:
+            replicas = self._random.sample(replicas, 2)
+        candidates = [
+            _Candidate(replica, 0, self.queue_ms(replica)) for replica in replicas
+        ]
+        return self._pick(request, candidates)
 
-    def _pick(self, request, candidates):
+    def _find_candidates(self, request, ranked):
+        warm = [
+            (rank, replica)
+            for rank, replica in enumerate(ranked)
+            if replica.is_resident
+        ]
+        cold = [
+            (rank, replica)
+            for rank, replica in enumerate(ranked)
+            if not replica.is_resident
+        ]
+        candidates = [
+            self._weigh_copy(rank, replica, is_surplus=number >= request.degree)
+            for number, (rank, replica) in enumerate(warm)
+        ]
         if len(candidates) > 2:
             candidates = self._random.sample(candidates, 2)
-        return min(candidates, key=lambda replica: self.cost_ms(request, replica))
+        for rank, replica in cold[:1]:
+            is_spill = len(warm) >= request.degree
+            cost_ms = self.queue_ms(replica) + self.load_cost_ms(replica, is_spill)
+            candidates.append(_Candidate(replica, rank, cost_ms))
+        return candidates
+
+    def _weigh_copy(self, rank, replica, is_surplus):
+        surplus_ms = self.weights.surplus_ms if is_surplus else 0.0
+        return _Candidate(replica, rank, self.queue_ms(replica) + surplus_ms)
+
+    def _pick(self, request, candidates):
+        least_ms = min(candidate.cost_ms for candidate in candidates)
+        near = [
+            candidate
+            for candidate in candidates
+            if candidate.cost_ms <= least_ms + NEAR_EQUAL_MS
+        ]
+        return min(
+            near, key=lambda candidate: self._tie_key(request, candidate)
+        ).replica
+
+    def _tie_key(self, request, candidate):
+        replica = candidate.replica
+        is_foreign = replica.zone != request.zone
+        prefix = request.prefix_digest
+        affinity = -rank_score(prefix, replica.agent_id) if prefix else 0
+        return is_foreign, affinity, candidate.rank, candidate.cost_ms
--- a/nutmegdeal/tests/entry_parts.py
+++ b/nutmegdeal/tests/entry_parts.py
@@ -263,7 +263,7 @@
         self.hints.append(degree_hint)
 
     def choose(self, target, excluded):
-        for host_id in self._blackboard.live_hosts(target.service.name):
+        for host_id in sorted(self._blackboard.homes_of(target.service.name).members):
             if host_id not in excluded:
                 return self._links.link_of(host_id)
         return Failure(Reason.NO_REPLICA, Step.ROUTE, "", "none left")
--- /dev/null
+++ b/nutmegdeal/tests/test_routing.py
@@ -0,0 +1,161 @@
+"""Tests of rendezvous homes and the choice of a replica."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from nutmegdeal.entry.degree import HINT_HALF_LIFE_MS, DegreeTracker
+from nutmegdeal.entry.homes import HOMES_KEPT, HomeTable
+from nutmegdeal.entry.rendezvous import (
+    RendezvousChooser,
+    RoutingWeights,
+    rank_agents,
+)
+from nutmegdeal.entry.routing import ReplicaView, RouteRequest
+from nutmegdeal.errors import Failure, Reason
+from nutmegdeal.messages import Urgency
+
+ADAPTER = "quote-0001@2"
+AGENTS = [f"engine-{number}" for number in range(6)]
+HOMES = rank_agents(ADAPTER, AGENTS)
+
+
+def build_request(**changes):
+    values = {"adapter": ADAPTER, "urgency": Urgency.URGENT, "zone": "z1"}
+    return RouteRequest(**{**values, **changes})
+
+
+def build_views(**by_agent):
+    """Return views of all agents; keywords (h0, h1, ...) change those of homes."""
+    views = []
+    for rank, agent_id in enumerate(HOMES):
+        changes = by_agent.get(f"h{rank}", {})
+        views.append(ReplicaView(**{"agent_id": agent_id, "zone": "z1", **changes}))
+    return views
+
+
+def choose(request, views, seed=1, **weights):
+    chooser = RendezvousChooser(random.Random(seed), RoutingWeights(**weights))
+    chosen = chooser.choose(request, views, 0.0)
+    return chosen if isinstance(chosen, Failure) else HOMES.index(chosen.agent_id)
+
+
+def test_absent_adapter_goes_to_its_first_home():
+    views = build_views()
+    assert {choose(build_request(), views, seed) for seed in range(20)} == {0}
+
+
+def test_short_queue_at_the_home_costs_less_than_a_second_copy():
+    views = build_views(h0={"is_resident": True, "reported_wait_ms": 200.0})
+    assert choose(build_request(), views) == 0
+
+
+def test_long_queue_at_the_home_spills_to_the_second():
+    views = build_views(h0={"is_resident": True, "reported_wait_ms": 2_000.0})
+    assert choose(build_request(), views) == 1
+
+
+def test_weight_of_load_stalls_moves_the_point_of_spilling():
+    views = build_views(h0={"is_resident": True, "reported_wait_ms": 500.0})
+    assert choose(build_request(), views, stall_weight=0.1) == 1
+    assert choose(build_request(), views, stall_weight=0.9) == 0
+
+
+def test_second_copy_is_cheaper_where_demand_asks_for_it():
+    views = build_views(h0={"is_resident": True, "reported_wait_ms": 400.0})
+    assert choose(build_request(degree=1), views) == 0
+    assert choose(build_request(degree=2), views) == 1
+
+
+def test_slow_weight_store_keeps_the_request_in_the_queue():
+    slow = {"load_wait_ms": 5_000.0}
+    home = {"is_resident": True, "reported_wait_ms": 2_000.0}
+    views = build_views(h0=home, h1=slow, h2=slow)
+    assert choose(build_request(), views) == 0
+
+
+def test_resident_copy_elsewhere_saves_the_load():
+    assert choose(build_request(), build_views(h4={"is_resident": True})) == 4
+
+
+def test_own_requests_correct_a_report_that_lags():
+    sent = {"is_resident": True, "service_ms": 50.0, "sent_since_report_count": 9}
+    views = build_views(h0=sent, h1={"is_resident": True})
+    assert choose(build_request(degree=2), views) == 1
+
+
+def test_own_zone_goes_first_where_waits_are_near_equal():
+    near = {"is_resident": True, "zone": "z2", "reported_wait_ms": 1.0}
+    own = {"is_resident": True, "zone": "z1", "reported_wait_ms": 5.0}
+    assert choose(build_request(degree=2), build_views(h0=near, h1=own)) == 1
+    far = {**own, "reported_wait_ms": 500.0}
+    assert choose(build_request(degree=2), build_views(h0=near, h1=far)) == 0
+
+
+def test_prefix_breaks_ties_the_same_way_each_time():
+    warm = {"is_resident": True}
+    views = build_views(h0=warm, h1=warm)
+    chosen = {
+        prefix: {
+            choose(build_request(degree=2, prefix_digest=prefix), views, seed)
+            for seed in range(5)
+        }
+        for prefix in map(str, range(20))
+    }
+    assert all(len(homes) == 1 for homes in chosen.values())
+    assert {home for homes in chosen.values() for home in homes} == {0, 1}
+
+
+def test_excluded_replicas_are_never_chosen():
+    excluded = frozenset(HOMES[:2])
+    assert choose(build_request(excluded=excluded), build_views()) == 2
+    failure = choose(build_request(excluded=frozenset(HOMES)), build_views())
+    assert failure.reason is Reason.NO_REPLICA
+
+
+def test_plain_service_takes_the_shorter_of_two_queues():
+    views = build_views(
+        **{f"h{rank}": {"reported_wait_ms": 100.0 * rank} for rank in range(6)}
+    )
+    request = build_request(adapter="")
+    chosen = [choose(request, views, seed) for seed in range(200)]
+    assert 5 not in chosen
+    assert chosen.count(0) > chosen.count(4)
+
+
+def test_degree_follows_demand_and_decays_back():
+    tracker = DegreeTracker(per_home_per_s=5.0)
+    for number in range(2_000):
+        tracker.observe_request(ADAPTER, number * 50.0)
+    assert tracker.degree(ADAPTER, 100_000.0) == 4
+    assert tracker.degree(ADAPTER, 200_000.0) == 1
+    assert tracker.degree("other@1", 100_000.0) == 1
+
+
+def test_degree_takes_the_agents_hint_for_a_while():
+    tracker = DegreeTracker()
+    tracker.observe_hint(ADAPTER, 4, 0.0)
+    tracker.observe_hint(ADAPTER, 0, 1.0)
+    assert tracker.degree(ADAPTER, 0.0) == 4
+    assert tracker.degree(ADAPTER, HINT_HALF_LIFE_MS) == 2
+    assert tracker.degree(ADAPTER, 10 * HINT_HALF_LIFE_MS) == 1
+
+
+MEMBER_SETS = st.lists(
+    st.sets(st.integers(0, 120).map(lambda number: f"host-{number}"), max_size=90),
+    min_size=1,
+    max_size=6,
+)
+
+
+@given(MEMBER_SETS, st.sets(st.integers(0, 5)))
+def test_home_table_ranks_as_hashing_all_members_does(member_sets, asked):
+    table = HomeTable()
+    for number, members in enumerate(member_sets):
+        table.replace_members(members)
+        if number not in asked and number + 1 < len(member_sets):
+            continue
+        ranked = table.rank(ADAPTER)
+        assert ranked == rank_agents(ADAPTER, members)[: len(ranked)]
+        assert len(ranked) >= min(HOMES_KEPT // 2, len(members))
