--- /dev/null
+++ b/nutmegdeal/tests/test_entry_http.py
@@ -0,0 +1,273 @@
+"""Tests of the web application towards callers, without a socket."""
+
+import io
+import json
+
+import attrs
+import pytest
+
+from nutmegdeal.entry.http import CallerApplication
+from nutmegdeal.entry.server import RAW_PATH_KEY
+from nutmegdeal.entry.status import describe_status
+from nutmegdeal.errors import Reason, Step
+from nutmegdeal.messages import AnswerHead, Fate
+from nutmegdeal.settings import EntrySettings
+from nutmegdeal.tests.entry_parts import (
+    EVENT_STREAM,
+    STORE_DOWN,
+    Answering,
+    EntryFixture,
+    ScriptedLedger,
+    build_answer,
+    build_completion,
+    build_refusal,
+)
+
+COMPLETIONS = "/v1/completions"
+BOOKINGS = "/services/hire-core/bookings"
+GIVEN = {"model": "quote-0001@2", "prompt": "jaw"}
+WHOLE = Answering(lambda a: build_answer(a, [b"whole"]))
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got."""
+
+    status_code: int
+    headers: dict
+    body: bytes
+
+    def json(self):
+        return json.loads(self.body)
+
+
+@attrs.define
+class WebFixture:
+    """The application over scripted parts."""
+
+    fixture: EntryFixture
+    application: CallerApplication
+
+    def call(self, method, path, body=b"", headers=None):
+        environ = build_environ(method, path, body, headers or {})
+        started = []
+        result = self.application.wsgi(
+            environ, lambda status, pairs, _=None: started.extend((status, pairs))
+        )
+        content = b"".join(result)
+        if hasattr(result, "close"):
+            result.close()
+        return Answer(int(started[0].split()[0]), dict(started[1]), content)
+
+    def complete(self, headers=None, **fields):
+        return self.call(
+            "POST", COMPLETIONS, json.dumps(GIVEN | fields).encode(), headers
+        )
+
+
+def build_environ(method, path, body, headers):
+    raw_path, _, query = path.partition("?")
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": raw_path,
+        RAW_PATH_KEY: raw_path,
+        "QUERY_STRING": query,
+        "CONTENT_LENGTH": str(len(body)),
+        "CONTENT_TYPE": "application/json",
+        "SERVER_NAME": "entry",
+        "SERVER_PORT": "80",
+        "wsgi.url_scheme": "http",
+        "wsgi.input": io.BytesIO(body),
+        "wsgi.errors": io.StringIO(),
+    }
+    for name, value in headers.items():
+        environ["HTTP_" + name.upper().replace("-", "_")] = value
+    return environ
+
+
+def build_web(*steps, **options):
+    fixture = EntryFixture(steps, **options)
+    application = CallerApplication(
+        fixture.service,
+        fixture.board,
+        lambda: describe_status(fixture.board, fixture.parts),
+    )
+    return WebFixture(fixture, application)
+
+
+def test_whole_answer_has_request_id_and_fate():
+    web = build_web(WHOLE)
+    answer = web.complete()
+    assert (answer.status_code, answer.body) == (200, b"whole")
+    assert answer.headers["X-Request-Id"].startswith("e1-")
+    assert answer.headers["X-Nutmegdeal-Fate"] == "completed"
+    assert answer.headers["Content-Length"] == "5"
+    assert web.application.open_count == 0
+    assert web.fixture.parts.gate.in_flight_count == 0
+
+
+def test_stream_ends_with_done():
+    chunks = [b"data: a\n\n", b"data: [DONE]\n\n"]
+    step = Answering(lambda a: build_answer(a, chunks, content_type=EVENT_STREAM))
+    answer = build_web(step).complete(stream=True)
+    assert answer.headers["Content-Type"] == EVENT_STREAM
+    assert answer.headers["X-Nutmegdeal-Fate"] == "pending"
+    assert answer.body == b"".join(chunks)
+
+
+@pytest.mark.promise(3)
+def test_stream_that_breaks_ends_with_an_error_event():
+    def build(attempt_id):
+        chunks = [b"data: a\n\n", b"data: b"]
+        messages = build_answer(attempt_id, chunks, content_type=EVENT_STREAM)
+        ended = build_refusal(attempt_id)
+        return [*messages[:-1], attrs.evolve(ended, fate=Fate.FAILED)]
+
+    web = build_web(*[Answering(build)] * 3)
+    answer = web.complete(stream=True)
+    event, _, data = answer.body.removeprefix(b"data: a\n\n").partition(b"\n")
+    assert event == b"event: error"
+    error = json.loads(data.removeprefix(b"data: "))
+    assert error["fate"] == "failed"
+    assert error["request_id"] == answer.headers["X-Request-Id"]
+    assert b"[DONE]" not in answer.body
+
+
+@pytest.mark.parametrize(
+    ("fields", "status_code", "word"),
+    [
+        ({"model": "nobody@1"}, 404, "unknown_adapter"),
+        ({"model": "quote-0001@9"}, 404, "unknown_version"),
+        ({"model": 7}, 400, "bad_request"),
+        ({"stream": "yes"}, 400, "bad_request"),
+    ],
+)
+def test_bad_completion_is_refused_with_step(fields, status_code, word):
+    answer = build_web().complete(**fields)
+    assert (answer.status_code, answer.json()["error"]) == (status_code, word)
+    assert answer.json()["step"] == "resolve"
+    assert answer.headers["X-Nutmegdeal-Fate"] == "not_run"
+    assert "Retry-After" not in answer.headers
+
+
+@pytest.mark.parametrize("body", [b"{", b"[]", b"\xff", b"[" * 100_000, b""])
+def test_malformed_body_is_refused(body):
+    answer = build_web().call("POST", COMPLETIONS, body)
+    assert (answer.status_code, answer.json()["error"]) == (400, "bad_request")
+
+
+def test_oversized_body_is_refused():
+    web = build_web(entry=EntrySettings(body_bytes_max=1_024))
+    answer = web.call("POST", COMPLETIONS, b"x" * 1_025)
+    assert (answer.status_code, answer.json()["error"]) == (413, "body_too_large")
+
+
+@pytest.mark.parametrize(
+    ("headers", "status_code", "word"),
+    [
+        ({}, 400, "idempotency_key_missing"),
+        ({"Idempotency-Key": "a b"}, 400, "bad_request"),
+        ({"Idempotency-Key": "k", "X-Deadline-Ms": "1"}, 400, "deadline_passed"),
+        ({"Idempotency-Key": "k", "X-Deadline-Ms": "soon"}, 400, "bad_request"),
+        ({"Idempotency-Key": "k", "X-Expires-Ms": "1"}, 410, "idempotency_key_expired"),
+    ],
+)
+def test_bad_headers_of_a_booking_are_refused(headers, status_code, word):
+    answer = build_web().call("POST", BOOKINGS, b"{}", headers)
+    assert (answer.status_code, answer.json()["error"]) == (status_code, word)
+
+
+def test_caller_may_mark_more_work_as_unrepeatable():
+    lookup = "/services/hire-core/availability?day=1"
+    marked = {"X-Unrepeatable": "yes"}
+    assert build_web().call("GET", lookup, headers=marked).status_code == 400
+    web = build_web(WHOLE)
+    web.call("GET", lookup, headers={**marked, "Idempotency-Key": "k"})
+    (submit,) = web.fixture.links.submits
+    assert not submit.idempotent
+    assert submit.path == "/availability?day=1"
+
+
+def test_caller_may_not_mark_less():
+    headers = {"X-Unrepeatable": "no", "Idempotency-Key": "k"}
+    assert build_web().call("POST", BOOKINGS, b"{}", headers).status_code == 400
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/services/hire-core/availability/../bookings",
+        "/services/hire-core/availability/%2e%2e/bookings",
+        "/services/hire-core/availability%2f..%2fbookings",
+        "/services/hire-core//bookings",
+        "/services/hire-core/availability\\x",
+    ],
+)
+def test_path_that_a_server_may_read_as_another_is_refused(path):
+    answer = build_web().call("GET", path)
+    assert (answer.status_code, answer.json()["error"]) == (400, "bad_request")
+
+
+def test_model_engine_is_not_reached_as_a_plain_service():
+    answer = build_web().call("POST", "/services/assist-llm/v1/completions", b"{}")
+    assert (answer.status_code, answer.json()["error"]) == (404, "unknown_service")
+
+
+def test_unknown_paths_and_methods_have_the_standard_answer():
+    for method, path, status_code in (("GET", "/x", 404), ("GET", COMPLETIONS, 405)):
+        answer = build_web().call(method, path)
+        assert answer.status_code == status_code
+        assert answer.json()["fate"] == "not_run"
+        assert answer.headers["X-Request-Id"]
+
+
+def test_store_outage_refuses_a_booking_with_a_time_to_come_back():
+    web = build_web(ledger=ScriptedLedger(lookups=[STORE_DOWN]))
+    answer = web.call("POST", BOOKINGS, b"{}", {"Idempotency-Key": "k"})
+    assert (answer.status_code, answer.json()["fate"]) == (503, "not_run")
+    assert int(answer.headers["Retry-After"]) >= 1
+
+
+def test_draining_entry_refuses_new_work_and_is_not_ready():
+    web = build_web()
+    assert web.call("GET", "/readyz").status_code == 200
+    web.fixture.board.is_draining = True
+    answer = web.complete()
+    assert (answer.status_code, answer.json()["error"]) == (503, "leaving")
+    assert web.call("GET", "/readyz").status_code == 503
+    assert web.call("GET", "/healthz").status_code == 200
+
+
+def test_status_names_no_request():
+    web = build_web(WHOLE)
+    request_id = web.complete().headers["X-Request-Id"]
+    answer = web.call("GET", "/status")
+    assert answer.json()["generation"] == 1
+    assert request_id not in answer.body.decode()
+
+
+def test_caller_that_leaves_cancels_the_attempt():
+    """A cancel meets the attempt under way, and the agent is told."""
+    fixture = EntryFixture([Answering(lambda a: [AnswerHead(a, 200, EVENT_STREAM)])])
+    request = build_completion(stream=True)
+    opened = fixture.service.open(request.method, request.path)
+    events = opened.events(request)
+    opened.cancel()
+    (finish,) = events
+    assert finish.failure.reason is Reason.CANCELLED
+    assert fixture.links.cancelled() == [fixture.links.submits[0].attempt_id]
+    assert fixture.parts.gate.in_flight_count == 0
+
+
+def test_closing_a_stream_that_the_caller_left_cancels_the_attempt():
+    def build(attempt_id):
+        return build_answer(attempt_id, [b"data: a\n\n"], content_type=EVENT_STREAM)[:2]
+
+    fixture = EntryFixture([Answering(build)])
+    request = build_completion(stream=True)
+    events = fixture.service.open(request.method, request.path).events(request)
+    next(events)
+    events.close()
+    assert fixture.links.cancelled() == [fixture.links.submits[0].attempt_id]
+    assert fixture.recorder.outcomes()[-1] == (Step.ANSWER, "cancelled")
+    assert fixture.parts.gate.in_flight_count == 0
