--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -7,9 +7,8 @@
 import gevent.event
 import gevent.pool
 
-from nutmegdeal import telemetry
 from nutmegdeal.accounts import SegmentRecorder
-from nutmegdeal.channel import ChannelClient, GreenletBridge
+from nutmegdeal.channel import Address, ChannelClient, GreenletBridge
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.entry.admission import AdmissionGate
 from nutmegdeal.entry.agents import AgentLinks
@@ -105,7 +104,7 @@
         )
 
     def start(self):
-        """Listen and start the controllers; return the TCP port in use."""
+        """Listen and start the controllers; return the Address in use."""
         listen = self._settings.listen
         self._server = CallerServer(
             (listen.host, listen.port),
@@ -123,8 +122,9 @@
         for poller in pollers:
             self._greenlets.spawn(poller.run)
         self._greenlets.spawn(self._recorder.run)
-        logger.info("started", host=listen.host, port=self._server.server_port)
-        return self._server.server_port
+        address = Address(listen.host, self._server.server_port)
+        logger.info("started", address=str(address))
+        return address
 
     def ask_to_stop(self):
         """Have `run` drain and return; may be called from a signal handler."""
@@ -132,16 +132,23 @@
         self._stop_asked.set()
 
     def run(self):
-        """Serve until asked to stop, then finish what runs and flush accounts."""
+        """Serve until asked to stop, then finish what runs and flush accounts.
+
+        Returns
+        -------
+        bool
+            False if a request was still under way at the end.
+        """
         self._stop_asked.wait()
         logger.info("draining", open_count=self._application.open_count)
         self._wait_until_idle()
+        cut_off_count = self._application.open_count
         self._server.stop(timeout=0)
         self._links.close()
         self._greenlets.kill()
         self._flush()
-        telemetry.shutdown()
-        logger.info("stopped")
+        logger.info("stopped", cut_off_count=cut_off_count)
+        return cut_off_count == 0
 
     def _wait_until_idle(self):
         clock = self._board.clock
--- /dev/null
+++ b/nutmegdeal/tests/test_entry_program.py
@@ -0,0 +1,266 @@
+"""Tests of the entry as a process between callers, an agent and stand-ins."""
+
+import contextlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import attrs
+import pytest
+import urllib3
+
+from nutmegdeal.acceptance import Accepted, accept
+from nutmegdeal.platform.objects import HttpObjectStore
+from nutmegdeal.platform.table import HttpTableService
+from nutmegdeal.tests.builders import build_configuration
+from nutmegdeal.tests.programs import STOP_WITHIN_S, start_stand_in
+
+pytestmark = pytest.mark.processes
+
+WITHIN_MS = 20_000
+POLL_S = 0.02
+ADAPTER = "quote-0001@2"
+
+
+@attrs.define
+class Program:
+    """A running program of the project and what it printed about its listeners."""
+
+    process: subprocess.Popen
+    listening: dict
+
+    def stop(self, number=signal.SIGTERM):
+        self.process.send_signal(number)
+        return self.process.wait(STOP_WITHIN_S)
+
+
+@attrs.define
+class Site:
+    """Stand-ins, agents and one entry."""
+
+    table: object
+    objects: object
+    hosts: object
+    engine: object
+    plain: object
+    agents: list
+    entry: Program
+
+    @property
+    def url(self):
+        return f"http://127.0.0.1:{self.entry.listening['port']}"
+
+    def call(self, method, path, fields=None, headers=None, **options):
+        options = {"retries": False, "timeout": WITHIN_MS / 1000, **options}
+        if fields is not None:
+            options["body"] = json.dumps(fields).encode()
+        return urllib3.request(method, self.url + path, headers=headers, **options)
+
+    def complete(self, **fields):
+        given = {"model": ADAPTER, "prompt": "jaw", "max_tokens": 4}
+        return self.call("POST", "/v1/completions", given | fields)
+
+    def book(self, key, **fields):
+        headers = {"Idempotency-Key": key}
+        given = {"crusher": 7} | fields
+        return self.call("POST", "/services/hire-core/bookings", given, headers)
+
+
+@contextlib.contextmanager
+def running_stand_in(kind, *options):
+    stand_in = start_stand_in(kind, *options)
+    try:
+        yield stand_in
+    finally:
+        stand_in.stop()
+
+
+@contextlib.contextmanager
+def running_program(name, settings, text):
+    settings.write_text(text)
+    command = [sys.executable, "-m", f"nutmegdeal.tools.{name}"]
+    process = subprocess.Popen(
+        [*command, "--settings", str(settings)], stdout=subprocess.PIPE
+    )
+    try:
+        yield Program(process, json.loads(process.stdout.readline()))
+    finally:
+        process.kill()
+        process.wait(STOP_WITHIN_S)
+        process.stdout.close()
+
+
+def describe_platform(table, objects, hosts):
+    return (
+        "[channel]\nshared_secret = secret\n"
+        f"[platform]\ntable_url = {table.url}\nobjects_url = {objects.url}\n"
+        f"hosts_url = {hosts.url}\nhosts_poll_every_ms = 100\n"
+    )
+
+
+def wait_until(condition):
+    end = time.monotonic() + WITHIN_MS / 1000
+    while not condition():
+        assert time.monotonic() < end, "the condition did not come true"
+        time.sleep(POLL_S)
+
+
+def build_entry(host_id, service, agent, state="live"):
+    return {
+        "host_id": host_id,
+        "service": service,
+        "zone": "dk-west-1",
+        "agent_host": "127.0.0.1",
+        "agent_port": agent.listening["port"],
+        "state": state,
+    }
+
+
+def accept_configuration(table, objects):
+    result = accept(
+        build_configuration(),
+        0,
+        "accept-1",
+        HttpTableService(table.url, WITHIN_MS),
+        HttpObjectStore(objects.url, WITHIN_MS),
+    )
+    assert isinstance(result, Accepted), result
+
+
+@pytest.fixture
+def site(tmp_path):
+    with contextlib.ExitStack() as stack:
+        start = stack.enter_context
+        table = start(running_stand_in("table"))
+        objects = start(running_stand_in("objects"))
+        hosts = start(running_stand_in("hosts"))
+        engine = start(running_stand_in("engine", "--token-ms", "5"))
+        plain = start(running_stand_in("plain"))
+        accept_configuration(table, objects)
+        platform = describe_platform(table, objects, hosts)
+        agents = [
+            start(
+                running_program(
+                    "agent",
+                    tmp_path / f"{name}.ini",
+                    f"{platform}[process]\nname = {name}\nzone = dk-west-1\n"
+                    f"[agent]\nservice = {service}\nbackend_url = {backend.url}\n",
+                )
+            )
+            for name, service, backend in (
+                ("engine-0", "assist-llm", engine),
+                ("plain-0", "hire-core", plain),
+            )
+        ]
+        entries = [
+            build_entry("engine-0", "assist-llm", agents[0]),
+            build_entry("plain-0", "hire-core", agents[1]),
+        ]
+        hosts.call("PUT", "/hosts", {"hosts": entries})
+        text = f"{platform}[process]\nname = entry-1\nzone = dk-west-1\n"
+        entry = start(running_program("entry", tmp_path / "entry.ini", text))
+        running = Site(table, objects, hosts, engine, plain, agents, entry)
+        wait_until(lambda: running.call("GET", "/readyz").status == 200)
+        yield running
+
+
+def test_site_answers_streams_and_bookings(site):
+    answer = site.complete()
+    assert answer.status == 200, answer.data
+    assert answer.headers["X-Nutmegdeal-Fate"] == "completed"
+    assert ADAPTER in answer.data.decode()
+
+    stream = site.complete(stream=True)
+    assert stream.data.endswith(b"data: [DONE]\n\n")
+
+    booked = site.book("booking-7")
+    assert booked.status == 200, booked.data
+    repeated = site.book("booking-7")
+    assert (repeated.status, repeated.data) == (booked.status, booked.data)
+    assert site.book("booking-7", crusher=8).status == 422
+    assert len(site.plain.record()["runs"]) == 1
+
+    status = site.call("GET", "/status").json()
+    assert len(status["links"]) == 2
+    assert status["generation"] == 1
+
+
+def test_oversized_headers_and_malformed_requests_are_refused(site):
+    large = {"X-Large": "x" * 20_000}
+    answer = site.call("GET", "/services/hire-core/availability", headers=large)
+    assert answer.status == 431
+    assert answer.headers["X-Request-Id"]
+    port = site.entry.listening["port"]
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as connection:
+        connection.sendall(b"nonsense\r\n\r\n")
+        assert connection.recv(100).startswith(b"HTTP/1.1 400")
+    body = {"model": ADAPTER, "prompt": "x" * 2_000_000}
+    assert site.call("POST", "/v1/completions", body).status == 413
+
+
+def test_caller_that_disconnects_cancels_the_run(site):
+    site.engine.set_faults(token_ms=200)
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        site.call(
+            "POST",
+            "/v1/completions",
+            {"model": ADAPTER, "prompt": "jaw", "max_tokens": 500},
+            timeout=2,
+        )
+    wait_until(
+        lambda: (
+            [run["outcome"] for run in site.engine.record()["runs"]] == ["cancelled"]
+        )
+    )
+
+
+@pytest.mark.promise(7)
+def test_sigterm_finishes_a_running_stream_and_exits_0(site):
+    response = site.call(
+        "POST",
+        "/v1/completions",
+        {"model": ADAPTER, "prompt": "jaw", "max_tokens": 300, "stream": True},
+        preload_content=False,
+    )
+    first = response.read(10)
+    site.entry.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: site.call("GET", "/readyz").status == 503)
+    refused = site.complete()
+    assert (refused.status, refused.json()["fate"]) == (503, "not_run")
+    assert (first + response.read()).endswith(b"data: [DONE]\n\n")
+    assert site.entry.process.wait(STOP_WITHIN_S) == 0
+
+
+def test_store_outage_refuses_bookings_and_runs_completions(site):
+    assert site.complete().status == 200
+    site.table.set_faults(down=True)
+    booked = site.book("booking-8")
+    assert (booked.status, booked.json()["fate"]) == (503, "not_run")
+    assert int(booked.headers["Retry-After"]) >= 1
+    assert site.complete().status == 200
+    assert site.plain.record()["runs"] == []
+
+
+def test_killed_agent_leaves_a_booking_in_doubt_or_not_run(site):
+    site.plain.set_faults(slow_ms=5_000)
+    client = subprocess.Popen(
+        [
+            sys.executable,
+            "-c",
+            "import sys, urllib3\n"
+            "answer = urllib3.request('POST', sys.argv[1], body=b'{}', retries=False,"
+            " headers={'Idempotency-Key': 'k', 'X-Deadline-Ms': sys.argv[2]})\n"
+            "print(answer.status, answer.headers['X-Nutmegdeal-Fate'])",
+            site.url + "/services/hire-core/bookings",
+            str(int(time.time() * 1000) + 3_000),
+        ],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    wait_until(lambda: site.plain.record()["runs"])
+    site.agents[1].process.kill()
+    output, _ = client.communicate(timeout=STOP_WITHIN_S)
+    assert output.split() == ["502", "in_doubt"]
--- a/nutmegdeal/tools/entry.py
+++ b/nutmegdeal/tools/entry.py
@@ -1,5 +1,6 @@
 """The program nutmegdeal-entry."""
 
+import json
 import signal
 import sys
 
@@ -10,7 +11,8 @@
 from nutmegdeal import settings as settings_module
 from nutmegdeal.entry.process import EntryProcess, connect_platform
 
-EXIT_BAD_SETTINGS = 2
+EXIT_INVALID_SETTINGS = 2
+EXIT_CUT_OFF = 1
 REQUIRED = (
     "channel.shared_secret",
     "platform.table_url",
@@ -37,15 +39,19 @@
     loaded = settings_module.load(settings, REQUIRED)
     if isinstance(loaded, settings_module.InvalidFile):
         print(loaded, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
+        sys.exit(EXIT_INVALID_SETTINGS)
     name = loaded.process.name or f"entry-{loaded.listen.port}"
     log.configure(loaded.process.log_level, name)
     telemetry.configure(loaded.telemetry, name)
     process = EntryProcess(loaded, connect_platform(loaded.platform))
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, process.ask_to_stop)
-    process.start()
-    process.run()
+    address = process.start()
+    listening = {"kind": "entry", "host": address.host, "port": address.port}
+    print(json.dumps(listening), flush=True)
+    is_whole = process.run()
+    telemetry.shutdown()
+    sys.exit(0 if is_whole else EXIT_CUT_OFF)
 
 
 def main():
