--- /dev/null
+++ b/nutmegdeal/agent/process.py
@@ -0,0 +1,108 @@
+"""One agent as a process: listens, runs its controllers and shuts them down."""
+
+import gevent
+
+from nutmegdeal.agent.assembly import Agent, EngineParts, PlainServiceParts
+from nutmegdeal.agent.draining import HostWatch
+from nutmegdeal.agent.status import StatusServer
+from nutmegdeal.backends.engine import HttpModelEngine
+from nutmegdeal.backends.plain import HttpPlainService
+from nutmegdeal.channel import Address, ChannelServer
+from nutmegdeal.log import get_logger
+from nutmegdeal.messages import BackendKind
+
+logger = get_logger(__name__)
+
+FINAL_FLUSH_COUNT = 3
+FINAL_FLUSH_PAUSE_S = 0.2
+
+
+class AgentProcess:
+    """An agent with its listeners and greenlets.
+
+    Parameters
+    ----------
+    settings : Settings
+    incarnation : str
+    clock : Clock
+    bridge : channel.Bridge
+    platform : PlatformClients
+    """
+
+    def __init__(self, settings, incarnation, clock, bridge, platform):
+        self.agent = Agent(settings, incarnation, clock, platform)
+        self.status_port = None
+        self._settings = settings
+        self._platform = platform
+        self._greenlets = []
+        self._status = StatusServer(self.agent.board, self.agent.forecast)
+        self._server = ChannelServer(
+            bridge, settings.channel, self.agent.streams.accept
+        )
+
+    def start(self):
+        """Listen, and start all controllers; return the channel's Address."""
+        listen = self._settings.listen
+        address = self._server.start(Address(listen.host, listen.port))
+        self.agent.board.agent_id = str(address)
+        self.status_port = self._status.start(
+            listen.host, self._settings.agent.status_port
+        )
+        watch = HostWatch(
+            self._platform.hosts,
+            address,
+            self.agent.drain.begin,
+            self._settings.platform,
+        )
+        self._spawn(
+            self.agent.flusher.run,
+            self.agent.configuration.run,
+            self.agent.reporter.run,
+            self._platform.recorder.run,
+            watch.run,
+            self._start_backend,
+        )
+        return address
+
+    def _spawn(self, *functions):
+        self._greenlets += [gevent.spawn(function) for function in functions]
+
+    def _start_backend(self):
+        """Start what depends on the kind of the backend server, once it is known."""
+        board = self.agent.board
+        while board.policy is None:
+            board.changed.wait()
+            board.changed.clear()
+        self._spawn(*self._build_parts(board.policy.kind).loops())
+
+    def _build_parts(self, kind):
+        url = self._settings.agent.backend_url
+        secret = self._settings.agent.backend_secret
+        if kind is BackendKind.MODEL_ENGINE:
+            return EngineParts(self.agent, HttpModelEngine(url, secret))
+        return PlainServiceParts(self.agent, HttpPlainService(url, secret))
+
+    def request_stop(self):
+        """Begin the drain; called on SIGTERM."""
+        self.agent.drain.begin()
+
+    def run(self):
+        """Wait for the drain and shut down; return whether nothing was cut off."""
+        self.agent.drain.has_begun.wait()
+        is_whole = self.agent.drain.wait_finished()
+        self._server.stop()
+        gevent.killall(self._greenlets)
+        self._flush()
+        lease = self.agent.board.lease
+        if lease is not None:
+            lease.release()
+        self._status.stop()
+        logger.info("stopped", whole=is_whole)
+        return is_whole
+
+    def _flush(self):
+        for _ in range(FINAL_FLUSH_COUNT):
+            if self._platform.recorder.mark(is_final=True) is None:
+                return
+            gevent.sleep(FINAL_FLUSH_PAUSE_S)
+        logger.error("account_not_stored")
