--- a/nutmegdeal/agent/platform.py
+++ b/nutmegdeal/agent/platform.py
@@ -4,11 +4,10 @@
 
 from nutmegdeal.accounts import SegmentRecorder
 from nutmegdeal.generations import ConfigurationKeeper, StoredConfigurationKeeper
-from nutmegdeal.ledger import Ledger
+from nutmegdeal.ledger import Ledger, TableLedger
 from nutmegdeal.platform.hosts import HostList, HttpHostList
 from nutmegdeal.platform.objects import HttpObjectStore
 from nutmegdeal.platform.table import HttpTableService, TableService
-from nutmegdeal.table_ledger import TableLedger
 
 
 @attrs.frozen
--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -25,11 +25,11 @@
 from nutmegdeal.entry.status import describe_status
 from nutmegdeal.generations import StoredConfigurationKeeper
 from nutmegdeal.identifiers import RequestIdSource, new_incarnation
+from nutmegdeal.ledger import TableLedger
 from nutmegdeal.log import get_logger
 from nutmegdeal.platform.hosts import HttpHostList
 from nutmegdeal.platform.objects import HttpObjectStore
 from nutmegdeal.platform.table import HttpTableService
-from nutmegdeal.table_ledger import TableLedger
 
 logger = get_logger(__name__)
 
--- a/nutmegdeal/tests/agent_parts.py
+++ b/nutmegdeal/tests/agent_parts.py
@@ -20,9 +20,9 @@
 from nutmegdeal.fakes.memory import MemoryHosts, MemoryTable
 from nutmegdeal.generations import ConfigurationKeeper
 from nutmegdeal.identifiers import AdapterRef
+from nutmegdeal.ledger import TableLedger
 from nutmegdeal.messages import AnswerEnd, AnswerFrame, AttemptEnded
 from nutmegdeal.settings import AgentSettings, ProcessSettings, Settings
-from nutmegdeal.table_ledger import TableLedger
 from nutmegdeal.tests.builders import build_configuration
 
 SETTLE_TURNS = 20
