--- a/nutmegdeal/entry/agents.py
+++ b/nutmegdeal/entry/agents.py
@@ -17,7 +17,9 @@
 
 CONNECT_WITHIN_MS = 1_000
 IDLE_CLOSE_AFTER_MS = 10_000
-AVOID_AFTER_FAILURE_MS = 1_000
+AVOID_FIRST_MS = 1_000
+AVOID_MAX_MS = 30_000
+INBOX_MESSAGES_MAX = 4_096
 AVOID_JITTER = 0.5
 HOLD_DECAY = 0.1
 
@@ -49,6 +51,7 @@
         self.sent_since_report_count = 0
         self.sent_adapters = set()
         self.avoid_until_ms = 0.0
+        self.failure_count = 0
         self.close_at_ms = 0.0
         self.hold_ms = 0.0
         self.inboxes = {}
@@ -211,6 +214,7 @@
         if isinstance(session, Failure):
             return attrs.evolve(session, step=Step.SUBMIT, peer=link.host.host_id)
         link.session = session
+        link.failure_count = 0
         link.report = None
         link.resident = frozenset()
         link.sent_since_report_count = 0
@@ -218,7 +222,7 @@
         link.close_at_ms = self._blackboard.clock.monotonic_ms() + IDLE_CLOSE_AFTER_MS
         link.inboxes = {}
         link.reported.clear()
-        session.send(self._hello())
+        self._greet(session)
         gevent.spawn(self._read, link, session, link.inboxes)
         link.reported.wait(CONNECT_WITHIN_MS / 1000)
         return None if session.is_open else self._describe_loss(link, session)
@@ -228,12 +232,18 @@
             session.close_reason, step=Step.SUBMIT, peer=link.host.host_id
         )
 
-    def _hello(self):
+    def _greet(self, session):
         board = self._blackboard
-        configuration = board.keeper.current
-        generation = configuration.generation if configuration else 0
         zone = board.settings.process.zone
-        return EntryHello(board.entry_id, zone, generation)
+        session.send(EntryHello(board.entry_id, zone, board.generation))
+        if board.generation:
+            session.send(GenerationNotice(board.generation, board.keeper.manifest))
+
+    def notify_generation(self):
+        """Tell the agents on open streams which generation is in force here."""
+        board = self._blackboard
+        for link in self.open_links:
+            link.session.send(GenerationNotice(board.generation, board.keeper.manifest))
 
     def _read(self, link, session, inboxes):
         for message in session.messages():
@@ -241,8 +251,16 @@
                 self._take_notice(link, session, message)
                 continue
             inbox = inboxes.get(getattr(message, "attempt_id", None))
-            if inbox is not None:
-                inbox.put(message)
+            if inbox is None:
+                continue
+            inbox.put(message)
+            if inbox.qsize() > INBOX_MESSAGES_MAX:
+                del inboxes[message.attempt_id]
+                inbox.put(
+                    Failure(
+                        Reason.OVERLOADED, Step.RELAY, "", "the caller reads slowly"
+                    )
+                )
         link.reported.set()
         failure = self._describe_loss(link, session)
         for attempt_id, inbox in inboxes.items():
@@ -251,11 +269,17 @@
             self._avoid(link)
 
     def _take_notice(self, link, session, message):
+        if isinstance(message, GenerationNotice):
+            self._blackboard.keeper.observe(message.generation, message.manifest)
+            return
         self._blackboard.keeper.observe(message.generation)
-        if isinstance(message, AgentReport) and link.session is session:
+        if link.session is session:
             link.take_report(message, self._blackboard.clock.monotonic_ms())
 
     def _avoid(self, link):
+        """Choose an agent that can't be reached not again for a while."""
         spread = 1 + AVOID_JITTER * random.random()
+        pause_ms = min(AVOID_FIRST_MS * 2**link.failure_count, AVOID_MAX_MS)
+        link.failure_count = min(link.failure_count + 1, 10)
         now_ms = self._blackboard.clock.monotonic_ms()
-        link.avoid_until_ms = now_ms + AVOID_AFTER_FAILURE_MS * spread
+        link.avoid_until_ms = now_ms + pause_ms * spread
--- /dev/null
+++ b/nutmegdeal/entry/assembly.py
@@ -0,0 +1,171 @@
+"""Turns the messages of a request's attempts into what its caller is given."""
+
+import attrs
+
+from nutmegdeal.entry.answers import Accepted, AnswerReader, Whole
+from nutmegdeal.entry.streams import EventRelay, is_event_stream
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.ledger import LedgerAnswer
+from nutmegdeal.messages import AnswerHead
+
+ANSWER_BYTES_MAX = 67_108_864
+STATUS_OK = 200
+
+
+@attrs.frozen
+class StreamStarted:
+    """The answer is streamed; its bytes follow."""
+
+    status_code: int
+    content_type: str
+
+
+@attrs.frozen
+class Passed:
+    """What the caller may be given now.
+
+    Parameters
+    ----------
+    started : StreamStarted or None
+        Set with the first bytes of a stream.
+    payload : bytes
+    """
+
+    started: StreamStarted | None
+    payload: bytes
+
+
+@attrs.frozen
+class Complete:
+    """The answer is whole.
+
+    Parameters
+    ----------
+    end : AnswerEnd
+    answer : LedgerAnswer or None
+        The whole answer, None if it was streamed.
+    last : Passed or None
+        The rest of a stream.
+    """
+
+    end: object
+    answer: LedgerAnswer | None = None
+    last: Passed | None = None
+
+
+@attrs.frozen
+class Broken:
+    """The attempt's answer is incomplete; another attempt may replace it."""
+
+    failure: Failure
+
+
+@attrs.frozen
+class Inconsistent:
+    """The attempt's answer can't continue what the caller was given already."""
+
+    failure: Failure
+
+
+class AnswerAssembly:
+    """The answer to one request, from one attempt after the other.
+
+    Only messages of the current attempt count. An answer that is not streamed is given
+    whole or not at all; a stream is passed on by whole events, and its last event only
+    once the count and the digest of all frames have been checked.
+
+    Parameters
+    ----------
+    is_streamed : bool
+        True if the caller asked for a stream.
+    """
+
+    def __init__(self, is_streamed):
+        self._is_streamed = is_streamed
+        self._events = EventRelay()
+        self._started = None
+        self._reader = None
+        self._chunks = []
+        self._byte_count = 0
+
+    def begin_attempt(self, attempt_id):
+        """Expect the messages of this attempt from now on."""
+        self._reader = AnswerReader(attempt_id)
+        self._events.begin_attempt()
+        self._chunks = []
+        self._byte_count = 0
+
+    def take(self, message):
+        """Take an AnswerHead, AnswerFrame or AnswerEnd.
+
+        Returns
+        -------
+        Passed, Complete, Broken, Inconsistent or None
+            None if there is nothing to give to the caller now.
+        """
+        result = self._reader.accept(message)
+        if isinstance(result, Failure):
+            return Broken(result)
+        if isinstance(result, AnswerHead):
+            return self._check_head(result)
+        if isinstance(result, Accepted):
+            return self._take_payload(result.payload)
+        if isinstance(result, Whole):
+            return self._complete(result.end)
+        return None
+
+    @property
+    def _is_event_stream(self):
+        head = self._reader.head
+        if not self._is_streamed or head.status_code != STATUS_OK:
+            return False
+        return is_event_stream(head.content_type)
+
+    def _check_head(self, head):
+        """Compare a head with that of a stream which has started."""
+        if self._started is None:
+            return None
+        if self._started == StreamStarted(head.status_code, head.content_type):
+            return None
+        detail = f"another attempt answered {head.status_code} {head.content_type}"
+        return Inconsistent(_fail(detail))
+
+    def _take_payload(self, payload):
+        if not self._is_event_stream:
+            return self._keep(payload)
+        passed = self._events.feed(payload)
+        if isinstance(passed, Failure):
+            return Inconsistent(passed)
+        return self._pass_on(passed)
+
+    def _keep(self, payload):
+        self._chunks.append(payload)
+        self._byte_count += len(payload)
+        if self._byte_count <= ANSWER_BYTES_MAX:
+            return None
+        return Inconsistent(_fail(f"the answer exceeds {ANSWER_BYTES_MAX} bytes"))
+
+    def _complete(self, end):
+        head = self._reader.head
+        if not self._is_event_stream:
+            body = b"".join(self._chunks)
+            return Complete(
+                end, LedgerAnswer(head.status_code, head.content_type, body)
+            )
+        rest = self._events.finish()
+        if isinstance(rest, Failure):
+            return Inconsistent(rest)
+        return Complete(end, None, self._pass_on(rest))
+
+    def _pass_on(self, payload):
+        if not payload:
+            return None
+        if self._started is not None:
+            return Passed(None, payload)
+        head = self._reader.head
+        self._started = StreamStarted(head.status_code, head.content_type)
+        return Passed(self._started, payload)
+
+
+def _fail(detail):
+    return Failure(Reason.INCOMPLETE_ANSWER, Step.RELAY, "", detail)
--- a/nutmegdeal/entry/blackboard.py
+++ b/nutmegdeal/entry/blackboard.py
@@ -50,6 +50,12 @@
             return False
         return self.keeper.current is not None
 
+    @property
+    def generation(self):
+        """Configuration generation in force here, 0 before the first."""
+        configuration = self.keeper.current
+        return configuration.generation if configuration else 0
+
     def homes_of(self, service):
         """Return the HomeTable of a service's hosts that are not leaving."""
         return self.homes.setdefault(service, HomeTable())
--- a/nutmegdeal/entry/http.py
+++ b/nutmegdeal/entry/http.py
@@ -6,8 +6,8 @@
 import bottle
 import gevent
 
+from nutmegdeal.entry.assembly import StreamStarted
 from nutmegdeal.entry.attempts import Finish
-from nutmegdeal.entry.relay import StreamStarted
 from nutmegdeal.entry.replies import (
     FATE_PENDING,
     JSON_TYPE,
@@ -23,10 +23,14 @@
 )
 from nutmegdeal.entry.server import RAW_PATH_KEY, SOCKET_KEY, DisconnectWatch
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.log import get_logger
 from nutmegdeal.messages import Fate
 
+logger = get_logger(__name__)
+
 DISCARD_BYTES_MAX = 16_777_216
 BODY_WITHIN_MS = 30_000
+SERVER_ERROR_STATUS = 500
 
 
 class CallerApplication:
@@ -92,15 +96,19 @@
         return Failure(Reason.BODY_TOO_LARGE, Step.RECEIVE, "", detail)
 
     def _answer_error(self, error):
-        """Answer what no route takes, and unexpected errors."""
-        reason = Reason.NOT_FOUND if error.status_code < 500 else Reason.BACKEND_ERROR
-        opened = self._service.open(bottle.request.method, bottle.request.path)
-        detail = f"{bottle.request.method} {bottle.request.path}: {error.status_line}"
-        failure = Failure(reason, Step.RECEIVE, "", detail)
+        """Answer what no route takes, and errors of this entry's own code."""
+        method, path = bottle.request.method, bottle.request.path
+        opened = self._service.open(method, path)
+        detail = f"{method} {path}: {error.status_line}"
+        if error.status_code >= SERVER_ERROR_STATUS:
+            logger.error("request_crashed", exc_info=error.exception)
+            finish = opened.fail(
+                Failure(Reason.INTERNAL_ERROR, Step.RECEIVE, "", detail)
+            )
+            return _respond(self._reply(opened, finish))
+        failure = Failure(Reason.NOT_FOUND, Step.RECEIVE, "", detail)
         reply = self._reply(opened, opened.refuse(failure))
-        if error.status_code < 500:
-            reply = attrs.evolve(reply, status_code=error.status_code)
-        return _respond(reply)
+        return _respond(attrs.evolve(reply, status_code=error.status_code))
 
     def _answer_health(self):
         return {"healthy": True}
--- a/nutmegdeal/entry/pollers.py
+++ b/nutmegdeal/entry/pollers.py
@@ -10,6 +10,7 @@
 logger = get_logger(__name__)
 
 POLL_JITTER = 0.2
+AGENTS_ASKED = 3
 
 
 class Poller:
@@ -43,6 +44,46 @@
         self._was_failing = is_failing
 
 
+class ConfigurationController:
+    """Keeps the configuration up to date and tells the agents of it.
+
+    Parameters
+    ----------
+    blackboard : Blackboard
+    links : AgentLinks
+    random : random.Random
+    """
+
+    def __init__(self, blackboard, links, random):
+        self._blackboard = blackboard
+        self._links = links
+        self._random = random
+        self._told_generation = 0
+
+    def refresh(self):
+        """Read the head; return a Failure if that is not possible."""
+        result = self._blackboard.keeper.refresh()
+        if self._blackboard.generation > self._told_generation:
+            self._told_generation = self._blackboard.generation
+            self._links.notify_generation()
+        if self._blackboard.generation == 0:
+            self._ask_agents()
+        return result if isinstance(result, Failure) else None
+
+    def refresh_if_due(self):
+        """Read the head at once if a peer has a newer generation."""
+        return self.refresh() if self._blackboard.keeper.is_refresh_due else None
+
+    def _ask_agents(self):
+        """Open streams to some agents, which tell the generation they have."""
+        host_ids = sorted(self._blackboard.hosts)
+        count = min(AGENTS_ASKED, len(host_ids))
+        for host_id in self._random.sample(host_ids, count):
+            link = self._links.link_of(host_id)
+            if self._links.may_be_chosen(link):
+                self._links.open(link)
+
+
 class HostsController:
     """Reads the host list into the blackboard.
 
--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -17,7 +17,7 @@
 from nutmegdeal.entry.degree import DegreeTracker
 from nutmegdeal.entry.http import CallerApplication
 from nutmegdeal.entry.placement import Placement
-from nutmegdeal.entry.pollers import HostsController, Poller
+from nutmegdeal.entry.pollers import ConfigurationController, HostsController, Poller
 from nutmegdeal.entry.relay import Parts
 from nutmegdeal.entry.rendezvous import RendezvousChooser
 from nutmegdeal.entry.server import CallerServer
@@ -34,6 +34,7 @@
 logger = get_logger(__name__)
 
 IDLE_CHECK_EVERY_MS = 1_000
+DUE_CHECK_EVERY_MS = 100
 DRAIN_CHECK_EVERY_MS = 20
 FLUSH_AT_EXIT_MS = 5_000
 
@@ -114,8 +115,10 @@
         )
         self._server.start()
         platform = self._settings.platform
+        configuration = ConfigurationController(self._board, self._links, random)
         pollers = (
-            Poller(self._board.keeper.refresh, platform.head_poll_every_ms),
+            Poller(configuration.refresh, platform.head_poll_every_ms),
+            Poller(configuration.refresh_if_due, DUE_CHECK_EVERY_MS),
             Poller(self._hosts.refresh, platform.hosts_poll_every_ms),
             Poller(self._links.close_idle, IDLE_CHECK_EVERY_MS),
         )
--- /dev/null
+++ b/nutmegdeal/entry/records.py
@@ -0,0 +1,89 @@
+"""Carries out what an AttemptPlan asks of the ledger for one request."""
+
+from nutmegdeal.entry.attempts import (
+    FenceAttempt,
+    FindRecord,
+    WithdrawAttempt,
+)
+from nutmegdeal.errors import Failure, Reason, Step
+
+POLL_FIRST_MS = 50
+POLL_MAX_MS = 1_000
+
+
+class RecordReader:
+    """The ledger, as one request uses it.
+
+    Parameters
+    ----------
+    ledger : Ledger
+    plan : AttemptPlan
+    account : RequestAccount
+    clock : Clock
+    wait_for_cancel : callable
+        Waits some ms; returns a Failure early if the caller goes away, else None.
+    """
+
+    def __init__(self, ledger, plan, account, clock, wait_for_cancel):
+        self._ledger = ledger
+        self._plan = plan
+        self._account = account
+        self._clock = clock
+        self._wait_for_cancel = wait_for_cancel
+        self._poll_ms = 0
+
+    def carry_out(self, action, submit):
+        """Do a FindRecord, FenceAttempt, WithdrawAttempt or ReadRecord.
+
+        Parameters
+        ----------
+        action : object
+        submit : Submit
+            The last attempt, or the first one to come.
+
+        Returns
+        -------
+        object
+            The plan's next action.
+        """
+        if isinstance(action, FindRecord):
+            return self._find(submit)
+        if isinstance(action, FenceAttempt):
+            result = self._ledger.fence(submit)
+            return self._settle("fence", submit, result)
+        if isinstance(action, WithdrawAttempt):
+            result = self._ledger.withdraw(submit)
+            return self._settle("withdraw", submit, result)
+        return self._poll(submit)
+
+    def _find(self, submit):
+        result = self._ledger.lookup(submit)
+        if result is not None:
+            self._account.add(Step.LEDGER, "found", detail=_describe(result))
+        return self._plan.on_found(result)
+
+    def _settle(self, outcome, submit, result):
+        attempt_id = submit.attempt_id
+        self._account.add(Step.LEDGER, outcome, attempt_id, detail=_describe(result))
+        return self._plan.on_fence(result)
+
+    def _poll(self, submit):
+        """Wait until the next poll of the row is due, and read it."""
+        left_ms = submit.deadline_unix_ms - self._clock.unix_ms()
+        if left_ms <= 0:
+            detail = "the outcome was not recorded in time"
+            failure = Failure(Reason.DEADLINE_PASSED, Step.LEDGER, "", detail)
+            return self._plan.on_deadline(failure)
+        failure = self._wait_for_cancel(min(self._poll_ms, left_ms))
+        if failure is not None:
+            return self._plan.on_deadline(failure)
+        self._poll_ms = min(max(2 * self._poll_ms, POLL_FIRST_MS), POLL_MAX_MS)
+        return self._plan.on_record(self._ledger.lookup(submit))
+
+
+def _describe(result):
+    """Return what the ledger said in one line."""
+    if isinstance(result, Failure):
+        return str(result)
+    row = getattr(result, "row", result)
+    return f"{type(result).__name__}: {row.state.value} by {row.attempt_id}"
--- a/nutmegdeal/entry/relay.py
+++ b/nutmegdeal/entry/relay.py
@@ -7,30 +7,25 @@
 from nutmegdeal import identifiers
 from nutmegdeal.entry.admission import AdmissionGate
 from nutmegdeal.entry.agents import AgentLinks, AttemptLost
-from nutmegdeal.entry.answers import Accepted, AnswerReader, Whole
-from nutmegdeal.entry.attempts import (
-    AttemptPlan,
-    FenceAttempt,
-    FindRecord,
-    Finish,
-    ReadRecord,
-    SendAttempt,
-    WithdrawAttempt,
+from nutmegdeal.entry.assembly import (
+    AnswerAssembly,
+    Broken,
+    Complete,
+    Inconsistent,
+    Passed,
 )
+from nutmegdeal.entry.attempts import AttemptPlan, Finish, SendAttempt
 from nutmegdeal.entry.blackboard import Blackboard
 from nutmegdeal.entry.budget import RetryBudget
 from nutmegdeal.entry.placement import Placement
+from nutmegdeal.entry.records import RecordReader
 from nutmegdeal.entry.requests import build_submit
-from nutmegdeal.entry.streams import EventRelay, is_event_stream
 from nutmegdeal.errors import Failure, Reason, Step
-from nutmegdeal.ledger import Ledger, LedgerAnswer
-from nutmegdeal.messages import AnswerEnd, AnswerHead, AttemptEnded, Cancel
+from nutmegdeal.ledger import Ledger
+from nutmegdeal.messages import AnswerEnd, AttemptEnded, Cancel
+from nutmegdeal.telemetry import start_span
 
-ANSWER_BYTES_MAX = 67_108_864
 VERDICT_GRACE_MS = 50
-RECORD_POLL_FIRST_MS = 50
-RECORD_POLL_MAX_MS = 1_000
-STATUS_OK = 200
 
 
 @attrs.frozen
@@ -45,14 +40,6 @@
     budget: RetryBudget
 
 
-@attrs.frozen
-class StreamStarted:
-    """The answer is streamed; its bytes follow."""
-
-    status_code: int
-    content_type: str
-
-
 class RequestRun:
     """One admitted request on its way.
 
@@ -60,31 +47,30 @@
     ----------
     parts : Parts
     request_id : str
-    target : Target
-    terms : Terms
-    headers : CallerHeaders
-    generation : int
+    prepared : Prepared
     account : RequestAccount
+    traceparent : str
+        W3C trace context of the request's span.
     """
 
-    def __init__(self, parts, request_id, target, terms, headers, generation, account):
+    def __init__(self, parts, request_id, prepared, account, traceparent=""):
         self._parts = parts
         self._request_id = request_id
-        self._target = target
-        self._terms = terms
-        self._headers = headers
-        self._generation = generation
+        self._prepared = prepared
         self._account = account
+        self._traceparent = traceparent
         self._clock = parts.blackboard.clock
         settings = parts.blackboard.settings.entry
+        terms = prepared.terms
         self._plan = AttemptPlan(terms.idempotent, settings.attempts_max, parts.budget)
         self._inbox = gevent.queue.Queue()
-        self._relay = EventRelay()
-        self._started = None
+        self._assembly = AnswerAssembly(prepared.target.stream)
+        self._records = RecordReader(
+            parts.ledger, self._plan, account, self._clock, self._wait_for_cancel
+        )
         self._tried = frozenset()
-        self._submit = None
+        self._submit = self._build_submit(1, traceparent)
         self._is_attempt_over = True
-        self._record_poll_ms = 0
 
     def cancel(self):
         """Give the request up because its caller went away."""
@@ -95,66 +81,69 @@
 
         Closing the generator cancels the attempt under way.
         """
-        self._parts.placement.observe_request(self._target)
+        self._parts.placement.observe_request(self._prepared.target)
         action = self._plan.start()
         while not isinstance(action, Finish):
             if isinstance(action, SendAttempt):
                 action = yield from self._send(action.number)
                 continue
-            action = self._consult_ledger(action)
+            action = self._records.carry_out(action, self._submit)
         yield action
 
     def _send(self, number):
         """Make one attempt; return the next action."""
-        link = self._parts.placement.choose(self._target, self._tried)
+        link = self._parts.placement.choose(self._prepared.target, self._tried)
         if isinstance(link, Failure):
             self._account.add_failure(link)
             return self._plan.on_no_replica(link)
         host_id = link.host.host_id
         self._tried |= {host_id}
-        self._submit = self._build_submit(number)
-        failure = self._parts.links.open(link)
-        if failure is not None:
-            return self._note(self._plan.on_not_sent, failure)
-        self._account.add_sent(self._submit.attempt_id, host_id, link.incarnation)
-        failure = self._parts.links.send(link, self._submit, self._inbox)
-        if failure is not None:
-            return self._note(self._plan.on_not_sent, failure)
-        self._plan.on_sent()
-        return (yield from self._follow(link))
-
-    def _build_submit(self, number):
-        return build_submit(
-            self._request_id,
-            identifiers.attempt_id(self._request_id, number),
-            self._target,
-            self._terms,
-            self._headers,
-            self._generation,
+        with self._start_span(number, host_id) as span:
+            self._submit = self._build_submit(number, span.traceparent)
+            failure = self._parts.links.open(link)
+            if failure is not None:
+                return self._note(self._plan.on_not_sent, failure)
+            attempt_id = self._submit.attempt_id
+            self._account.add_sent(attempt_id, host_id, link.incarnation)
+            failure = self._parts.links.send(link, self._submit, self._inbox)
+            if failure is not None:
+                return self._note(self._plan.on_not_sent, failure)
+            self._plan.on_sent()
+            return (yield from self._follow(link))
+
+    def _start_span(self, number, host_id):
+        return start_span(
+            "submit",
+            self._traceparent,
+            request_id=self._request_id,
+            attempt=number,
+            peer=host_id,
         )
 
+    def _build_submit(self, number, traceparent):
+        attempt_id = identifiers.attempt_id(self._request_id, number)
+        return build_submit(self._request_id, attempt_id, self._prepared, traceparent)
+
     def _follow(self, link):
         """Read what comes of the attempt that was sent; return the next action."""
-        attempt_id = self._submit.attempt_id
         session = link.session
         begun_ms = self._clock.monotonic_ms()
         self._is_attempt_over = False
+        self._assembly.begin_attempt(self._submit.attempt_id)
         try:
             return (yield from self._read_answer(link.host.host_id))
         finally:
-            self._parts.links.forget(link, attempt_id)
+            self._parts.links.forget(link, self._submit.attempt_id)
             link.take_hold(self._clock.monotonic_ms() - begun_ms)
             if not self._is_attempt_over:
-                session.send(Cancel(attempt_id))
+                session.send(Cancel(self._submit.attempt_id))
 
     def _read_answer(self, peer):
-        reader = AnswerReader(self._submit.attempt_id)
-        self._relay.begin_attempt()
-        chunks = []
+        """Yield what may be passed on; return the next action."""
         while True:
             message = self._receive()
             if isinstance(message, Failure):
-                return self._plan.on_deadline(message)
+                return self._note(self._plan.on_deadline, message)
             if message.attempt_id != self._submit.attempt_id:
                 continue
             if isinstance(message, AttemptLost | AttemptEnded | AnswerEnd):
@@ -163,106 +152,36 @@
                 return self._note(self._plan.on_lost, message.failure)
             if isinstance(message, AttemptEnded):
                 return self._take_end(message)
-            result = reader.accept(message)
-            if isinstance(result, AnswerHead):
-                failure = self._take_head(result, peer)
-                if failure is not None:
-                    return self._note(self._plan.on_inconsistent, failure)
-            if isinstance(result, Failure):
-                failure = attrs.evolve(result, peer=peer)
+            result = self._assembly.take(message)
+            if isinstance(result, Passed):
+                yield from _unpack(result)
+            if isinstance(result, Complete):
+                self._observe_hint(result.end.degree_hint)
+                yield from _unpack(result.last)
+                return self._plan.on_whole(result.answer)
+            if isinstance(result, Broken):
+                failure = attrs.evolve(result.failure, peer=peer)
                 return self._note(self._plan.on_broken, failure)
-            if isinstance(result, Whole):
-                self._parts.placement.observe_hint(self._target, result.end.degree_hint)
-                if not self._is_streamed(reader.head):
-                    return self._plan.on_whole(_join(reader.head, chunks))
-                rest = self._relay.finish()
-                if isinstance(rest, Failure):
-                    return self._note(self._plan.on_inconsistent, rest)
-                yield from self._pass_on(reader.head, rest)
-                return self._plan.on_whole()
-            if not isinstance(result, Accepted):
-                continue
-            if not self._is_streamed(reader.head):
-                chunks.append(result.payload)
-                continue
-            payload = self._relay.feed(result.payload)
-            if isinstance(payload, Failure):
-                return self._note(self._plan.on_inconsistent, payload)
-            if payload:
-                yield from self._pass_on(reader.head, payload)
-
-    def _take_head(self, head, peer):
-        """Return a Failure if a head does not fit to what the caller already has."""
-        if self._started is None:
-            return None
-        if (head.status_code, head.content_type) == (
-            self._started.status_code,
-            self._started.content_type,
-        ):
-            return None
-        detail = f"another attempt answered {head.status_code} {head.content_type}"
-        return Failure(Reason.INCOMPLETE_ANSWER, Step.RELAY, peer, detail)
-
-    def _is_streamed(self, head):
-        if not self._target.stream or head.status_code != STATUS_OK:
-            return False
-        return is_event_stream(head.content_type)
-
-    def _pass_on(self, head, payload):
-        if self._started is None:
-            self._started = StreamStarted(head.status_code, head.content_type)
-            yield self._started
-        yield payload
+            if isinstance(result, Inconsistent):
+                failure = attrs.evolve(result.failure, peer=peer)
+                return self._note(self._plan.on_inconsistent, failure)
 
     def _take_end(self, ended):
+        detail = f"the agent says {ended.fate.value}: {ended.detail}"
         self._account.add(
-            ended.step,
-            ended.reason.value,
-            ended.attempt_id,
-            ended.peer,
-            f"the agent says {ended.fate.value}: {ended.detail}",
+            ended.step, ended.reason.value, ended.attempt_id, ended.peer, detail
         )
-        self._parts.placement.observe_hint(self._target, ended.degree_hint)
+        self._observe_hint(ended.degree_hint)
         return self._plan.on_ended(ended)
 
+    def _observe_hint(self, degree_hint):
+        self._parts.placement.observe_hint(self._prepared.target, degree_hint)
+
     def _note(self, decide, failure):
         """Record a Failure of the attempt and return what the plan decides."""
         self._account.add_failure(failure, self._submit.attempt_id)
         return decide(failure)
 
-    def _consult_ledger(self, action):
-        ledger, submit = self._parts.ledger, self._submit
-        if isinstance(action, FindRecord):
-            result = ledger.lookup(self._build_submit(1))
-            if result is not None:
-                self._account.add(Step.LEDGER, "found", "", "", _describe(result))
-            return self._plan.on_found(result)
-        if isinstance(action, ReadRecord):
-            return self._read_record()
-        if isinstance(action, FenceAttempt):
-            result, outcome = ledger.fence(submit), "fence"
-        if isinstance(action, WithdrawAttempt):
-            result, outcome = ledger.withdraw(submit), "withdraw"
-        self._account.add(
-            Step.LEDGER, outcome, submit.attempt_id, "", _describe(result)
-        )
-        return self._plan.on_fence(result)
-
-    def _read_record(self):
-        """Wait for the next poll of the ledger row, and read it."""
-        left_ms = self._terms.deadline_unix_ms - self._clock.unix_ms()
-        if left_ms <= 0:
-            return self._plan.on_deadline(_deadline_passed())
-        wait_ms = min(self._record_poll_ms, left_ms)
-        self._record_poll_ms = min(
-            max(2 * self._record_poll_ms, RECORD_POLL_FIRST_MS), RECORD_POLL_MAX_MS
-        )
-        failure = self._wait_for_cancel(wait_ms)
-        if failure is not None:
-            return self._plan.on_deadline(failure)
-        submit = self._submit or self._build_submit(1)
-        return self._plan.on_record(self._parts.ledger.lookup(submit))
-
     def _wait_for_cancel(self, wait_ms):
         """Wait; return a Failure early if the caller goes away."""
         end_ms = self._clock.monotonic_ms() + wait_ms
@@ -279,28 +198,20 @@
 
     def _receive(self):
         """Return the next message, or a Failure at the deadline or on a cancel."""
-        end_unix_ms = self._terms.deadline_unix_ms + VERDICT_GRACE_MS
+        end_unix_ms = self._prepared.terms.deadline_unix_ms + VERDICT_GRACE_MS
         left_ms = end_unix_ms - self._clock.unix_ms()
         try:
             return self._inbox.get(timeout=max(0, left_ms) / 1000)
         except gevent.queue.Empty:
-            return _deadline_passed()
-
-
-def _deadline_passed():
-    return Failure(
-        Reason.DEADLINE_PASSED, Step.ANSWER, "", "no whole answer by the deadline"
-    )
-
-
-def _join(head, chunks):
-    return LedgerAnswer(head.status_code, head.content_type, b"".join(chunks))
-
-
-def _describe(result):
-    """Return what the ledger said in one line."""
-    if isinstance(result, Failure):
-        return str(result)
-    row = getattr(result, "row", result)
-    name = type(result).__name__
-    return f"{name}: {row.state.value} by {row.attempt_id}" if row else name
+            return Failure(
+                Reason.DEADLINE_PASSED, Step.ANSWER, "", "no whole answer by then"
+            )
+
+
+def _unpack(passed):
+    """Yield the parts of a Passed, or nothing for None."""
+    if passed is None:
+        return
+    if passed.started is not None:
+        yield passed.started
+    yield passed.payload
--- a/nutmegdeal/entry/requests.py
+++ b/nutmegdeal/entry/requests.py
@@ -104,6 +104,24 @@
     deadline_unix_ms: int
 
 
+@attrs.frozen
+class Prepared:
+    """A request that was read and checked under one configuration generation.
+
+    Parameters
+    ----------
+    target : Target
+    terms : Terms
+    headers : CallerHeaders
+    generation : int
+    """
+
+    target: Target
+    terms: Terms
+    headers: CallerHeaders
+    generation: int
+
+
 def resolve(request, configuration):
     """Return the Target of a CallerRequest, or a Failure."""
     if request.path in COMPLETION_PATHS:
@@ -248,15 +266,16 @@
     return int(text)
 
 
-def build_submit(request_id, attempt_id, target, terms, headers, generation):
-    """Return the Submit of one attempt at a request."""
+def build_submit(request_id, attempt_id, prepared, traceparent):
+    """Return the Submit of one attempt at a Prepared request."""
+    target, terms = prepared.target, prepared.terms
     return Submit(
         request_id=request_id,
         attempt_id=attempt_id,
         service=target.service.name,
         method=target.method,
         path=target.path,
-        content_type=headers.content_type,
+        content_type=prepared.headers.content_type,
         body=target.body,
         adapter=target.adapter.name if target.adapter else "",
         version=target.adapter.version if target.adapter else "",
@@ -265,9 +284,9 @@
         idempotency_key=terms.idempotency_key,
         expiry_unix_ms=terms.expiry_unix_ms,
         deadline_unix_ms=terms.deadline_unix_ms,
-        generation=generation,
+        generation=prepared.generation,
         stream=target.stream,
-        traceparent=headers.traceparent,
+        traceparent=traceparent,
     )
 
 
--- a/nutmegdeal/entry/server.py
+++ b/nutmegdeal/entry/server.py
@@ -7,9 +7,13 @@
 from gevent.socket import wait_read
 
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
 
 RAW_PATH_KEY = "nutmegdeal.raw_path"
 SOCKET_KEY = "nutmegdeal.socket"
+CALLER_IDLE_MS = 75_000
 REASON_PHRASES = {400: "Bad Request", 431: "Request Header Fields Too Large"}
 
 
@@ -54,8 +58,12 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    def handle_error(self, t, v, tb):
+        """Log an unexpected error as a JSON line and answer 500."""
+        logger.error("request_crashed", exc_info=(t, v, tb))
+        self._send_error_response_if_possible(500)
+
     def _handle_client_error(self, ex):
-        super()._handle_client_error(ex)
         if isinstance(ex, HeadersTooLargeError):
             detail = f"the headers exceed {self.server.header_bytes_max} bytes"
             failure = Failure(Reason.HEADERS_TOO_LARGE, Step.RECEIVE, "", detail)
@@ -98,6 +106,11 @@
         self.header_bytes_max = header_bytes_max
         self.reply_to_invalid = reply_to_invalid
 
+    def handle(self, sock, address):
+        """Serve a connection; one that neither sends nor reads for long is closed."""
+        sock.settimeout(CALLER_IDLE_MS / 1000)
+        super().handle(sock, address)
+
 
 class DisconnectWatch:
     """Calls a function once if the caller closes its connection.
--- a/nutmegdeal/entry/service.py
+++ b/nutmegdeal/entry/service.py
@@ -8,9 +8,13 @@
 from nutmegdeal.entry.account import RequestAccount
 from nutmegdeal.entry.attempts import Finish
 from nutmegdeal.entry.relay import RequestRun
-from nutmegdeal.entry.requests import read_terms, resolve
+from nutmegdeal.entry.requests import Prepared, read_terms, resolve
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.log import get_logger
 from nutmegdeal.messages import Fate
+from nutmegdeal.telemetry import start_span
+
+logger = get_logger(__name__)
 
 COME_BACK_AFTER_MS = 1_000
 
@@ -72,6 +76,12 @@
         self._account.add_finish(finish)
         return finish
 
+    def fail(self, failure):
+        """Return the Finish of a request at which this entry's own code failed."""
+        finish = Finish(Fate.IN_DOUBT, failure)
+        self._account.add_finish(finish)
+        return finish
+
     def events(self, request):
         """Yield what `RequestRun.events` does for a CallerRequest."""
         prepared = self._prepare(request)
@@ -84,7 +94,11 @@
             yield self.refuse(failure)
             return
         self._account.add(Step.ADMIT, Outcome.ADMITTED.value, detail=urgency.value)
-        yield from self._run_admitted(prepared)
+        try:
+            yield from self._run_admitted(prepared)
+        except Exception as error:
+            logger.exception("request_crashed", request_id=self.request_id)
+            yield self.fail(Failure(Reason.INTERNAL_ERROR, Step.RELAY, "", repr(error)))
 
     def _prepare(self, request):
         """Return what was read from the request, or a Failure."""
@@ -115,44 +129,48 @@
     def _run_admitted(self, prepared):
         clock = self._parts.blackboard.clock
         begun_ms = clock.monotonic_ms()
-        self._run = RequestRun(
-            self._parts,
-            self.request_id,
-            prepared.target,
-            prepared.terms,
-            prepared.headers,
-            prepared.generation,
-            self._account,
-        )
-        if self._is_cancelled:
-            self._run.cancel()
         finish = None
         try:
-            with contextlib.closing(self._run.events()) as events:
-                for event in events:
-                    if isinstance(event, Finish):
-                        finish = self._with_retry_time(event)
-                        event = finish
-                        self._account.add_finish(finish)
-                    yield event
+            with self._start_span(prepared) as span:
+                run = self._run_with(prepared, span.traceparent)
+                with contextlib.closing(run) as events:
+                    for event in events:
+                        if isinstance(event, Finish):
+                            finish = event
+                            self._account.add_finish(finish)
+                            span.set_attribute("fate", finish.fate.value)
+                        yield event
         finally:
             self._parts.gate.release(clock.monotonic_ms() - begun_ms)
             if finish is None:
                 self._account.add_answer("cancelled", detail="the caller left")
 
+    def _run_with(self, prepared, traceparent):
+        self._run = RequestRun(
+            self._parts, self.request_id, prepared, self._account, traceparent
+        )
+        if self._is_cancelled:
+            self._run.cancel()
+        with contextlib.closing(self._run.events()) as events:
+            for event in events:
+                is_last = isinstance(event, Finish)
+                yield self._with_retry_time(event) if is_last else event
+
+    def _start_span(self, prepared):
+        adapter = prepared.target.adapter
+        return start_span(
+            "request",
+            prepared.headers.traceparent,
+            request_id=self.request_id,
+            service=prepared.target.service.name,
+            adapter=adapter.name if adapter else "",
+            version=adapter.version if adapter else "",
+            generation=prepared.generation,
+        )
+
     def _with_retry_time(self, finish):
         """Return a Finish that says when to come back if it was not run."""
         now_unix_ms = self._parts.blackboard.clock.unix_ms()
         if finish.fate is not Fate.NOT_RUN or finish.retry_at_unix_ms > now_unix_ms:
             return finish
         return attrs.evolve(finish, retry_at_unix_ms=now_unix_ms + COME_BACK_AFTER_MS)
-
-
-@attrs.frozen
-class Prepared:
-    """A request that was read and checked under one generation."""
-
-    target: object
-    terms: object
-    headers: object
-    generation: int
--- a/nutmegdeal/entry/status.py
+++ b/nutmegdeal/entry/status.py
@@ -40,13 +40,12 @@
 
 def describe_status(blackboard, parts):
     """Return the EntryStatus now."""
-    configuration = blackboard.keeper.current
     return EntryStatus(
         role="entry",
         process=blackboard.entry_id,
         incarnation=blackboard.incarnation,
         zone=blackboard.settings.process.zone,
-        generation=configuration.generation if configuration else 0,
+        generation=blackboard.generation,
         is_confirmed=blackboard.keeper.is_confirmed,
         is_ready=blackboard.is_ready,
         is_draining=blackboard.is_draining,
--- a/nutmegdeal/errors.py
+++ b/nutmegdeal/errors.py
@@ -40,6 +40,7 @@
     CANCELLED = "cancelled"
     UNAUTHENTICATED = "unauthenticated"
     FENCED = "fenced"
+    INTERNAL_ERROR = "internal_error"
 
 
 class Step(enum.Enum):
