--- a/nutmegdeal/channel.py
+++ b/nutmegdeal/channel.py
@@ -8,12 +8,14 @@
 import abc
 import asyncio
 import collections
+import functools
 import hmac
 
 import attrs
 import gevent
 import gevent.event
 import gevent.queue
+from gevent.selectors import GeventSelector
 from grpclib.client import Channel
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.encoding.base import CodecBase
@@ -95,10 +97,10 @@
 
 
 class GreenletBridge(Bridge):
-    """An asyncio loop inside one greenlet of the patched process."""
+    """An asyncio loop inside one greenlet; its selector waits in gevent's loop."""
 
     def __init__(self):
-        self.loop = asyncio.new_event_loop()
+        self.loop = asyncio.SelectorEventLoop(GeventSelector())
         self._greenlet = gevent.spawn(self.loop.run_forever)
 
     def call_in_loop(self, function, *arguments):
@@ -129,11 +131,15 @@
         self._outbox = collections.deque()
         self._outbox_bytes = 0
         self._wake_pending = False
-        self._inbox = gevent.queue.Queue()
         self._wake = asyncio.Event()
         self._received_since_check = True
         self._heartbeat_due = False
 
+    @functools.cached_property
+    def _inbox(self):
+        # Made on first use, so that it belongs to gevent's thread.
+        return gevent.queue.Queue()
+
     @property
     def is_open(self):
         """True until either end closed the stream or it broke."""
@@ -165,6 +171,9 @@
                 return
             yield message
 
+    def _deliver(self, message):
+        self._inbox.put(message)
+
     def close(self):
         """Close the stream from this end."""
         self._close(Reason.CANCELLED, "closed by this process")
@@ -174,7 +183,7 @@
             return
         self.close_reason = Failure(reason, Step.RELAY, self.peer, detail)
         self._bridge.call_in_loop(self._wake.set)
-        self._bridge.call_in_gevent(self._inbox.put, None)
+        self._bridge.call_in_gevent(self._deliver, None)
 
     async def serve(self, stream):
         """Move messages between the stream and the queues until either end closes."""
@@ -218,7 +227,7 @@
                 return
             self._received_since_check = True
             for message in decode_batch(data):
-                self._bridge.call_in_gevent(self._inbox.put, message)
+                self._bridge.call_in_gevent(self._deliver, message)
 
     async def _exchange_heartbeats(self):
         missed_count = 0
--- /dev/null
+++ b/nutmegdeal/tests/test_channel.py
@@ -0,0 +1,93 @@
+"""Tests of the stream between an entry and an agent, over loopback."""
+
+import gevent
+import pytest
+
+from nutmegdeal.channel import Address, ChannelClient, ChannelServer, GreenletBridge
+from nutmegdeal.errors import Failure, Reason
+from nutmegdeal.messages import AnswerFrame
+from nutmegdeal.settings import ChannelSettings
+
+CONNECT_WITHIN_MS = 20_000
+SETTINGS = ChannelSettings(shared_secret="right")
+
+
+def echo(session):
+    for message in session.messages():
+        session.send(message)
+
+
+@pytest.fixture(scope="module")
+def bridge():
+    return GreenletBridge()
+
+
+@pytest.fixture
+def server(bridge):
+    server = ChannelServer(bridge, SETTINGS, echo)
+    yield server
+    server.stop(CONNECT_WITHIN_MS)
+
+
+@pytest.fixture
+def address(server):
+    return server.start(Address("127.0.0.1", 0), CONNECT_WITHIN_MS)
+
+
+def connect(bridge, address, settings=SETTINGS):
+    return ChannelClient(bridge, settings).connect(address, CONNECT_WITHIN_MS)
+
+
+def test_messages_arrive_once_and_in_order(bridge, address):
+    session = connect(bridge, address)
+    sent = [AnswerFrame("r-1.1", number, b"x" * 50) for number in range(2_000)]
+    for message in sent:
+        assert session.send(message)
+    received = session.messages()
+    assert [next(received) for _ in sent] == sent
+    session.close()
+
+
+def test_wrong_secret_is_refused(bridge, address):
+    failure = connect(bridge, address, ChannelSettings(shared_secret="wrong"))
+    assert isinstance(failure, Failure)
+    assert failure.reason is Reason.UNAUTHENTICATED
+
+
+def test_closed_port_is_a_failure_naming_the_peer(bridge, server, address):
+    server.stop(CONNECT_WITHIN_MS)
+    failure = connect(bridge, address)
+    assert isinstance(failure, Failure)
+    assert failure.reason is Reason.CONNECTION_LOST
+    assert failure.peer == str(address)
+
+
+def test_stopping_the_server_ends_the_clients_session(bridge, server, address):
+    session = connect(bridge, address)
+    server.stop(CONNECT_WITHIN_MS)
+    assert list(session.messages()) == []
+    assert not session.is_open
+    assert not session.send(AnswerFrame("r-1.1", 0, b""))
+
+
+def test_a_peer_that_never_answers_is_noticed(bridge):
+    silent = ChannelSettings(shared_secret="right", heartbeat_every_ms=60_000)
+    server = ChannelServer(bridge, silent, echo)
+    address = server.start(Address("127.0.0.1", 0), CONNECT_WITHIN_MS)
+    eager = ChannelSettings(shared_secret="right", heartbeat_every_ms=20)
+    session = connect(bridge, address, eager)
+    assert list(session.messages()) == []
+    assert session.close_reason.reason is Reason.CONNECTION_LOST
+    server.stop(CONNECT_WITHIN_MS)
+
+
+def test_a_peer_that_does_not_read_closes_the_stream(bridge, address):
+    small = ChannelSettings(shared_secret="right", outbox_bytes_max=65_536)
+    session = connect(bridge, address, small)
+    payload = b"x" * 32_768
+    results = [
+        session.send(AnswerFrame("r-1.1", number, payload)) for number in range(4)
+    ]
+    gevent.sleep(0)
+    assert results[-1] is False
+    assert session.close_reason.reason is Reason.OVERLOADED
