--- /dev/null
+++ b/nutmegdeal/evidence.py
@@ -0,0 +1,101 @@
+"""What a reader holds of a request's events, and what it knows to be missing."""
+
+import enum
+
+import attrs
+
+from nutmegdeal.accounts import Event, Outcome
+from nutmegdeal.errors import Reason, Step
+from nutmegdeal.messages import Fate
+
+NO_END_UNIX_MS = 2**63 - 1
+CLOCK_SKEW_MAX_MS = 5_000
+FATES = {fate.value: fate for fate in Fate}
+END_OUTCOMES = frozenset(FATES) | {Reason.CANCELLED.value}
+
+
+def is_end(event):
+    """Return whether its process records nothing after this event.
+
+    An entry records nothing more of the request, an agent nothing more of the attempt.
+    """
+    return event.step is Step.ANSWER and event.outcome in END_OUTCOMES
+
+
+def is_submit(event):
+    """Return whether the entry sends an attempt to an agent with this event."""
+    return event.step is Step.SUBMIT and event.outcome == Outcome.SENT
+
+
+def is_dispatch(event):
+    """Return whether an agent sends to its backend server with this event."""
+    return event.step is Step.DISPATCH and event.outcome == Outcome.SENT
+
+
+class Cause(enum.Enum):
+    """Why events may be missing."""
+
+    NOT_STORED = "not_stored"
+    DROPPED = "dropped"
+    SEGMENT_MISSING = "segment_missing"
+    UNREADABLE = "unreadable"
+    PROCESS_UNKNOWN = "process_unknown"
+
+
+@attrs.frozen
+class Hole:
+    """A time span in which events of an incarnation may be missing.
+
+    Parameters
+    ----------
+    first_unix_ms, last_unix_ms : int
+        Both ends included; ``NO_END_UNIX_MS`` for an open end.
+    cause : Cause
+    """
+
+    first_unix_ms: int
+    last_unix_ms: int
+    cause: Cause
+
+    def overlaps(self, first_unix_ms, last_unix_ms):
+        """Return whether the hole shares a moment with a time span."""
+        return self.first_unix_ms <= last_unix_ms and first_unix_ms <= self.last_unix_ms
+
+
+@attrs.frozen
+class Coverage:
+    """How much of one incarnation's events a reader holds.
+
+    Parameters
+    ----------
+    incarnation : str
+    process : str
+        Its name, ``""`` if nothing of it could be read.
+    covers_to_unix_ms : int
+        Every event before this time is held, but for those in the holes.
+    is_final : bool
+        True if the process ended in order, so that there is nothing after.
+    holes : tuple of Hole
+    """
+
+    incarnation: str
+    process: str = ""
+    covers_to_unix_ms: int = 0
+    is_final: bool = False
+    holes: tuple[Hole, ...] = ()
+
+
+@attrs.frozen
+class Evidence:
+    """What the object store gave about one request.
+
+    Parameters
+    ----------
+    events : tuple of Event
+        Those of one incarnation in the order in which it recorded them.
+    coverages : tuple of Coverage
+        One for each incarnation that was looked up.
+    """
+
+    events: tuple[Event, ...] = ()
+    coverages: tuple[Coverage, ...] = ()
--- a/nutmegdeal/identifiers.py
+++ b/nutmegdeal/identifiers.py
@@ -29,6 +29,11 @@
     return attempt.rpartition(".")[0]
 
 
+def entry_of_request(request_id):
+    """Return the incarnation of the entry that issued a request id."""
+    return request_id.rpartition("-")[0]
+
+
 class RequestIdSource:
     """Issues the request ids of one incarnation of an entry.
 
--- a/nutmegdeal/tests/test_accounts.py
+++ b/nutmegdeal/tests/test_accounts.py
@@ -32,6 +32,11 @@
         self.objects = FaultyObjects()
         self.recorder = build_recorder(self.objects, self.clock)
         self.recorded = []
+        self.segment_events_max = accounts.SEGMENT_EVENTS_MAX
+        accounts.SEGMENT_EVENTS_MAX = 16
+
+    def teardown(self):
+        accounts.SEGMENT_EVENTS_MAX = self.segment_events_max
 
     @rule(count=st.sampled_from((1, 3, 70)))
     def record(self, count):
