--- /dev/null
+++ b/nutmegdeal/tests/stepping.py
@@ -0,0 +1,131 @@
+"""Programs that stop before each of their steps, so that a test decides what happens.
+
+An actor is a greenlet; every call of its table, and every `pause`, gives control back
+to the test, which lets the call succeed, lose its answer, be lost or arrive late, or
+never resumes the actor.
+"""
+
+import enum
+
+import attrs
+import greenlet
+
+from nutmegdeal.clock import Clock
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.platform.table import TableService
+
+
+class CallFate(enum.Enum):
+    """What happens to one call of the table service."""
+
+    ANSWERED = "answered"
+    ANSWER_LOST = "answer lost after the call took effect"
+    REQUEST_LOST = "lost before it took effect"
+    DELAYED = "takes effect later, unknown to the caller"
+    REFUSED = "the service is down"
+
+
+@attrs.frozen(eq=False)
+class Waiting:
+    """What an actor waits for: a call of the table, or a named point."""
+
+    name: str
+    arguments: tuple = ()
+
+
+class Actor:
+    """A program in a greenlet.
+
+    Parameters
+    ----------
+    name : str
+    program : callable
+        Takes no arguments; its result is kept in `result`.
+    """
+
+    def __init__(self, name, program):
+        self.name = name
+        self.result = None
+        self.waits_for = None
+        self._greenlet = greenlet.greenlet(program)
+        self.resume()
+
+    @property
+    def is_done(self):
+        return self._greenlet.dead
+
+    def resume(self, value=None):
+        """Give the actor the result of its step and run it up to the next one."""
+        outcome = self._greenlet.switch(value) if self.waits_for else self._start()
+        if self.is_done:
+            self.result, self.waits_for = outcome, None
+        else:
+            self.waits_for = outcome
+
+    def _start(self):
+        return self._greenlet.switch()
+
+
+def pause(name, *arguments):
+    """Stop the current actor at a named point; return what the test resumes it with."""
+    return greenlet.getcurrent().parent.switch(Waiting(name, arguments))
+
+
+class SteppedTable(TableService):
+    """The table as an actor sees it: every call is a step."""
+
+    def read(self, key):
+        return pause("read", key)
+
+    def scan(self, prefix, after="", limit=1000):
+        return pause("scan", prefix, after, limit)
+
+    def write(self, writes):
+        return pause("write", writes)
+
+
+class TableCalls:
+    """Carries out the calls that actors wait for.
+
+    Parameters
+    ----------
+    table : MemoryTable
+    """
+
+    def __init__(self, table):
+        self.table = table
+        self.delayed = []
+
+    def carry_out(self, actor, fate):
+        """Resume an actor that waits for a call with the call's outcome."""
+        step = actor.waits_for
+        is_write = step.name == "write"
+        if fate is CallFate.ANSWERED:
+            actor.resume(getattr(self.table, step.name)(*step.arguments))
+            return
+        if fate is CallFate.ANSWER_LOST and is_write:
+            self.table.write(*step.arguments)
+        if fate is CallFate.DELAYED and is_write:
+            self.delayed.append(step.arguments)
+        in_doubt = is_write and fate is not CallFate.REFUSED
+        actor.resume(
+            Failure(Reason.STORE_UNAVAILABLE, Step.PLATFORM, maybe_applied=in_doubt)
+        )
+
+    def arrive(self, index):
+        """Let a delayed write take effect."""
+        self.table.write(*self.delayed.pop(index % len(self.delayed)))
+
+
+class SkewedClock(Clock):
+    """A clock that is off by a fixed time."""
+
+    def __init__(self, clock, offset_ms):
+        self._clock = clock
+        self._offset_ms = offset_ms
+
+    def unix_ms(self):
+        return self._clock.unix_ms() + self._offset_ms
+
+    def monotonic_ms(self):
+        return self._clock.monotonic_ms()
