Trust the engine's reports at once after a released lease

Cause: after an orderly restart the agent took its predecessor for alive and was not ready for 2 s (test_entry_program, 3 failures). The lease now tells whether a holder had not released it; the drain waits for open orders before it releases the lease.

--- a/nutmegdeal/agent/blackboard.py
+++ b/nutmegdeal/agent/blackboard.py
@@ -31,7 +31,7 @@
     attempts : dict of str to Attempt
         All attempts that have not ended, by id.
     running_greenlets : set of gevent.Greenlet
-        Those that run an attempt or record its outcome.
+        Those that run an attempt, record its outcome or wait for an order's answer.
     sessions : set of channel.Session
         Open streams.
     is_leaving : bool
--- a/nutmegdeal/agent/leasing.py
+++ b/nutmegdeal/agent/leasing.py
@@ -13,7 +13,6 @@
 POLL_MS = 500
 # A gap between two checks that is longer than this means that the process was paused.
 PAUSE_MIN_MS = 3_000
-FIRST_FENCE = 1
 
 
 class LeaseController:
@@ -61,7 +60,7 @@
             return
         logger.info("lease_held", fence=lease.fence)
         self._last_step_ms = self._clock.monotonic_ms()
-        if lease.fence == FIRST_FENCE:
+        if not lease.has_predecessor:
             self._board.trusted_from_ms = -math.inf
             self._set_in_charge()
             return
--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -78,7 +78,12 @@
         for dispatch in plan.dispatches:
             self._dispatch(dispatch, now_ms)
         for order in plan.orders:
-            gevent.spawn(self._give_order, order)
+            self._give(order)
+
+    def _give(self, order):
+        greenlet = gevent.spawn(self._give_order, order)
+        self._board.running_greenlets.add(greenlet)
+        greenlet.link(self._board.running_greenlets.discard)
 
     def _note_load_starts(self, plan, now_ms):
         had_waited = self.wanted_load_count > 0
--- a/nutmegdeal/leases.py
+++ b/nutmegdeal/leases.py
@@ -22,6 +22,11 @@
     def fence(self):
         """Fencing number to send with each order (int); grows with each takeover."""
 
+    @property
+    @abc.abstractmethod
+    def has_predecessor(self):
+        """True if the lease was taken from a holder that did not release it."""
+
     @abc.abstractmethod
     def may_order(self):
         """Return whether an order may be given now, by the monotonic clock."""
@@ -92,12 +97,18 @@
         self._version = 0
         self._deadline_ms = -math.inf
         self._retry_at_unix_ms = 0
+        self._has_predecessor = False
 
     @property
     def fence(self):
         """Fencing number to send with each order, 0 before the lease was held."""
         return self._row.fence if self._row else 0
 
+    @property
+    def has_predecessor(self):
+        """True if the lease was taken from a holder that did not release it."""
+        return self._has_predecessor
+
     @property
     def retry_at_unix_ms(self):
         """When `acquire` can succeed, after it failed because of another holder."""
@@ -126,6 +137,7 @@
         waiting = self._check_old_holder(row)
         if waiting is not None:
             return waiting
+        self._has_predecessor = row is not None and bool(row.holder)
         return self._write(row.fence + 1 if row else 1, version)
 
     def renew(self):
--- a/nutmegdeal/tests/test_agent_evictions.py
+++ b/nutmegdeal/tests/test_agent_evictions.py
@@ -237,6 +237,7 @@
     """Naive: a lease that everybody holds."""
 
     fence = 1
+    has_predecessor = False
 
     def may_order(self):
         return True
