Judge attempts by what agents and the ledger really record

An agent answers a repeated key from the ledger and ends the attempt as completed: only with a sending on record does that now mean that the attempt ran. A row of another request shows nothing, since rows are deleted after their expiry and a key may be used again. histories.py plays such repeats; without the change the proof fails on them.

--- a/nutmegdeal/account_reader.py
+++ b/nutmegdeal/account_reader.py
@@ -14,6 +14,7 @@
     is_end,
 )
 from nutmegdeal.identifiers import entry_of_request
+from nutmegdeal.ledger_rows import is_row_of
 
 NAMES_PAGE_COUNT = 1_000
 
@@ -93,7 +94,7 @@
         readings = [self._read_incarnation(entry, request_id, Window())]
         window = find_window(readings[0].events)
         agents = {event.peer_incarnation: None for event in readings[0].events}
-        if ledger_row is not None:
+        if is_row_of(ledger_row, request_id):
             agents[ledger_row.agent_incarnation] = None
         for incarnation in agents:
             if incarnation and incarnation != entry:
--- a/nutmegdeal/event_order.py
+++ b/nutmegdeal/event_order.py
@@ -3,7 +3,7 @@
 import attrs
 
 from nutmegdeal.accounts import Event
-from nutmegdeal.evidence import is_submit
+from nutmegdeal.evidence import is_completion, is_submit
 
 NO_BOUND_MS = 2**62
 
@@ -39,8 +39,8 @@
 def find_shift_ms(entry_events, agent_events):
     """Return the least correction of an agent's clock that puts causes first.
 
-    An agent's events of an attempt come after the entry sent it, and its last one,
-    if the entry learned the same outcome, before the entry recorded that.
+    An agent's events of an attempt come after the entry sent it, and that it
+    completed, before the entry answered the caller so.
     """
     low_ms, high_ms = -NO_BOUND_MS, NO_BOUND_MS
     for sent in filter(is_submit, entry_events):
@@ -48,12 +48,9 @@
         if not of_agent:
             continue
         low_ms = max(low_ms, sent.at_unix_ms - of_agent[0].at_unix_ms)
-        for learned in entry_events:
-            if learned.attempt_id != sent.attempt_id or is_submit(learned):
-                continue
-            if learned.outcome == of_agent[-1].outcome:
-                bound_ms = learned.at_unix_ms - of_agent[-1].at_unix_ms
-                high_ms = min(high_ms, bound_ms)
+        ends = [*filter(is_completion, of_agent), *filter(is_completion, entry_events)]
+        if len(ends) > 1:
+            high_ms = min(high_ms, ends[-1].at_unix_ms - ends[0].at_unix_ms)
     if low_ms > 0:
         return low_ms
     return min(high_ms, 0)
--- a/nutmegdeal/evidence.py
+++ b/nutmegdeal/evidence.py
@@ -22,6 +22,11 @@
     return event.step is Step.ANSWER and event.outcome in END_OUTCOMES
 
 
+def is_completion(event):
+    """Return whether a request or attempt ended with its whole answer."""
+    return event.step is Step.ANSWER and event.outcome == Fate.COMPLETED.value
+
+
 def is_submit(event):
     """Return whether the entry sends an attempt to an agent with this event."""
     return event.step is Step.SUBMIT and event.outcome == Outcome.SENT
--- a/nutmegdeal/explanations.py
+++ b/nutmegdeal/explanations.py
@@ -6,8 +6,8 @@
 
 from nutmegdeal.event_order import PlacedEvent, order_events, split_by_incarnation
 from nutmegdeal.evidence import FATES, is_dispatch, is_end, is_submit
-from nutmegdeal.identifiers import AdapterRef, entry_of_request
-from nutmegdeal.ledger import LedgerRow, LedgerState
+from nutmegdeal.identifiers import AdapterRef, entry_of_request, request_of_attempt
+from nutmegdeal.ledger_rows import LedgerRow, LedgerState, is_row_of
 from nutmegdeal.messages import Fate
 from nutmegdeal.unknowns import Unknown, find_unknowns
 
@@ -117,12 +117,12 @@
     split = split_by_incarnation(events)
     unknowns = find_unknowns(request_id, split, watermarks, ledger_row)
     fate = _find_fate(split.get(entry, []))
-    attempts = _judge_attempts(events, entry, request_id, ledger_row)
-    entry_is_known = not any(unknown.incarnation == entry for unknown in unknowns)
+    unknown_incarnations = {unknown.incarnation for unknown in unknowns}
+    attempts = _judge_attempts(request_id, events, ledger_row, unknown_incarnations)
     return Account(
         request_id=request_id,
         fate=fate,
-        ran=_judge_request(request_id, fate, attempts, entry_is_known, ledger_row),
+        ran=_judge_request(fate, attempts, entry not in unknown_incarnations),
         attempts=attempts,
         timeline=order_events(events, entry),
         unknowns=unknowns,
@@ -138,27 +138,32 @@
     return FATES.get(entry_events[-1].outcome)
 
 
-def _judge_attempts(events, entry, request_id, ledger_row):
+def _judge_attempts(request_id, events, ledger_row, unknown_incarnations):
     """Return an AttemptAccount for each attempt that the evidence names."""
+    entry = entry_of_request(request_id)
     of_attempt = {event.attempt_id: [] for event in events if event.attempt_id}
     for event in events:
         if event.attempt_id:
             of_attempt[event.attempt_id].append(event)
-    if ledger_row is not None and ledger_row.request_id == request_id:
+    if is_row_of(ledger_row, request_id):
         of_attempt.setdefault(ledger_row.attempt_id, [])
     return tuple(
-        _judge_attempt(attempt_id, own, entry, ledger_row)
+        _judge_attempt(attempt_id, own, entry, ledger_row, unknown_incarnations)
         for attempt_id, own in sorted(of_attempt.items())
     )
 
 
-def _judge_attempt(attempt_id, events, entry, ledger_row):
-    verdicts = {_verdict_of_event(event) for event in events}
-    if ledger_row is not None:
-        verdicts.add(_verdict_of_row(ledger_row, attempt_id))
-    sent = next(filter(is_submit, events), None)
+def _judge_attempt(attempt_id, events, entry, ledger_row, unknown_incarnations):
     of_agent = [event for event in events if event.incarnation != entry]
+    sent = next(filter(is_submit, events), None)
     dispatched = next(filter(is_dispatch, of_agent), None)
+    agent_is_known = bool(of_agent) and not (
+        unknown_incarnations & {event.incarnation for event in of_agent}
+    )
+    verdicts = {
+        _judge_events(of_agent, dispatched, agent_is_known),
+        _judge_row(ledger_row, attempt_id),
+    }
     says_yes, says_no = Ran.YES in verdicts, Ran.NO in verdicts
     ran = Ran.YES if says_yes else Ran.NO if says_no else Ran.UNKNOWN
     return AttemptAccount(
@@ -183,27 +188,39 @@
     return ""
 
 
-def _verdict_of_event(event):
-    """Return what one event of an attempt says about whether it ran."""
-    if event.outcome == Fate.COMPLETED.value:
-        return Ran.YES
-    if event.outcome == Fate.NOT_RUN.value:
+def _judge_events(of_agent, dispatched, is_known):
+    """Return what an agent's events of an attempt say about whether it ran.
+
+    An attempt that completed without having been sent was answered from the ledger.
+    """
+    outcomes = {event.outcome for event in of_agent}
+    if Fate.NOT_RUN.value in outcomes:
         return Ran.NO
-    return Ran.UNKNOWN
+    if Fate.COMPLETED.value not in outcomes:
+        return Ran.UNKNOWN
+    if dispatched is not None:
+        return Ran.YES
+    return Ran.NO if is_known else Ran.UNKNOWN
 
 
-def _verdict_of_row(row, attempt_id):
+def _judge_row(row, attempt_id):
     """Return what the ledger says about whether an attempt ran.
 
-    Only the attempt in the row may have run: a row is replaced only after its attempt
-    was proved not to run.
+    A row is replaced only after its attempt was proved not to run, but it may be
+    deleted after its expiry, so the row of another request shows nothing.
     """
-    if row.attempt_id != attempt_id or row.state is LedgerState.NOT_RUN:
+    if not is_row_of(row, request_of_attempt(attempt_id)):
+        return Ran.UNKNOWN
+    if row.forbids(attempt_id):
+        return Ran.NO
+    if row.state is LedgerState.NOT_RUN:
+        return Ran.UNKNOWN
+    if row.attempt_id != attempt_id:
         return Ran.NO
     return Ran.YES if row.state is LedgerState.COMPLETED else Ran.UNKNOWN
 
 
-def _judge_request(request_id, fate, attempts, entry_is_known, ledger_row):
+def _judge_request(fate, attempts, entry_is_known):
     """Return whether any attempt of the request ran."""
     verdicts = {attempt.ran for attempt in attempts}
     if Ran.YES in verdicts:
@@ -212,8 +229,6 @@
         return Ran.UNKNOWN
     if fate is Fate.NOT_RUN:
         return Ran.NO
-    if ledger_row is not None and ledger_row.request_id != request_id:
-        return Ran.NO
     if entry_is_known and Ran.UNKNOWN not in verdicts:
         return Ran.NO
     return Ran.UNKNOWN
--- a/nutmegdeal/ledger_rows.py
+++ b/nutmegdeal/ledger_rows.py
@@ -60,6 +60,11 @@
         return attempt_id in self.fenced_attempts
 
 
+def is_row_of(row, request_id):
+    """Return whether a LedgerRow, or None, was written for a request."""
+    return row is not None and row.request_id == request_id
+
+
 @attrs.frozen
 class MayDispatch:
     """The row is written by this attempt: it alone may send the request now."""
--- a/nutmegdeal/tests/histories.py
+++ b/nutmegdeal/tests/histories.py
@@ -163,7 +163,9 @@
             reason = Reason.CONNECTION_LOST.value
             self.tell(self.entry, Step.RELAY, reason, attempt_id, peer=agent.name)
             return Fate.IN_DOUBT
-        self.tell(self.entry, Step.RELAY, learned.value, attempt_id, peer=agent.name)
+        if learned is not Fate.COMPLETED:
+            reason = Reason.QUEUE_FULL.value
+            self.tell(self.entry, Step.ADMIT, reason, attempt_id, peer=agent.name)
         return learned
 
     def _run_at_agent(self, agent, attempt_id):
@@ -171,6 +173,8 @@
         if not self.tell(agent, Step.ADMIT, Outcome.ADMITTED, attempt_id):
             return None
         fate = self.draw(st.sampled_from(TERMINAL))
+        if fate is Fate.COMPLETED and self.draw(st.booleans()):
+            return self._replay_at_agent(agent, attempt_id)
         if fate is Fate.NOT_RUN:
             self._write_row(agent, attempt_id, LedgerState.NOT_RUN)
             alive = self.tell(agent, Step.ANSWER, fate.value, attempt_id)
@@ -186,6 +190,16 @@
         alive = self.tell(agent, Step.ANSWER, fate.value, attempt_id)
         return fate if alive else None
 
+    def _replay_at_agent(self, agent, attempt_id):
+        """Answer from the ledger row of an earlier request under the same key."""
+        if self.truth.row is None:
+            self._has_row = False
+            self.truth.row = LedgerRow(
+                "key", "digest", "e9-1", "e9-1.1", "a9", LedgerState.COMPLETED, 0
+            )
+        alive = self.tell(agent, Step.ANSWER, Fate.COMPLETED.value, attempt_id)
+        return Fate.COMPLETED if alive else None
+
     _has_row = None
 
     def _write_row(self, agent, attempt_id, state):
--- a/nutmegdeal/tests/test_explanations.py
+++ b/nutmegdeal/tests/test_explanations.py
@@ -101,7 +101,7 @@
     assert account.fate is truth.told
     assert not account.unknowns
     if truth.told in (Fate.COMPLETED, Fate.NOT_RUN):
-        assert (account.ran is Ran.YES) == (truth.told is Fate.COMPLETED)
+        assert account.ran is (Ran.YES if truth.ran else Ran.NO)
     order = [placed.event for placed in account.timeline]
     assert order.index(truth.events[0]) == 0
     for event in truth.events:
@@ -142,10 +142,12 @@
 
 
 def test_contradicting_records_are_reported_and_settle_nothing():
+    attempt = {"attempt_id": "e1-1.1"}
     events = (
         build_event(),
-        build_event(step=Step.RELAY, outcome="completed", attempt_id="e1-1.1"),
         build_event(step=Step.ANSWER, outcome="completed"),
+        build_event(incarnation="a1", outcome="sent", step=Step.DISPATCH, **attempt),
+        build_event(incarnation="a1", outcome="completed", step=Step.ANSWER, **attempt),
     )
     row = LedgerRow("k", "d", "e1-1", "e1-1.1", "", LedgerState.NOT_RUN, 0)
     coverages = (Coverage("e1", "entry-1", NOW_UNIX_MS),)
--- a/nutmegdeal/unknowns.py
+++ b/nutmegdeal/unknowns.py
@@ -13,6 +13,7 @@
     is_submit,
 )
 from nutmegdeal.identifiers import entry_of_request
+from nutmegdeal.ledger_rows import is_row_of
 
 
 @attrs.frozen
@@ -37,7 +38,7 @@
     entry = entry_of_request(request_id)
     coverages = {coverage.incarnation: coverage for coverage in watermarks}
     unknowns = []
-    for incarnation in _list_incarnations(entry, split, ledger_row):
+    for incarnation in _list_incarnations(request_id, split, ledger_row):
         own = split.get(incarnation, [])
         coverage = coverages.get(incarnation, _nothing_read(incarnation))
         process = coverage.process or (own[0].process if own else "")
@@ -54,15 +55,15 @@
     return Coverage(incarnation, holes=(hole,))
 
 
-def _list_incarnations(entry, split, ledger_row):
+def _list_incarnations(request_id, split, ledger_row):
     """Return the incarnations that may have recorded events, the entry's first."""
-    named = {entry: None}
+    named = {entry_of_request(request_id): None}
     for events in split.values():
         for event in events:
             named[event.incarnation] = None
             if is_submit(event) and event.peer_incarnation:
                 named[event.peer_incarnation] = None
-    if ledger_row is not None and ledger_row.agent_incarnation:
+    if is_row_of(ledger_row, request_id) and ledger_row.agent_incarnation:
         named[ledger_row.agent_incarnation] = None
     return tuple(named)
 
