Add nutmegdeal-ctl: questionnaire, generate, diff, accept, status, why

The entry's resolved event names the ledger row of non-idempotent work, so that the account is joined with it; an entry that ends in order now marks its account as final, as the agent does.

--- a/nutmegdeal/account_reader.py
+++ b/nutmegdeal/account_reader.py
@@ -3,7 +3,7 @@
 import attrs
 
 from nutmegdeal import accounts
-from nutmegdeal.errors import Failure
+from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.evidence import (
     CLOCK_SKEW_MAX_MS,
     NO_END_UNIX_MS,
@@ -14,7 +14,9 @@
     is_end,
 )
 from nutmegdeal.identifiers import entry_of_request
-from nutmegdeal.ledger_rows import is_row_of
+from nutmegdeal.ledger_rows import LedgerRow, is_row_of
+from nutmegdeal.ledger_rules import ledger_key
+from nutmegdeal.records import decode_record
 
 NAMES_PAGE_COUNT = 1_000
 
@@ -52,6 +54,32 @@
         )
 
 
+class LedgerReader:
+    """Finds the ledger row that the entry's events name.
+
+    Parameters
+    ----------
+    table : TableService
+    """
+
+    def __init__(self, table):
+        self._table = table
+
+    def find_row(self, entry_events):
+        """Return a LedgerRow, None if there is none, or a Failure."""
+        named = [event for event in entry_events if event.idempotency_key]
+        if not named:
+            return None
+        key = ledger_key(named[0].service, named[0].idempotency_key)
+        row = self._table.read(key)
+        if row is None or isinstance(row, Failure):
+            return row
+        try:
+            return decode_record(row.value, LedgerRow)
+        except ValueError as error:
+            return Failure(Reason.STORE_CONFLICT, Step.LEDGER, key, str(error))
+
+
 @attrs.frozen
 class _Reading:
     """What was read of one incarnation."""
@@ -76,24 +104,22 @@
     Parameters
     ----------
     objects : ObjectStore
+    find_row : callable
+        Takes the entry's events; returns a LedgerRow, None or a Failure.
     """
 
-    def __init__(self, objects):
+    def __init__(self, objects, find_row):
         self._objects = objects
+        self._find_row = find_row
 
-    def read(self, request_id, ledger_row=None):
-        """Return the Evidence about a request; what could not be read is a hole.
-
-        Parameters
-        ----------
-        request_id : str
-        ledger_row : LedgerRow or None
-            Names an agent that the entry's events may not name.
-        """
+    def read(self, request_id):
+        """Return the Evidence about a request; what could not be read is a hole."""
         entry = entry_of_request(request_id)
         readings = [self._read_incarnation(entry, request_id, Window())]
-        window = find_window(readings[0].events)
-        agents = {event.peer_incarnation: None for event in readings[0].events}
+        entry_events = readings[0].events
+        window = find_window(entry_events)
+        ledger_row = self._find_row(entry_events)
+        agents = {event.peer_incarnation: None for event in entry_events}
         if is_row_of(ledger_row, request_id):
             agents[ledger_row.agent_incarnation] = None
         for incarnation in agents:
@@ -101,7 +127,8 @@
                 reading = self._read_incarnation(incarnation, request_id, window)
                 readings.append(reading)
         events = tuple(event for reading in readings for event in reading.events)
-        return Evidence(events, tuple(reading.coverage for reading in readings))
+        coverages = tuple(reading.coverage for reading in readings)
+        return Evidence(events, coverages, ledger_row)
 
     def _read_incarnation(self, incarnation, request_id, window):
         names = self._list_segments(incarnation)
--- a/nutmegdeal/accounts.py
+++ b/nutmegdeal/accounts.py
@@ -69,6 +69,9 @@
         One sentence for a person.
     peer_incarnation : str
         Incarnation of the peer, if it is known.
+    service, idempotency_key : str
+        Set by the entry on non-idempotent work once it is resolved: they name the
+        ledger row.
     """
 
     request_id: str
@@ -84,6 +87,8 @@
     generation: int = 0
     detail: str = ""
     peer_incarnation: str = ""
+    service: str = ""
+    idempotency_key: str = ""
 
 
 class Recorder(abc.ABC):
--- a/nutmegdeal/entry/account.py
+++ b/nutmegdeal/entry/account.py
@@ -37,6 +37,19 @@
             version=adapter.version if adapter else "",
         )
 
+    def add_resolved(self, service, idempotency_key):
+        """Record the service and, of non-idempotent work, the key of its ledger row."""
+        event = attrs.evolve(
+            self._common,
+            at_unix_ms=self._clock.unix_ms(),
+            step=Step.RESOLVE,
+            outcome=Outcome.RESOLVED.value,
+            service=service,
+            idempotency_key=idempotency_key,
+            detail=f"service {service}",
+        )
+        self._recorder.record(event)
+
     def add(self, step, outcome, attempt_id="", peer="", detail=""):
         """Record that something happened now."""
         event = attrs.evolve(
--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -158,4 +158,4 @@
 
     def _flush(self):
         with gevent.Timeout(FLUSH_AT_EXIT_MS / 1000, False):
-            self._recorder.flush()
+            self._recorder.mark(is_final=True)
--- a/nutmegdeal/entry/service.py
+++ b/nutmegdeal/entry/service.py
@@ -105,11 +105,8 @@
         if isinstance(terms, Failure):
             return terms
         self._account.address(configuration.generation, target.adapter)
-        self._account.add(
-            Step.RESOLVE,
-            Outcome.RESOLVED.value,
-            detail=f"service {target.service.name}",
-        )
+        key = "" if terms.idempotent else terms.idempotency_key
+        self._account.add_resolved(target.service.name, key)
         return Prepared(target, terms, request.headers, configuration.generation)
 
     def _run_admitted(self, prepared):
--- a/nutmegdeal/evidence.py
+++ b/nutmegdeal/evidence.py
@@ -5,7 +5,8 @@
 import attrs
 
 from nutmegdeal.accounts import Event, Outcome
-from nutmegdeal.errors import Reason, Step
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.ledger_rows import LedgerRow
 from nutmegdeal.messages import Fate
 
 NO_END_UNIX_MS = 2**63 - 1
@@ -100,7 +101,11 @@
         Those of one incarnation in the order in which it recorded them.
     coverages : tuple of Coverage
         One for each incarnation that was looked up.
+    ledger_row : LedgerRow, None or Failure
+        None if the request has none, as idempotent work; a Failure if it could not
+        be read.
     """
 
     events: tuple[Event, ...] = ()
     coverages: tuple[Coverage, ...] = ()
+    ledger_row: LedgerRow | Failure | None = None
--- a/nutmegdeal/explanations.py
+++ b/nutmegdeal/explanations.py
@@ -4,8 +4,9 @@
 
 import attrs
 
+from nutmegdeal.errors import Failure
 from nutmegdeal.event_order import PlacedEvent, order_events, split_by_incarnation
-from nutmegdeal.evidence import FATES, is_dispatch, is_end, is_submit
+from nutmegdeal.evidence import FATES, Cause, is_dispatch, is_end, is_submit
 from nutmegdeal.identifiers import AdapterRef, entry_of_request, request_of_attempt
 from nutmegdeal.ledger_rows import LedgerRow, LedgerState, is_row_of
 from nutmegdeal.messages import Fate
@@ -72,6 +73,8 @@
         When the evidence was read.
     ledger_row : LedgerRow or None
         The row under the request's key, if it was found.
+    ledger_failure : Failure or None
+        Why the ledger could not be read.
     """
 
     request_id: str
@@ -82,12 +85,18 @@
     unknowns: tuple[Unknown, ...]
     read_at_unix_ms: int
     ledger_row: LedgerRow | None = None
+    ledger_failure: Failure | None = None
 
     @property
     def is_empty(self):
         """True if there is no trace of the request."""
         return not self.timeline and self.ledger_row is None
 
+    @property
+    def is_unread(self):
+        """True if something could not be read from the object store."""
+        return any(u.hole.cause is Cause.UNREADABLE for u in self.unknowns)
+
     @property
     def has_caller_left(self):
         """True if the entry saw the caller close its connection first."""
@@ -105,7 +114,8 @@
     events : sequence of Event
         All of the request; those of one incarnation in the order of recording.
     watermarks : sequence of Coverage
-    ledger_row : LedgerRow or None
+    ledger_row : LedgerRow, None or Failure
+        A Failure if it could not be read.
     now_unix_ms : int
         When the evidence was read.
 
@@ -127,7 +137,8 @@
         timeline=order_events(events, entry),
         unknowns=unknowns,
         read_at_unix_ms=now_unix_ms,
-        ledger_row=ledger_row,
+        ledger_row=ledger_row if isinstance(ledger_row, LedgerRow) else None,
+        ledger_failure=ledger_row if isinstance(ledger_row, Failure) else None,
     )
 
 
--- a/nutmegdeal/ledger_rows.py
+++ b/nutmegdeal/ledger_rows.py
@@ -61,8 +61,8 @@
 
 
 def is_row_of(row, request_id):
-    """Return whether a LedgerRow, or None, was written for a request."""
-    return row is not None and row.request_id == request_id
+    """Return whether a LedgerRow, or what was found in its place, is a request's."""
+    return isinstance(row, LedgerRow) and row.request_id == request_id
 
 
 @attrs.frozen
--- a/nutmegdeal/sentences.py
+++ b/nutmegdeal/sentences.py
@@ -87,6 +87,8 @@
 
 
 def _describe_row(account):
+    if account.ledger_failure is not None:
+        yield f"The ledger row could not be read: {account.ledger_failure}."
     row = account.ledger_row
     if row is None:
         return
--- a/nutmegdeal/tests/test_explanations.py
+++ b/nutmegdeal/tests/test_explanations.py
@@ -18,9 +18,13 @@
 NOW_UNIX_MS = 1_700_000_100_000
 
 
+def find_no_row(entry_events):
+    return None
+
+
 def read_account(history, explain):
     row = history.truth.row
-    evidence = AccountReader(history.objects).read(REQUEST_ID, row)
+    evidence = AccountReader(history.objects, lambda events: row).read(REQUEST_ID)
     account = explain(REQUEST_ID, evidence.events, evidence.coverages, row, NOW_UNIX_MS)
     return evidence, account
 
@@ -157,7 +161,7 @@
 
 
 def test_nothing_is_known_of_a_request_without_evidence():
-    evidence = AccountReader(FaultyObjects()).read("e1-1")
+    evidence = AccountReader(FaultyObjects(), find_no_row).read("e1-1")
     assert evidence == Evidence((), (Coverage("e1"),))
     account = explanations.explain("e1-1", (), evidence.coverages, None, NOW_UNIX_MS)
     assert account.is_empty
@@ -170,7 +174,7 @@
 def test_unreadable_store_is_a_hole_without_end():
     objects = FaultyObjects()
     objects.fault = "down"
-    (coverage,) = AccountReader(objects).read("e1-1").coverages
+    (coverage,) = AccountReader(objects, find_no_row).read("e1-1").coverages
     assert coverage.holes == (Hole(0, NO_END_UNIX_MS, Cause.UNREADABLE),)
 
 
--- /dev/null
+++ b/nutmegdeal/tools/ctl.py
@@ -0,0 +1,260 @@
+"""``nutmegdeal-ctl``: configuration, status and accounts from a shell."""
+
+import enum
+import json
+import pathlib
+import sys
+from typing import Annotated
+
+import cattrs
+import cyclopts
+
+from nutmegdeal import (
+    __version__,
+    acceptance,
+    configuration_files,
+    explanations,
+    fleet,
+    identifiers,
+    sentences,
+)
+from nutmegdeal import questionnaire as questionnaires
+from nutmegdeal import settings as settings_module
+from nutmegdeal.account_reader import AccountReader, LedgerReader
+from nutmegdeal.clock import SystemClock
+from nutmegdeal.errors import Failure
+from nutmegdeal.platform.hosts import HttpHostList
+from nutmegdeal.platform.objects import HttpObjectStore
+from nutmegdeal.platform.table import HttpTableService
+from nutmegdeal.settings import InvalidFile
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of all commands."""
+
+    DONE = 0
+    INVALID_INPUT = 2
+    OVERTAKEN = 3
+    UNAVAILABLE = 4
+    IN_DOUBT = 5
+    NOT_FOUND = 6
+
+
+EXIT_CODES_HELP = (
+    "Exit codes: 0 done; 2 wrong command line or invalid input file; 3 another "
+    "configuration was accepted first; 4 the platform or a process could not be read "
+    "or written, nothing changed; 5 it is not known whether the configuration was "
+    "accepted; 6 no trace of the request."
+)
+PLATFORM_KEYS = ("platform.table_url", "platform.objects_url", "platform.hosts_url")
+
+JsonFlag = Annotated[bool, cyclopts.Parameter(name="--json", negative="")]
+
+app = cyclopts.App(
+    name="nutmegdeal-ctl",
+    help="Generate and accept configuration, show status, explain requests.",
+    help_epilogue=EXIT_CODES_HELP,
+    version=__version__,
+)
+questionnaire_app = cyclopts.App(
+    name="questionnaire", help="Write and check a team's questionnaire."
+)
+app.command(questionnaire_app)
+
+
+def _fail(code, text):
+    print(text, file=sys.stderr)
+    sys.exit(code)
+
+
+def _unless_invalid(content):
+    """Return `content`, or exit if it is an InvalidFile."""
+    if isinstance(content, InvalidFile):
+        _fail(ExitCode.INVALID_INPUT, content)
+    return content
+
+
+def _load_platform(path):
+    """Return the section ``[platform]`` of a settings file, or exit."""
+    return _unless_invalid(settings_module.load(path, PLATFORM_KEYS)).platform
+
+
+def _read_configuration(path):
+    """Return the Configuration in a file, or exit."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        _fail(ExitCode.INVALID_INPUT, f"{path}: {error}")
+    return _unless_invalid(configuration_files.read(text))
+
+
+@questionnaire_app.command
+def new():
+    """Print a commented questionnaire to fill in."""
+    print(questionnaires.template(), end="")
+
+
+@questionnaire_app.command
+def check(file: str, /):
+    """Check a questionnaire and name all its mistakes.
+
+    Parameters
+    ----------
+    file
+        The questionnaire.
+    """
+    answers = _unless_invalid(questionnaires.load(file))
+    configuration = questionnaires.generate(answers)
+    print(
+        f"{file}: valid; {len(configuration.services)} services, "
+        f"{len(configuration.adapters)} adapters"
+    )
+
+
+@app.command
+def generate(file: str, /):
+    """Print the configuration of a questionnaire; the same bytes each time.
+
+    Parameters
+    ----------
+    file
+        The questionnaire.
+    """
+    answers = _unless_invalid(questionnaires.load(file))
+    print(configuration_files.write(questionnaires.generate(answers)), end="")
+
+
+@app.command
+def diff(old: str, new: str, /):
+    """Print what differs between two configurations, one sentence a line.
+
+    Parameters
+    ----------
+    old
+        Configuration file.
+    new
+        Configuration file.
+    """
+    changes = configuration_files.describe_changes(
+        _read_configuration(old), _read_configuration(new)
+    )
+    print("\n".join(changes or ("no difference",)))
+
+
+@app.command
+def accept(file: str, /, *, base: int, settings: str, accept_id: str = ""):
+    """Put a configuration in force everywhere.
+
+    Parameters
+    ----------
+    file
+        Configuration file, as printed by ``generate``.
+    base
+        Generation that it amends, 0 for the first one; see ``status``.
+    settings
+        INI file with the section [platform].
+    accept_id
+        Repeat a command that ended in doubt with the id that it printed.
+    """
+    configuration = _read_configuration(file)
+    platform = _load_platform(settings)
+    accept_id = accept_id or identifiers.new_incarnation()
+    outcome = acceptance.accept(
+        configuration,
+        base,
+        accept_id,
+        HttpTableService(platform.table_url, platform.call_within_ms),
+        HttpObjectStore(platform.objects_url, platform.call_within_ms),
+    )
+    if isinstance(outcome, acceptance.Accepted):
+        print(f"accepted as generation {outcome.generation}")
+        return
+    if isinstance(outcome, acceptance.Overtaken):
+        text = f"not accepted: generation {outcome.generation} is in force. It changed:"
+        _fail(ExitCode.OVERTAKEN, "\n  ".join((text, *outcome.changes)))
+    if outcome.maybe_applied:
+        text = f"may be accepted; repeat with --accept-id {accept_id}: {outcome}"
+        _fail(ExitCode.IN_DOUBT, text)
+    _fail(ExitCode.UNAVAILABLE, f"not accepted: {outcome}")
+
+
+@app.command
+def status(*, settings: str, process: tuple[str, ...] = (), as_json: JsonFlag = False):
+    """Show generations, hosts, residency, queues and leases.
+
+    Parameters
+    ----------
+    settings
+        INI file with the section [platform].
+    process
+        Base URL of an entry, which knows its agents, or of an agent's status port;
+        may be repeated.
+    as_json
+        Print JSON.
+    """
+    platform = _load_platform(settings)
+    within_ms = platform.call_within_ms
+    reader = fleet.FleetReader(
+        HttpTableService(platform.table_url, within_ms),
+        HttpHostList(platform.hosts_url, within_ms),
+        within_ms,
+    )
+    state = reader.read(process)
+    _print(state, fleet.describe, as_json)
+    if state.failures:
+        sys.exit(ExitCode.UNAVAILABLE)
+
+
+@app.command
+def why(request_id: str, /, *, settings: str, as_json: JsonFlag = False):
+    """Explain what became of a request.
+
+    Parameters
+    ----------
+    request_id
+        From the answer's header X-Request-Id.
+    settings
+        INI file with the section [platform].
+    as_json
+        Print JSON.
+    """
+    platform = _load_platform(settings)
+    table = HttpTableService(platform.table_url, platform.call_within_ms)
+    objects = HttpObjectStore(platform.objects_url, platform.call_within_ms)
+    reader = AccountReader(objects, LedgerReader(table).find_row)
+    evidence = reader.read(request_id)
+    account = explanations.explain(
+        request_id,
+        evidence.events,
+        evidence.coverages,
+        evidence.ledger_row,
+        SystemClock().unix_ms(),
+    )
+    _print(account, sentences.describe, as_json)
+    if account.is_empty:
+        is_unread = account.is_unread
+        sys.exit(ExitCode.UNAVAILABLE if is_unread else ExitCode.NOT_FOUND)
+
+
+def _print(content, describe, as_json):
+    """Print an attrs object as JSON or as the lines that `describe` returns."""
+    if as_json:
+        print(json.dumps(_converter.unstructure(content), indent=2))
+        return
+    print("\n".join(describe(content)))
+
+
+_converter = cattrs.Converter()
+_converter.register_unstructure_hook(Failure, lambda failure: {"failure": str(failure)})
+_converter.register_unstructure_hook(
+    bytes, lambda body: body.decode("utf-8", "replace")
+)
+
+
+def main():
+    """Run the program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
