--- a/nutmegdeal/tests/ledger_machine.py
+++ b/nutmegdeal/tests/ledger_machine.py
@@ -12,18 +12,28 @@
 )
 
 from nutmegdeal.clock import ManualClock
-from nutmegdeal.errors import Failure
+from nutmegdeal.entry.attempts import (
+    AttemptPlan,
+    FenceAttempt,
+    FindRecord,
+    Finish,
+    ReadRecord,
+    SendAttempt,
+)
+from nutmegdeal.entry.budget import RetryBudget
+from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.fakes.memory import MemoryTable
 from nutmegdeal.ledger import (
     AlreadyRecorded,
     Fenced,
     LedgerAnswer,
+    LedgerRow,
     LedgerState,
     MayDispatch,
     TableLedger,
 )
 from nutmegdeal.ledger_sweep import LATE_WRITE_MS, sweep_expired
-from nutmegdeal.messages import Fate
+from nutmegdeal.messages import AttemptEnded, Fate
 from nutmegdeal.tests.builders import build_booking
 from nutmegdeal.tests.stepping import (
     Actor,
@@ -39,13 +49,10 @@
 EXPIRY_MS = 60_000
 DEADLINE_MS = 30_000
 ATTEMPTS_MAX = 3
+POINT_NAMES = ("before_send", "sent", "poll")
 CALL_NAMES = ("read", "scan", "write")
-FATE_OF_STATE = {
-    LedgerState.DISPATCHED: Fate.IN_DOUBT,
-    LedgerState.COMPLETED: Fate.COMPLETED,
-    LedgerState.FAILED: Fate.FAILED,
-    LedgerState.NOT_RUN: Fate.NOT_RUN,
-}
+ANSWER = LedgerAnswer(200, "text/plain", b"ok")
+LOST = Failure(Reason.CONNECTION_LOST, Step.SUBMIT, "agent")
 INDEXES = st.integers(0, 23)
 
 
@@ -61,56 +68,102 @@
 
 
 def run_agent(ledger, submit, incarnation, record):
-    """Run one attempt as an agent does; return and report its Fate."""
+    """Run one attempt in the steps of `agent.claims.ClaimRunner`."""
     result = ledger.begin(submit, incarnation)
     if isinstance(result, MayDispatch):
-        fate = _use_claim(ledger, submit, result, record)
+        _use_claim(ledger, submit, result, record)
     elif isinstance(result, AlreadyRecorded):
-        fate = FATE_OF_STATE[result.row.state]
+        _replay(ledger, submit, result.row, record)
     else:
-        record.not_run_attempts.add(submit.attempt_id)
+        _refuse(submit, result.reason, record)
         if result.maybe_applied:
             ledger.withdraw(submit)
-        fate = Fate.NOT_RUN
-    record.reports[submit.attempt_id] = fate
-    return fate
 
 
 def _use_claim(ledger, submit, claim, record):
     if pause("before_send") == "give_up":
-        record.not_run_attempts.add(submit.attempt_id)
-        ledger.withdraw(submit)
-        return Fate.NOT_RUN
+        _refuse(submit, Reason.CANCELLED, record)
+        ledger.finish(claim, LedgerState.NOT_RUN)
+        return
     record.effects[submit.idempotency_key] += 1
     record.ran_attempts.add(submit.attempt_id)
     pause("sent")
-    ledger.finish(claim, LedgerState.COMPLETED, LedgerAnswer(200, "text/plain", b"ok"))
-    return Fate.COMPLETED
-
-
-def run_entry(ledger, submits, start_agent, record):
-    """Try a request as an entry does; return the Fate that its caller is told."""
-    for submit in submits:
-        start_agent(submit)
-        fate = pause("agent", submit.attempt_id)
-        if fate is None:
-            fate = _settle_lost_agent(ledger, submit, record)
-        if fate is Fate.COMPLETED:
-            record.completed_keys.add(submit.idempotency_key)
-        if fate is not Fate.NOT_RUN:
-            return fate
-    record.not_run_attempts.update(submit.attempt_id for submit in submits)
-    return Fate.NOT_RUN
-
-
-def _settle_lost_agent(ledger, submit, record):
-    result = ledger.fence(submit)
-    if isinstance(result, Fenced):
-        record.not_run_attempts.add(submit.attempt_id)
-        return Fate.NOT_RUN
-    if isinstance(result, Failure):
-        return Fate.IN_DOUBT
-    return FATE_OF_STATE[result.row.state]
+    record.reports[submit.attempt_id] = ANSWER
+    ledger.finish(claim, LedgerState.COMPLETED, ANSWER)
+
+
+def _replay(ledger, submit, row, record):
+    while row is None or row.state is LedgerState.DISPATCHED:
+        if pause("poll") == "give_up":
+            _end(submit, Fate.IN_DOUBT, Reason.DEADLINE_PASSED, record)
+            return
+        found = ledger.lookup(submit)
+        row = found if isinstance(found, LedgerRow) else None
+    if row.state is LedgerState.NOT_RUN:
+        _refuse(submit, Reason.FENCED, record)
+    else:
+        record.reports[submit.attempt_id] = row.answer
+
+
+def _refuse(submit, reason, record):
+    record.not_run_attempts.add(submit.attempt_id)
+    _end(submit, Fate.NOT_RUN, reason, record)
+
+
+def _end(submit, fate, reason, record):
+    record.reports[submit.attempt_id] = AttemptEnded(
+        submit.attempt_id, fate, reason, Step.LEDGER, "agent"
+    )
+
+
+class EntryProgram:
+    """Follows the entry's real plan for one non-idempotent request."""
+
+    def __init__(self, ledger, submits, start_agent, record):
+        self._ledger = ledger
+        self._submits = submits
+        self._start_agent = start_agent
+        self._record = record
+        self._plan = AttemptPlan(False, len(submits), RetryBudget(1.0))
+        self._submit = submits[0]
+
+    def run(self):
+        """Act until the caller is told a fate."""
+        action = self._plan.start()
+        while not isinstance(action, Finish):
+            action = self._act(action)
+        if action.fate is Fate.COMPLETED:
+            self._record.completed_keys.add(self._submit.idempotency_key)
+        if action.fate is Fate.NOT_RUN:
+            attempt_ids = {submit.attempt_id for submit in self._submits}
+            self._record.not_run_attempts |= attempt_ids
+
+    def _act(self, action):
+        if isinstance(action, SendAttempt):
+            return self._send(action.number)
+        if isinstance(action, FindRecord):
+            return self._plan.on_found(self._ledger.lookup(self._submit))
+        if isinstance(action, ReadRecord):
+            if pause("poll") == "give_up":
+                return self._plan.on_deadline(LOST)
+            return self._plan.on_record(self._ledger.lookup(self._submit))
+        is_fence = isinstance(action, FenceAttempt)
+        stop = self._ledger.fence if is_fence else self._ledger.withdraw
+        result = stop(self._submit)
+        if isinstance(result, Fenced):
+            self._record.not_run_attempts.add(self._submit.attempt_id)
+        return self._plan.on_fence(result)
+
+    def _send(self, number):
+        self._submit = self._submits[number - 1]
+        self._start_agent(self._submit)
+        self._plan.on_sent()
+        report = pause("agent", self._submit.attempt_id)
+        if report is None:
+            return self._plan.on_lost(LOST)
+        if isinstance(report, AttemptEnded):
+            return self._plan.on_ended(report)
+        return self._plan.on_whole(report)
 
 
 class LedgerMachine(RuleBasedStateMachine):
@@ -121,13 +174,22 @@
     ledger_class : type
         What is tried.
     request_max : int
-    is_only_frozen : bool
-        True if actors are frozen and taken for lost, but nothing else fails.
+    has_store_faults : bool
+        False if the table service answers every call.
+    has_crashes : bool
+        False if actors are frozen and taken for lost, but none dies.
+    has_long_waits : bool
+        False if no deadline and no expiry passes.
+    has_odd_bodies : bool
+        False if repeats of a key carry the same body.
     """
 
     ledger_class = TableLedger
     request_max = 6
-    is_only_frozen = False
+    has_store_faults = True
+    has_crashes = True
+    has_long_waits = True
+    has_odd_bodies = True
 
     def __init__(self):
         super().__init__()
@@ -174,18 +236,16 @@
             build_booking(
                 request_id=request_id,
                 attempt_id=f"{request_id}.{number}",
-                idempotency_key=key,
-                body=b"odd" if odd_body else b"even",
+                idempotency_key=key if self.has_odd_bodies else "k1",
+                body=b"odd" if odd_body and self.has_odd_bodies else b"even",
                 expiry_unix_ms=self.start_unix_ms + EXPIRY_MS,
                 deadline_unix_ms=self.clock.unix_ms() + DEADLINE_MS,
             )
             for number in range(1, ATTEMPTS_MAX + 1)
         ]
         ledger = self._ledger(OFFSETS_MS[self.request_count % len(OFFSETS_MS)])
-        self._spawn(
-            "entry",
-            lambda: run_entry(ledger, submits, self._start_agent, self.record),
-        )
+        entry = EntryProgram(ledger, submits, self._start_agent, self.record)
+        self._spawn("entry", entry.run)
         self._spawn_waiting_agents()
 
     @precondition(lambda self: self._live(*CALL_NAMES))
@@ -196,16 +256,23 @@
     def call(self, index, fate):
         """Carry out one actor's call of the table, or fail it in some way."""
         actors = self._live(*CALL_NAMES)
-        fate = CallFate.ANSWERED if self.is_only_frozen else fate
+        fate = fate if self.has_store_faults else CallFate.ANSWERED
         self.calls.carry_out(actors[index % len(actors)], fate)
         self._spawn_waiting_agents()
 
-    @precondition(lambda self: self._live("before_send", "sent"))
+    def finish_calls(self, actor):
+        """Answer an actor's calls of the table until it waits for something else."""
+        while not actor.is_done and actor.waits_for.name in CALL_NAMES:
+            self.calls.carry_out(actor, CallFate.ANSWERED)
+            self._spawn_waiting_agents()
+
+    @precondition(lambda self: self._live(*POINT_NAMES))
     @rule(index=INDEXES, choice=st.sampled_from(["go", "go", "give_up"]))
-    def send(self, index, choice):
-        """Let an agent send, give up before it sends, or go on after it sent."""
-        actors = self._live("before_send", "sent")
+    def go_on(self, index, choice):
+        """Let an actor go on at a point of its own, or give up what it waits for."""
+        actors = self._live(*POINT_NAMES)
         actors[index % len(actors)].resume(choice)
+        self._spawn_waiting_agents()
 
     @precondition(lambda self: self._live("agent"))
     @rule(index=INDEXES, is_lost=st.sampled_from([False, True]))
@@ -219,7 +286,7 @@
         entry.resume(None if is_lost else report)
         self._spawn_waiting_agents()
 
-    @precondition(lambda self: self.actors and not self.is_only_frozen)
+    @precondition(lambda self: self.actors and self.has_crashes)
     @rule(index=INDEXES)
     def crash(self, index):
         """Kill an entry or agent between two steps."""
@@ -234,9 +301,9 @@
     @rule(step_ms=st.sampled_from([1_000, DEADLINE_MS, EXPIRY_MS + LATE_WRITE_MS]))
     def wait(self, step_ms):
         """Let time pass; actors that are not resumed are frozen."""
-        self.clock.advance(1 if self.is_only_frozen else step_ms)
+        self.clock.advance(step_ms if self.has_long_waits else 1)
 
-    @precondition(lambda self: not self.is_only_frozen)
+    @precondition(lambda self: self.has_long_waits)
     @rule()
     def sweep(self):
         """Delete the rows of expired keys."""
--- a/nutmegdeal/tests/test_ledger_promise.py
+++ b/nutmegdeal/tests/test_ledger_promise.py
@@ -114,15 +114,25 @@
 
 
 EVERY_FAULT = {}
-ONLY_FROZEN = {"request_max": 1, "is_only_frozen": True}
+HEALTHY_STORE = {
+    "has_store_faults": False,
+    "has_crashes": False,
+    "has_long_waits": False,
+    "has_odd_bodies": False,
+}
+ONE_CALLER = {**HEALTHY_STORE, "request_max": 1}
+LOST_ANSWERS = {**ONE_CALLER, "has_store_faults": True}
+TWO_CALLERS = {**HEALTHY_STORE, "request_max": 2}
+FROZEN_LONG = {**TWO_CALLERS, "has_long_waits": True}
+FAULT_SETS = (EVERY_FAULT, ONE_CALLER, TWO_CALLERS, FROZEN_LONG)
 NAIVE_VERSIONS = (
     (ChecksThenSends, EVERY_FAULT),
-    (TrustsLostAnswers, EVERY_FAULT),
-    (FencesWithoutWriting, EVERY_FAULT),
-    (FencesDispatched, EVERY_FAULT),
-    (ForgetsFencedAttempts, ONLY_FROZEN),
+    (TrustsLostAnswers, LOST_ANSWERS),
+    (FencesWithoutWriting, ONE_CALLER),
+    (FencesDispatched, ONE_CALLER),
+    (ForgetsFencedAttempts, ONE_CALLER),
     (ReusesFailedClaims, EVERY_FAULT),
-    (ChecksExpiryOnce, EVERY_FAULT),
+    (ChecksExpiryOnce, FROZEN_LONG),
 )
 
 
@@ -132,7 +142,7 @@
 
 @pytest.mark.promise(4)
 @pytest.mark.promise(5)
-@pytest.mark.parametrize("faults", [EVERY_FAULT, ONLY_FROZEN])
+@pytest.mark.parametrize("faults", FAULT_SETS)
 def test_ledger_holds(faults):
     run_state_machine_as_test(machine_of(TableLedger, faults), settings=SEARCH)
 
@@ -142,3 +152,43 @@
 def test_naive_version_is_caught(naive_class, faults):
     with pytest.raises(AssertionError):
         run_state_machine_as_test(machine_of(naive_class, faults), settings=CATCH)
+
+
+@pytest.mark.promise(4)
+def test_lost_attempt_is_fenced_again_once_the_row_that_hid_it_is_withdrawn():
+    """Two callers use one key; the first agent sleeps, the second gives its claim back.
+
+    The first entry finds the second attempt's claim when it fences its own, and must
+    not take the withdrawal of that claim for proof about its own attempt.
+    """
+    machine = machine_of(TableLedger, {})()
+    first, second = _start_two_requests(machine)
+    machine.finish_calls(second.agent)
+    first.entry.resume(None)
+    machine.finish_calls(first.entry)
+    second.agent.resume("give_up")
+    machine.finish_calls(second.agent)
+    while not first.entry.is_done:
+        is_polling = first.entry.waits_for.name == "poll"
+        first.entry.resume("go" if is_polling else None)
+        machine.finish_calls(first.entry)
+    machine.finish_calls(first.agent)
+    if not first.agent.is_done:
+        first.agent.resume("go")
+    machine.not_run_is_true()
+
+
+@attrs.frozen
+class _Pair:
+    entry: object
+    agent: object
+
+
+def _start_two_requests(machine):
+    pairs = []
+    for _ in range(2):
+        machine.request(key="k1", odd_body=0)
+        entry = machine.actors[-1]
+        machine.finish_calls(entry)
+        pairs.append(_Pair(entry, machine.actors[-1]))
+    return pairs
