Never send a message that the channel refused for a full outbox

Cause: send() queued the message before it found the outbox too large; the writer still sent it while the stream closed. The entry took the attempt for never sent and could answer not_run for a booking that then ran. Before: the new test received the message. After: it does not.

--- a/nutmegdeal/channel.py
+++ b/nutmegdeal/channel.py
@@ -148,16 +148,17 @@
     def send(self, message):
         """Queue a message; return False if the stream is closed.
 
-        True does not mean that the message has arrived.
+        True does not mean that the message has arrived; False means that it never
+        will.
         """
         if not self.is_open:
             return False
         encoded = encode_message(message)
-        self._outbox.append(encoded)
-        self._outbox_bytes += len(encoded)
-        if self._outbox_bytes > self._settings.outbox_bytes_max:
+        if self._outbox_bytes + len(encoded) > self._settings.outbox_bytes_max:
             self._close(Reason.OVERLOADED, "the peer reads too slowly")
             return False
+        self._outbox.append(encoded)
+        self._outbox_bytes += len(encoded)
         if not self._wake_pending:
             self._wake_pending = True
             self._bridge.call_in_loop(self._wake.set)
--- a/nutmegdeal/tests/test_channel.py
+++ b/nutmegdeal/tests/test_channel.py
@@ -1,6 +1,7 @@
 """Tests of the stream between an entry and an agent, over loopback."""
 
 import gevent
+import gevent.event
 import pytest
 
 from nutmegdeal.channel import Address, ChannelClient, ChannelServer, GreenletBridge
@@ -91,3 +92,23 @@
     gevent.sleep(0)
     assert results[-1] is False
     assert session.close_reason.reason is Reason.OVERLOADED
+
+
+@pytest.mark.promise(4)
+def test_message_that_overflows_the_outbox_is_never_sent(bridge):
+    received = []
+    is_over = gevent.event.Event()
+
+    def collect(session):
+        received.extend(session.messages())
+        is_over.set()
+
+    server = ChannelServer(bridge, SETTINGS, collect)
+    address = server.start(Address("127.0.0.1", 0), CONNECT_WITHIN_MS)
+    small = ChannelSettings(shared_secret="right", outbox_bytes_max=65_536)
+    session = connect(bridge, address, small)
+    assert not session.send(AnswerFrame("r-1.1", 0, b"x" * 70_000))
+    assert not session.is_open
+    assert is_over.wait(CONNECT_WITHIN_MS / 1000)
+    server.stop(CONNECT_WITHIN_MS)
+    assert received == []
