--- a/nutmegdeal/entry/attempts.py
+++ b/nutmegdeal/entry/attempts.py
@@ -92,6 +92,7 @@
         self._budget = budget
         self._attempt_count = 0
         self._outstanding = False
+        self._is_lost = False
         self._maybe_ran = None
         self._last_refusal = None
         self._retry_at_unix_ms = 0
@@ -164,6 +165,7 @@
         if self._idempotent:
             return self._on_ran(failure, Fate.IN_DOUBT)
         self._last_refusal = failure
+        self._is_lost = True
         return FenceAttempt()
 
     def on_fence(self, result):
@@ -175,6 +177,7 @@
         """
         if isinstance(result, Fenced):
             self._outstanding = False
+            self._is_lost = False
             failure = self._last_refusal
             return self._retry_or_conclude(failure, is_free=False)
         if isinstance(result, AlreadyRecorded):
@@ -194,6 +197,9 @@
         """
         if result is None or isinstance(result, Failure):
             return ReadRecord()
+        if self._is_lost and result.state is LedgerState.NOT_RUN:
+            # The row was another attempt's: this one is not fenced off yet.
+            return FenceAttempt()
         return self._judge_row(result)
 
     def on_whole(self, answer=None):
