--- a/nutmegdeal/entry/server.py
+++ b/nutmegdeal/entry/server.py
@@ -7,6 +7,7 @@
 from gevent.socket import wait_read
 
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.listeners import PromptServer
 from nutmegdeal.log import get_logger
 
 logger = get_logger(__name__)
@@ -83,7 +84,7 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + reply.body
 
 
-class CallerServer(pywsgi.WSGIServer):
+class CallerServer(PromptServer):
     """The listener of an entry.
 
     Parameters
--- a/nutmegdeal/fakes/server.py
+++ b/nutmegdeal/fakes/server.py
@@ -11,7 +11,9 @@
 import bottle
 import cattrs
 import gevent
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler
+
+from nutmegdeal.listeners import PromptServer
 
 SOCKET_KEY = "nutmegdeal.socket"
 JSON_TYPE = "application/json"
@@ -170,7 +172,7 @@
 
 def serve(stand_in, kind, host, port):
     """Serve a stand-in until SIGTERM or SIGINT; print its address when it listens."""
-    server = WSGIServer(
+    server = PromptServer(
         (host, port),
         stand_in.app,
         log=None,
