--- /dev/null
+++ b/nutmegdeal/tests/processes.py
@@ -0,0 +1,336 @@
+"""A whole site of real processes on loopback: stand-ins, agents and entries.
+
+Used by process-level tests and by ``scripts/demo.py``. Everything that was started is
+ended when the `Site` is closed.
+"""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import attrs
+import urllib3
+
+from nutmegdeal.tests.programs import start_stand_in
+
+START_WITHIN_S = 20
+STOP_WITHIN_S = 20
+CALL_WITHIN_S = 20
+POLL_EVERY_S = 0.02
+SHARED_SECRET = "shared-secret-of-this-site"
+BACKEND_SECRET = "secret-of-the-backend-servers"
+ZONES = ("dk-west-1", "dk-west-2", "dk-west-3")
+
+
+def wait_until(condition, within_s=START_WITHIN_S):
+    """Return once `condition` returns a true value, and that value.
+
+    Raises
+    ------
+    TimeoutError
+        If it does not within `within_s`.
+    """
+    end_s = time.monotonic() + within_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > end_s:
+            raise TimeoutError(f"not within {within_s} s")
+        time.sleep(POLL_EVERY_S)
+
+
+@attrs.define
+class Program:
+    """A running nutmegdeal program.
+
+    Parameters
+    ----------
+    name : str
+    process : subprocess.Popen
+    listening : dict
+        What it printed about its listeners.
+    log_path : pathlib.Path
+        Its log, JSON lines.
+    """
+
+    name: str
+    process: subprocess.Popen
+    listening: dict
+    log_path: pathlib.Path
+
+    @property
+    def port(self):
+        """TCP port of its main listener."""
+        return self.listening["port"]
+
+    @property
+    def url(self):
+        """Base URL of an entry's listener, or of an agent's status pages."""
+        port = self.listening.get("status_port", self.port)
+        return f"http://127.0.0.1:{port}"
+
+    @property
+    def is_running(self):
+        """True until it has exited."""
+        return self.process.poll() is None
+
+    def send_signal(self, number):
+        """Send a signal such as ``SIGSTOP`` or ``SIGCONT``."""
+        self.process.send_signal(number)
+
+    def kill(self):
+        """End it at once by SIGKILL."""
+        self.process.kill()
+        self.process.wait(STOP_WITHIN_S)
+
+    def stop(self):
+        """Send SIGTERM and return the exit code."""
+        self.process.terminate()
+        return self.process.wait(STOP_WITHIN_S)
+
+    def close(self):
+        """End it, also if it was paused."""
+        if self.is_running:
+            self.send_signal(signal.SIGCONT)
+            self.process.terminate()
+        try:
+            self.process.wait(STOP_WITHIN_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+        self.process.stdout.close()
+
+
+@attrs.define
+class BackendHost:
+    """A backend server host: a stand-in and the agent beside it."""
+
+    host_id: str
+    service: str
+    zone: str
+    stand_in: object
+    agent: Program
+
+
+class Site:
+    """Starts the processes of one team on loopback.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings files and logs.
+    settings : dict of str to dict
+        Sections and keys in every settings file besides what the site sets.
+    """
+
+    def __init__(self, folder, settings=None):
+        self.folder = pathlib.Path(folder)
+        self.table = None
+        self.objects = None
+        self.hosts = None
+        self.weights = None
+        self.backends = []
+        self.entries = []
+        self.programs = []
+        self.stand_ins = []
+        self._settings = settings or {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_exception):
+        self.close()
+
+    def close(self):
+        """End all processes, the programs first."""
+        for program in reversed(self.programs):
+            program.close()
+        for stand_in in reversed(self.stand_ins):
+            stand_in.stop()
+        self.programs, self.stand_ins = [], []
+
+    def start_stand_in(self, kind, *options):
+        """Start a stand-in; return its StandInProcess."""
+        stand_in = start_stand_in(kind, *options)
+        self.stand_ins.append(stand_in)
+        return stand_in
+
+    def start_platform(self, loads_per_s=4.0):
+        """Start table service, object store, host list and weight store."""
+        self.table = self.start_stand_in("table")
+        self.objects = self.start_stand_in("objects")
+        self.hosts = self.start_stand_in("hosts")
+        self.weights = self.start_stand_in("weights", "--loads-per-s", str(loads_per_s))
+        self.write_settings("ctl", {})
+
+    def write_settings(self, name, sections):
+        """Write a settings file with the platform's addresses; return its path."""
+        merged = {
+            "channel": {"shared_secret": SHARED_SECRET},
+            "platform": {
+                "table_url": self.table.url,
+                "objects_url": self.objects.url,
+                "hosts_url": self.hosts.url,
+                "hosts_poll_every_ms": 200,
+                "head_poll_every_ms": 200,
+            },
+            "accounts": {"flush_every_ms": 200, "watermark_every_ms": 500},
+        }
+        for name_of_section, keys in (*self._settings.items(), *sections.items()):
+            merged.setdefault(name_of_section, {}).update(keys)
+        lines = []
+        for name_of_section, keys in merged.items():
+            lines.append(f"[{name_of_section}]")
+            lines += [f"{key} = {value}" for key, value in keys.items()]
+        path = self.settings_path(name)
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def settings_path(self, name):
+        """Return the path of the settings file of a program."""
+        return self.folder / f"{name}.ini"
+
+    def start_program(self, tool, name, sections):
+        """Start ``nutmegdeal-TOOL`` and wait until it listens; return its Program."""
+        path = self.write_settings(name, sections)
+        log_path = self.folder / f"{name}.log"
+        with log_path.open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", f"nutmegdeal.tools.{tool}"]
+                + ["--settings", str(path)],
+                stdout=subprocess.PIPE,
+                stderr=log,
+            )
+        line = process.stdout.readline()
+        program = Program(name, process, json.loads(line or b"{}"), log_path)
+        self.programs.append(program)
+        if not line:
+            raise RuntimeError(f"{name} did not start: {log_path.read_text()}")
+        return program
+
+    def start_engine(self, service, *options, with_secret=True):
+        """Start a model engine with its agent; return the BackendHost."""
+        secret = ("--secret", BACKEND_SECRET) if with_secret else ()
+        weights = ("--weights-url", self.weights.url)
+        stand_in = self.start_stand_in("engine", *weights, *secret, *options)
+        return self._start_host(service, stand_in)
+
+    def start_plain(self, service, *options):
+        """Start a plain service with its agent; return the BackendHost."""
+        return self._start_host(service, self.start_stand_in("plain", *options))
+
+    def _start_host(self, service, stand_in):
+        number = sum(host.service == service for host in self.backends)
+        host_id, zone = f"{service}-{number}", ZONES[number % len(ZONES)]
+        agent = self.start_agent(host_id, service, zone, stand_in)
+        host = BackendHost(host_id, service, zone, stand_in, agent)
+        self.backends.append(host)
+        self.publish_hosts()
+        return host
+
+    def start_agent(self, host_id, service, zone, stand_in):
+        """Start an agent beside a backend server; return its Program."""
+        sections = {
+            "process": {"name": host_id, "zone": zone},
+            "agent": {
+                "service": service,
+                "backend_url": stand_in.url,
+                "backend_secret": BACKEND_SECRET,
+            },
+        }
+        return self.start_program("agent", host_id, sections)
+
+    def restart_agent(self, host):
+        """Start another agent in place of one that has ended."""
+        host.agent = self.start_agent(
+            host.host_id, host.service, host.zone, host.stand_in
+        )
+        self.publish_hosts()
+
+    def publish_hosts(self, leaving=()):
+        """Write all backend server hosts to the host list.
+
+        Parameters
+        ----------
+        leaving : sequence of str
+            Host ids to list as leaving.
+        """
+        hosts = [
+            {
+                "host_id": host.host_id,
+                "service": host.service,
+                "zone": host.zone,
+                "agent_host": "127.0.0.1",
+                "agent_port": host.agent.port,
+                "state": "leaving" if host.host_id in leaving else "live",
+            }
+            for host in self.backends
+        ]
+        answer = self.hosts.call("PUT", "/hosts", {"hosts": hosts})
+        assert answer.status == 200, answer.data
+
+    def start_entry(self):
+        """Start an entry and wait until it is ready; return its Program."""
+        number = len(self.entries)
+        name = f"entry-{number}"
+        zone = ZONES[number % len(ZONES)]
+        entry = self.start_program(
+            "entry", name, {"process": {"name": name, "zone": zone}}
+        )
+        self.entries.append(entry)
+        return entry
+
+    def wait_until_ready(self):
+        """Wait until every entry and agent is ready for requests."""
+        for program in (*(host.agent for host in self.backends), *self.entries):
+            wait_until(lambda program=program: is_ready(program))
+
+    def ctl(self, *arguments, code=0):
+        """Run ``nutmegdeal-ctl`` and return what it printed.
+
+        Parameters
+        ----------
+        *arguments : str
+        code : int
+            The exit code that it must end with.
+        """
+        command = [sys.executable, "-m", "nutmegdeal.tools.ctl", *arguments]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        assert done.returncode == code, (done.returncode, done.stdout, done.stderr)
+        return done.stdout or done.stderr
+
+    def accept(self, configuration_path, base=0):
+        """Accept a configuration file by ``nutmegdeal-ctl``; return what it printed."""
+        return self.ctl(
+            "accept",
+            str(configuration_path),
+            *("--base", str(base)),
+            *("--settings", str(self.settings_path("ctl"))),
+        )
+
+    def accept_questionnaire(self, questionnaire_path, base=0):
+        """Generate and accept the configuration of a questionnaire."""
+        path = self.folder / f"configuration-{base + 1}.ini"
+        path.write_text(self.ctl("generate", str(questionnaire_path)))
+        return self.accept(path, base)
+
+    def why(self, request_id, *options, code=0):
+        """Return what ``nutmegdeal-ctl why`` prints about a request."""
+        settings = str(self.settings_path("ctl"))
+        return self.ctl("why", request_id, "--settings", settings, *options, code=code)
+
+
+def is_ready(program):
+    """Return whether a program says that it is ready; raise if it has exited."""
+    if not program.is_running:
+        raise RuntimeError(f"{program.name} ended: {program.log_path.read_text()}")
+    try:
+        answer = urllib3.request(
+            "GET", program.url + "/readyz", retries=False, timeout=CALL_WITHIN_S
+        )
+    except urllib3.exceptions.HTTPError:
+        return False
+    return answer.status == 200
