--- /dev/null
+++ b/nutmegdeal/tests/caller.py
@@ -0,0 +1,91 @@
+"""A caller of the entries, as `judge` needs it."""
+
+import json
+import time
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from nutmegdeal.messages import Fate
+from nutmegdeal.tests.judge import Call
+
+ANSWER_WITHIN_MS = 15_000
+GRACE_S = 10
+CONNECTIONS_MAX = 64
+ERROR_EVENT = b"event: error\ndata: "
+
+
+class Caller:
+    """Sends requests to entries in turn.
+
+    Parameters
+    ----------
+    entry_urls : sequence of str
+    """
+
+    def __init__(self, entry_urls):
+        self._entry_urls = entry_urls
+        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS_MAX, retries=False)
+        self._sent_count = 0
+
+    def complete(self, engine_name, prompt, max_tokens, stream=True):
+        """Ask for a completion; return the Call."""
+        fields = {"model": engine_name, "prompt": prompt, "max_tokens": max_tokens}
+        body = json.dumps({**fields, "stream": stream}).encode()
+        path = "/v1/completions"
+        response = self._send("POST", path, body, {})
+        return Call(
+            *("POST", path, body, *_read(response, stream)),
+            engine_name=engine_name,
+            prompt=prompt,
+            max_tokens=max_tokens,
+            stream=stream,
+        )
+
+    def call_service(self, service, method, path, fields=None, key=""):
+        """Call a plain service; return the Call."""
+        body = b"" if fields is None else json.dumps(fields).encode()
+        headers = {"Idempotency-Key": key} if key else {}
+        response = self._send(method, f"/services/{service}{path}", body, headers)
+        read = _read(response, stream=False)
+        return Call(method, path, body, *read, idempotency_key=key)
+
+    def _send(self, method, path, body, headers):
+        """Return the open response, or the HTTPError that came instead."""
+        entry_url = self._entry_urls[self._sent_count % len(self._entry_urls)]
+        self._sent_count += 1
+        deadline_unix_ms = int(time.time() * 1000) + ANSWER_WITHIN_MS
+        headers = {"X-Deadline-Ms": str(deadline_unix_ms), **headers}
+        try:
+            return self._pool.request(
+                method,
+                entry_url + path,
+                body=body,
+                headers=headers,
+                preload_content=False,
+                timeout=ANSWER_WITHIN_MS / 1000 + GRACE_S,
+            )
+        except HTTPError as error:
+            return error
+
+
+def _read(response, stream):
+    """Return the request id, the fate and the answer's bytes."""
+    if isinstance(response, HTTPError):
+        return "", Fate.IN_DOUBT, b""
+    request_id = response.headers.get("X-Request-Id", "")
+    try:
+        answer = response.read()
+    except HTTPError:
+        return request_id, Fate.IN_DOUBT, b""
+    finally:
+        response.release_conn()
+    if stream and response.status == 200:
+        return request_id, _fate_of_stream(answer), answer
+    return request_id, Fate(response.headers["X-Nutmegdeal-Fate"]), answer
+
+
+def _fate_of_stream(answer):
+    """Return the Fate that a stream tells at its end; silence means completed."""
+    _, marked, error = answer.rpartition(ERROR_EVENT)
+    return Fate(json.loads(error)["fate"]) if marked else Fate.COMPLETED
--- /dev/null
+++ b/nutmegdeal/tests/test_judge.py
@@ -0,0 +1,58 @@
+"""Tests of the judge: each kind of wrong answer is found."""
+
+import json
+
+import attrs
+import pytest
+
+from nutmegdeal.fakes.answers import expected_answer
+from nutmegdeal.messages import Fate
+from nutmegdeal.tests.judge import Call, judge
+
+TEXT = expected_answer("quote-0001@2", "jaw", 4)
+CALL = Call(
+    method="POST",
+    path="/v1/completions",
+    body=b"{}",
+    request_id="e1-1",
+    fate=Fate.COMPLETED,
+    answer=json.dumps({"choices": [{"text": TEXT}]}).encode(),
+    engine_name="quote-0001@2",
+    prompt="jaw",
+    max_tokens=4,
+)
+RUN = {"attempt_id": "e1-1.1", "idempotency_key": "", "adapter": "quote-0001@2"}
+
+
+def test_right_answer_is_good():
+    verdict = judge([CALL], [RUN])
+    assert verdict.is_good
+    assert verdict.counts()["completed"] == 1
+
+
+@pytest.mark.parametrize(
+    ("changes", "runs", "count"),
+    [
+        ({}, [RUN | {"adapter": "quote-0001@1"}], "wrong_adapter"),
+        ({"answer": CALL.answer[:-9]}, [RUN], "incomplete_unmarked"),
+        ({"prompt": "plate"}, [RUN], "incomplete_unmarked"),
+        ({"fate": Fate.NOT_RUN}, [RUN], "not_run"),
+        ({}, [], "completed"),
+        (
+            {"idempotency_key": "k"},
+            [RUN | {"idempotency_key": "k"}, RUN | {"idempotency_key": "k"}],
+            "ran_twice",
+        ),
+        ({"idempotency_key": "k"}, [], "completed"),
+    ],
+)
+def test_wrong_answer_is_found(changes, runs, count):
+    verdict = judge([attrs.evolve(CALL, **changes)], runs)
+    assert not verdict.is_good
+    assert verdict.counts()[count] == 1
+
+
+def test_booking_that_ran_once_for_two_calls_is_good():
+    failed = {"fate": Fate.IN_DOUBT, "idempotency_key": "k", "request_id": "e1-2"}
+    calls = [attrs.evolve(CALL, idempotency_key="k"), attrs.evolve(CALL, **failed)]
+    assert judge(calls, [RUN | {"idempotency_key": "k"}]).is_good
