--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN = $(VENV)/bin
 TEST_WORKERS ?= 4
 
-.PHONY: help setup format check lint test search demo
+.PHONY: help setup format check lint test search demo pages
 
 help:  ## List the tasks.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -34,6 +34,10 @@
 demo: setup  ## Run the main job against the stand-ins.
 	$(BIN)/python scripts/demo.py
 
+pages: setup  ## Rewrite the pages that are made from the sources.
+	$(BIN)/python scripts/write_settings_page.py
+	$(BIN)/python scripts/write_proofs_page.py
+
 search: setup  ## Search long for failures with random seeds, which are printed.
 	NUTMEGDEAL_PROFILE=search $(BIN)/python -m pytest -n $(TEST_WORKERS) \
 		--timeout=3600 -m "not processes" nutmegdeal/tests
--- /dev/null
+++ b/nutmegdeal/tests/test_documents.py
@@ -0,0 +1,55 @@
+"""Tests that the pages match the programs and the tests."""
+
+import pathlib
+import re
+import subprocess
+import sys
+
+import pytest
+
+from nutmegdeal.tests.promises import Proof, collect_proofs
+from nutmegdeal.tools.ctl import ExitCode
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+DOCS = ROOT / "docs"
+PROMISE_COUNT = 9
+LINK_PATTERN = re.compile(r"\]\(([^)#\s]+)(?:#[^)]*)?\)")
+TEST_PATTERN = re.compile(r"`(test_\w+\.py::\w+)`")
+SECTION_PATTERN = re.compile(r"^## (\d+)\. ", re.MULTILINE)
+
+
+def read_proofs_page():
+    """Return the Proofs that the page names, and the numbers of its sections."""
+    text = (DOCS / "PROOFS.md").read_text(encoding="utf-8")
+    parts = SECTION_PATTERN.split(text)
+    named = set()
+    for number, section in zip(parts[1::2], parts[2::2], strict=True):
+        named |= {Proof(int(number), test) for test in TEST_PATTERN.findall(section)}
+    return named, [int(number) for number in parts[1::2]]
+
+
+def test_proofs_page_names_just_the_marked_tests():
+    """If this fails after a test was added, run ``make pages``."""
+    named, numbers = read_proofs_page()
+    assert numbers == list(range(1, PROMISE_COUNT + 1))
+    assert sorted(named) == list(collect_proofs())
+
+
+def test_settings_page_matches_the_table():
+    script = str(ROOT / "scripts" / "write_settings_page.py")
+    assert subprocess.call([sys.executable, script, "--check"]) == 0
+
+
+def test_operators_page_names_every_exit_code():
+    text = (DOCS / "operators.md").read_text(encoding="utf-8")
+    for code in ExitCode:
+        assert re.search(rf"^\| {code.value} \|", text, re.MULTILINE), code
+
+
+@pytest.mark.parametrize(
+    "page", [ROOT / "README.md", *sorted(DOCS.rglob("*.md"))], ids=lambda p: p.name
+)
+def test_links_lead_to_files(page):
+    for target in LINK_PATTERN.findall(page.read_text(encoding="utf-8")):
+        if "://" not in target:
+            assert (page.parent / target).exists(), target
