--- /dev/null
+++ b/nutmegdeal/exit_codes.py
@@ -0,0 +1,14 @@
+"""Exit codes of nutmegdeal-ctl."""
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of all commands; 2 also ends a wrong command line."""
+
+    DONE = 0
+    INVALID_INPUT = 2
+    OVERTAKEN = 3
+    UNAVAILABLE = 4
+    IN_DOUBT = 5
+    NOT_FOUND = 6
--- a/nutmegdeal/tests/test_documents.py
+++ b/nutmegdeal/tests/test_documents.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from nutmegdeal.exit_codes import ExitCode
 from nutmegdeal.tests.promises import Proof, collect_proofs
-from nutmegdeal.tools.ctl import ExitCode
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 DOCS = ROOT / "docs"
--- a/nutmegdeal/tools/ctl.py
+++ b/nutmegdeal/tools/ctl.py
@@ -1,6 +1,5 @@
 """``nutmegdeal-ctl``: configuration, status and accounts from a shell."""
 
-import enum
 import json
 import pathlib
 import sys
@@ -23,23 +22,13 @@
 from nutmegdeal.account_reader import AccountReader, LedgerReader
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.errors import Failure
+from nutmegdeal.exit_codes import ExitCode
 from nutmegdeal.platform.hosts import HttpHostList
 from nutmegdeal.platform.objects import HttpObjectStore
 from nutmegdeal.platform.table import HttpTableService
 from nutmegdeal.settings import InvalidFile
 
 
-class ExitCode(enum.IntEnum):
-    """Exit codes of all commands."""
-
-    DONE = 0
-    INVALID_INPUT = 2
-    OVERTAKEN = 3
-    UNAVAILABLE = 4
-    IN_DOUBT = 5
-    NOT_FOUND = 6
-
-
 EXIT_CODES_HELP = (
     "Exit codes: 0 done; 2 wrong command line or invalid input file; 3 another "
     "configuration was accepted first; 4 the platform or a process could not be read "
