Prove the promises on real processes: kills, freezes, outages, cuts, lost answers

Cause: the state machines drive the decisions; whether the programs wire them up as intended needs real processes and signals.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/ruff check .
 
 test: setup  ## Run the tests.
-	$(BIN)/python scripts/run_tests.py -n $(TEST_WORKERS)
+	$(BIN)/python scripts/run_tests.py -n $(TEST_WORKERS) --dist loadfile
 
 demo: setup  ## Run the main job against the stand-ins.
 	$(BIN)/python scripts/demo.py
--- a/nutmegdeal/tests/caller.py
+++ b/nutmegdeal/tests/caller.py
@@ -21,10 +21,13 @@
     Parameters
     ----------
     entry_urls : sequence of str
+    answer_within_ms : int
+        Time from a request to its deadline.
     """
 
-    def __init__(self, entry_urls):
+    def __init__(self, entry_urls, answer_within_ms=ANSWER_WITHIN_MS):
         self._entry_urls = entry_urls
+        self._answer_within_ms = answer_within_ms
         self._pool = urllib3.PoolManager(maxsize=CONNECTIONS_MAX, retries=False)
         self._sent_count = 0
 
@@ -54,7 +57,7 @@
         """Return the open response, or the HTTPError that came instead."""
         entry_url = self._entry_urls[self._sent_count % len(self._entry_urls)]
         self._sent_count += 1
-        deadline_unix_ms = int(time.time() * 1000) + ANSWER_WITHIN_MS
+        deadline_unix_ms = int(time.time() * 1000) + self._answer_within_ms
         headers = {"X-Deadline-Ms": str(deadline_unix_ms), **headers}
         try:
             return self._pool.request(
@@ -63,7 +66,7 @@
                 body=body,
                 headers=headers,
                 preload_content=False,
-                timeout=ANSWER_WITHIN_MS / 1000 + GRACE_S,
+                timeout=self._answer_within_ms / 1000 + GRACE_S,
             )
         except HTTPError as error:
             return error
--- a/nutmegdeal/tests/conftest.py
+++ b/nutmegdeal/tests/conftest.py
@@ -1,9 +1,30 @@
 """Test configuration: hypothesis explores the same examples on every run."""
 
 import os
+import pathlib
 
+import pytest
 from hypothesis import settings
 
+from nutmegdeal.tests.processes import Site
+
+KNUSEPOOL = pathlib.Path(__file__).parents[2] / "examples/knusepool/questionnaire.ini"
+
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 settings.register_profile("search", deadline=None, max_examples=2_000, print_blob=True)
 settings.load_profile(os.environ.get("NUTMEGDEAL_PROFILE", "ci"))
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    """Return a running Site of two engines, two plain services and two entries."""
+    with Site(tmp_path_factory.mktemp("site")) as running:
+        running.start_platform(loads_per_s=50)
+        running.accept_questionnaire(KNUSEPOOL)
+        for _ in range(2):
+            running.start_engine("assist-llm", "--token-ms", "10")
+            running.start_plain("hire-core")
+        for _ in range(2):
+            running.start_entry()
+        running.wait_until_ready()
+        yield running
