Prove that configuration never reverts by a state machine

Operators race and repeat acceptances, processes refresh twice at once, learn from peers and are replaced; stores fail, lose answers and apply writes late at each step. Four naive versions are kept and caught. Found on the way: a repeated acceptance older than the generations kept was called overtaken, which is not known; it is a failure in doubt now.

--- a/nutmegdeal/acceptance.py
+++ b/nutmegdeal/acceptance.py
@@ -65,7 +65,8 @@
     Returns
     -------
     Accepted, Overtaken or Failure
-        A Failure with ``maybe_applied=True`` may still take effect.
+        A Failure with ``maybe_applied=True`` may still take effect; Accepted and
+        Overtaken are final, also for earlier calls with the `accept_id`.
     """
     return _Acceptance(configuration, base_generation, accept_id, table, objects).run()
 
@@ -114,10 +115,19 @@
         winner = read_head(self._table, generation_key(self._head.generation))
         if isinstance(winner, Failure):
             return attrs.evolve(winner, maybe_applied=self._in_doubt)
-        if winner is not None and winner.head.accept_id == self._head.accept_id:
+        if winner is None:
+            return self._fail_unknown()
+        if winner.head.accept_id == self._head.accept_id:
             return Accepted(self._head.generation)
         return Overtaken(head.generation, head.accept_id, self._describe(head))
 
+    def _fail_unknown(self):
+        key = generation_key(self._head.generation)
+        detail = "too old to tell whose it was; compare the configuration in force"
+        return Failure(
+            Reason.NOT_FOUND, Step.CONFIGURE, key, detail, maybe_applied=True
+        )
+
     def _describe(self, head):
         """Say what changed since the base, or what is not known about it."""
         base = None
--- a/nutmegdeal/tests/ledger_machine.py
+++ b/nutmegdeal/tests/ledger_machine.py
@@ -36,11 +36,12 @@
 from nutmegdeal.messages import AttemptEnded, Fate
 from nutmegdeal.tests.builders import build_booking
 from nutmegdeal.tests.stepping import (
+    STORE_CALLS,
     Actor,
     CallFate,
     SkewedClock,
     SteppedTable,
-    TableCalls,
+    StoreCalls,
     pause,
 )
 
@@ -50,7 +51,6 @@
 DEADLINE_MS = 30_000
 ATTEMPTS_MAX = 3
 POINT_NAMES = ("before_send", "sent", "poll")
-CALL_NAMES = ("read", "scan", "write")
 ANSWER = LedgerAnswer(200, "text/plain", b"ok")
 LOST = Failure(Reason.CONNECTION_LOST, Step.SUBMIT, "agent")
 INDEXES = st.integers(0, 23)
@@ -195,7 +195,7 @@
         super().__init__()
         self.clock = ManualClock()
         self.start_unix_ms = self.clock.unix_ms()
-        self.calls = TableCalls(MemoryTable())
+        self.calls = StoreCalls(MemoryTable())
         self.record = Record()
         self.actors = []
         self._waiting_agents = []
@@ -248,21 +248,21 @@
         self._spawn("entry", entry.run)
         self._spawn_waiting_agents()
 
-    @precondition(lambda self: self._live(*CALL_NAMES))
+    @precondition(lambda self: self._live(*STORE_CALLS))
     @rule(
         index=INDEXES,
         fate=st.sampled_from([*[CallFate.ANSWERED] * 4, *CallFate]),
     )
     def call(self, index, fate):
         """Carry out one actor's call of the table, or fail it in some way."""
-        actors = self._live(*CALL_NAMES)
+        actors = self._live(*STORE_CALLS)
         fate = fate if self.has_store_faults else CallFate.ANSWERED
         self.calls.carry_out(actors[index % len(actors)], fate)
         self._spawn_waiting_agents()
 
     def finish_calls(self, actor):
         """Answer an actor's calls of the table until it waits for something else."""
-        while not actor.is_done and actor.waits_for.name in CALL_NAMES:
+        while not actor.is_done and actor.waits_for.name in STORE_CALLS:
             self.calls.carry_out(actor, CallFate.ANSWERED)
             self._spawn_waiting_agents()
 
--- a/nutmegdeal/tests/stepping.py
+++ b/nutmegdeal/tests/stepping.py
@@ -12,8 +12,13 @@
 
 from nutmegdeal.clock import Clock
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.platform.objects import ObjectStore
 from nutmegdeal.platform.table import TableService
 
+TABLE_CALLS = ("read", "scan", "write")
+STORE_CALLS = (*TABLE_CALLS, "put", "get", "list_names")
+WRITE_CALLS = ("write", "put")
+
 
 class CallFate(enum.Enum):
     """What happens to one call of the table service."""
@@ -84,29 +89,48 @@
         return pause("write", writes)
 
 
-class TableCalls:
+class SteppedObjects(ObjectStore):
+    """The object store as an actor sees it: every call is a step."""
+
+    def put(self, name, body):
+        return pause("put", name, body)
+
+    def get(self, name):
+        return pause("get", name)
+
+    def list_names(self, prefix, after="", limit=1000):
+        return pause("list_names", prefix, after, limit)
+
+
+class StoreCalls:
     """Carries out the calls that actors wait for.
 
     Parameters
     ----------
     table : MemoryTable
+    objects : MemoryObjects
     """
 
-    def __init__(self, table):
+    def __init__(self, table, objects=None):
         self.table = table
+        self.objects = objects
         self.delayed = []
 
+    def _method(self, name):
+        store = self.table if name in TABLE_CALLS else self.objects
+        return getattr(store, name)
+
     def carry_out(self, actor, fate):
         """Resume an actor that waits for a call with the call's outcome."""
         step = actor.waits_for
-        is_write = step.name == "write"
+        is_write = step.name in WRITE_CALLS
         if fate is CallFate.ANSWERED:
-            actor.resume(getattr(self.table, step.name)(*step.arguments))
+            actor.resume(self._method(step.name)(*step.arguments))
             return
         if fate is CallFate.ANSWER_LOST and is_write:
-            self.table.write(*step.arguments)
+            self._method(step.name)(*step.arguments)
         if fate is CallFate.DELAYED and is_write:
-            self.delayed.append(step.arguments)
+            self.delayed.append(step)
         in_doubt = is_write and fate is not CallFate.REFUSED
         actor.resume(
             Failure(Reason.STORE_UNAVAILABLE, Step.PLATFORM, maybe_applied=in_doubt)
@@ -114,7 +138,8 @@
 
     def arrive(self, index):
         """Let a delayed write take effect."""
-        self.table.write(*self.delayed.pop(index % len(self.delayed)))
+        step = self.delayed.pop(index % len(self.delayed))
+        self._method(step.name)(*step.arguments)
 
 
 class SkewedClock(Clock):
--- a/nutmegdeal/tests/test_acceptance.py
+++ b/nutmegdeal/tests/test_acceptance.py
@@ -114,6 +114,9 @@
         accepted = accept(BASE, generation, f"a{generation}", table, objects)
         assert accepted == Accepted(generation + 1)
     assert len(table.rows) == 3
+    failure = accept(BASE, 0, "a0", table, objects)
+    assert failure.reason is Reason.NOT_FOUND
+    assert failure.maybe_applied
 
 
 def test_keeper_never_steps_back():
--- /dev/null
+++ b/nutmegdeal/tests/test_generations_promise.py
@@ -0,0 +1,295 @@
+"""Proof that an accepted configuration is in force and never replaced by an older one.
+
+Operators race, answers are lost, stores fail at each step, and processes are new,
+frozen or learn from peers. Each naive version must be caught by the same machine.
+"""
+
+import functools
+
+import attrs
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from nutmegdeal import acceptance
+from nutmegdeal.acceptance import Accepted, Overtaken
+from nutmegdeal.clock import ManualClock
+from nutmegdeal.errors import Failure
+from nutmegdeal.fakes.memory import MemoryObjects, MemoryTable
+from nutmegdeal.generations import StoredConfigurationKeeper
+from nutmegdeal.heads import generation_key, read_head
+from nutmegdeal.platform.table import Write
+from nutmegdeal.tests.builders import build_configuration
+from nutmegdeal.tests.stepping import (
+    STORE_CALLS,
+    Actor,
+    CallFate,
+    SteppedObjects,
+    SteppedTable,
+    StoreCalls,
+)
+
+ALL = build_configuration(generation=0)
+INDEXES = st.integers(0, 23)
+
+
+@functools.cache
+def configuration_of(number):
+    """Return a small configuration that only operator `number` proposes."""
+    adapters = {"a": attrs.evolve(ALL.adapters["quote-0000"], name="a")}
+    region = f"region-{number}"
+    return attrs.evolve(ALL, region=region, adapters=adapters)
+
+
+@attrs.define
+class Operator:
+    """One amendment and what its operator was told."""
+
+    number: int
+    base_generation: int
+    told: list = attrs.Factory(list)
+
+    @property
+    def accept_id(self):
+        return f"accept-{self.number}"
+
+    @property
+    def is_told_not_accepted(self):
+        if any(isinstance(result, Overtaken) for result in self.told):
+            return True
+        return bool(self.told) and all(
+            isinstance(result, Failure) and not result.maybe_applied
+            for result in self.told
+        )
+
+
+class GenerationsMachine(RuleBasedStateMachine):
+    """Operators and keepers over one table and one object store."""
+
+    keeper_class = StoredConfigurationKeeper
+    accept = staticmethod(acceptance.accept)
+    keeper_count = 3
+    operator_max = 5
+
+    def __init__(self):
+        super().__init__()
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
+        self.calls = StoreCalls(self.table, self.objects)
+        self.operators = []
+        self.actors = []
+        self.keepers = [self._new_keeper() for _ in range(self.keeper_count)]
+        self.seen = [0] * self.keeper_count
+
+    def _new_keeper(self):
+        return self.keeper_class(SteppedTable(), SteppedObjects(), ManualClock())
+
+    def _accepted(self):
+        """Return the accept id of each generation, from 1."""
+        ids = []
+        while head := read_head(self.table, generation_key(len(ids) + 1)):
+            ids.append(head.head.accept_id)
+        return ids
+
+    def _waiting(self):
+        return [actor for actor in self.actors if not actor.is_done]
+
+    def _run_operator(self, operator):
+        def program():
+            result = self.accept(
+                configuration_of(operator.number),
+                operator.base_generation,
+                operator.accept_id,
+                SteppedTable(),
+                SteppedObjects(),
+            )
+            operator.told.append(result)
+
+        self.actors.append(Actor("operator", program))
+
+    @precondition(lambda self: len(self.operators) < self.operator_max)
+    @rule()
+    def amend(self):
+        """Let an operator amend the generation that is in force now."""
+        operator = Operator(len(self.operators), len(self._accepted()))
+        self.operators.append(operator)
+        self._run_operator(operator)
+
+    @precondition(lambda self: self.operators)
+    @rule(index=INDEXES)
+    def repeat(self, index):
+        """Let an operator repeat an acceptance."""
+        self._run_operator(self.operators[index % len(self.operators)])
+
+    @rule(index=INDEXES)
+    def refresh(self, index):
+        """Let a process look for a newer generation."""
+        keeper = self.keepers[index % self.keeper_count]
+        self.actors.append(Actor("keeper", keeper.refresh))
+
+    @rule(sender=INDEXES, receiver=INDEXES, with_manifest=st.booleans())
+    def tell(self, sender, receiver, with_manifest):
+        """Let one process tell another what it has in force."""
+        peer = self.keepers[sender % self.keeper_count]
+        manifest = peer.manifest if with_manifest else ""
+        self.keepers[receiver % self.keeper_count].observe(peer.generation, manifest)
+
+    @rule(index=INDEXES)
+    def replace(self, index):
+        """Replace a process by a new one that knows nothing."""
+        index %= self.keeper_count
+        self.keepers[index] = self._new_keeper()
+        self.seen[index] = 0
+
+    @precondition(lambda self: self._waiting())
+    @rule(index=INDEXES, fate=st.sampled_from([*[CallFate.ANSWERED] * 6, *CallFate]))
+    def call(self, index, fate):
+        """Carry out an actor's call of a store, or fail it in some way."""
+        actors = self._waiting()
+        actor = actors[index % len(actors)]
+        assert actor.waits_for.name in STORE_CALLS
+        self.calls.carry_out(actor, fate)
+
+    @precondition(lambda self: self._waiting())
+    @rule(index=INDEXES)
+    def run_on(self, index):
+        """Answer an actor's calls until it is done."""
+        actors = self._waiting()
+        actor = actors[index % len(actors)]
+        while not actor.is_done:
+            self.calls.carry_out(actor, CallFate.ANSWERED)
+
+    @precondition(lambda self: self._waiting())
+    @rule(index=INDEXES)
+    def crash(self, index):
+        """Kill an operator's command or a refresh between two steps."""
+        self.actors.remove(self._waiting()[index % len(self._waiting())])
+
+    @precondition(lambda self: self.calls.delayed)
+    @rule(index=INDEXES)
+    def arrive_late(self, index):
+        """Apply a write whose sender gave it up."""
+        self.calls.arrive(index)
+
+    @invariant()
+    def told_is_true(self):
+        """Check what operators were told against the generations accepted."""
+        accepted = self._accepted()
+        assert len(set(accepted)) == len(accepted)
+        for operator in self.operators:
+            for result in operator.told:
+                if isinstance(result, Accepted):
+                    assert accepted[result.generation - 1] == operator.accept_id
+                    assert result.generation == operator.base_generation + 1
+                if isinstance(result, Overtaken):
+                    assert result.changes
+            if operator.is_told_not_accepted:
+                assert operator.accept_id not in accepted
+
+    @invariant()
+    def nobody_steps_back(self):
+        """Check that each process has an accepted configuration, never an older one."""
+        accepted = self._accepted()
+        for index, keeper in enumerate(self.keepers):
+            generation = keeper.generation
+            assert generation >= self.seen[index]
+            self.seen[index] = generation
+            if generation:
+                number = int(accepted[generation - 1].rpartition("-")[2])
+                wanted = attrs.evolve(configuration_of(number), generation=generation)
+                assert keeper.current == wanted
+
+    def teardown(self):
+        """Check that every process catches up once the stores answer."""
+        accepted = self._accepted()
+        for keeper in self.keepers:
+            actor = Actor("keeper", keeper.refresh)
+            while not actor.is_done:
+                self.calls.carry_out(actor, CallFate.ANSWERED)
+            assert keeper.generation == len(accepted)
+            assert keeper.is_confirmed or not accepted
+
+
+class TakesWhatItFetched(StoredConfigurationKeeper):
+    """Puts in force what was fetched last."""
+
+    def _put_in_force(self, configuration, manifest):
+        self._current = configuration
+        self._manifest = manifest
+
+
+def accept_on_top(configuration, base_generation, accept_id, table, objects):
+    """Accept on top of whatever is in force, so that another's change is lost."""
+    stored = acceptance.read_head(table)
+    if isinstance(stored, Failure):
+        return stored
+    generation = stored.head.generation if stored else 0
+    return acceptance.accept(configuration, generation, accept_id, table, objects)
+
+
+def accept_by_head_only(configuration, base_generation, accept_id, table, objects):
+    """Settle a lost answer by the accept id in the head row alone."""
+    result = acceptance.accept(
+        configuration, base_generation, accept_id, table, objects
+    )
+    if isinstance(result, Accepted):
+        stored = acceptance.read_head(table)
+        if not isinstance(stored, Failure) and stored.head.accept_id != accept_id:
+            return Overtaken(stored.head.generation, stored.head.accept_id, ("?",))
+    return result
+
+
+def accept_head_first(configuration, base_generation, accept_id, table, objects):
+    """Write the head before the body."""
+    split = acceptance.split(configuration)
+    head = acceptance.Head(base_generation + 1, split.manifest.digest, accept_id)
+    value = acceptance.encode_record(head)
+    stored = acceptance.read_head(table)
+    version = 0 if stored is None or isinstance(stored, Failure) else stored.version
+    key = generation_key(base_generation + 1)
+    writes = [Write(acceptance.HEAD_KEY, value, version), Write(key, value, 0)]
+    if not isinstance(table.write(writes), acceptance.Written):
+        return Failure("", "", maybe_applied=True)
+    for text in (*split.parts, split.manifest):
+        objects.put(text.object_name, text.body)
+    return Accepted(base_generation + 1)
+
+
+SEARCH = settings(
+    max_examples=max(settings().max_examples, 300),
+    stateful_step_count=50,
+    suppress_health_check=list(HealthCheck),
+)
+CATCH = settings(
+    SEARCH,
+    max_examples=3_000,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+    derandomize=True,
+)
+NAIVE_VERSIONS = (
+    {"keeper_class": TakesWhatItFetched, "keeper_count": 1, "operator_max": 2},
+    {"accept": staticmethod(accept_on_top)},
+    {"accept": staticmethod(accept_by_head_only)},
+    {"accept": staticmethod(accept_head_first)},
+)
+
+
+@pytest.mark.promise(8)
+def test_configuration_holds():
+    run_state_machine_as_test(GenerationsMachine, settings=SEARCH)
+
+
+@pytest.mark.promise(8)
+@pytest.mark.parametrize("naive", NAIVE_VERSIONS)
+def test_naive_version_is_caught(naive):
+    machine = type("Machine", (GenerationsMachine,), naive)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=CATCH)
