--- a/nutmegdeal/tools/ctl.py
+++ b/nutmegdeal/tools/ctl.py
@@ -28,7 +28,6 @@
 from nutmegdeal.platform.table import HttpTableService
 from nutmegdeal.settings import InvalidFile
 
-
 EXIT_CODES_HELP = (
     "Exit codes: 0 done; 2 wrong command line or invalid input file; 3 another "
     "configuration was accepted first; 4 the platform or a process could not be read "
