--- a/nutmegdeal/agent/attempts.py
+++ b/nutmegdeal/agent/attempts.py
@@ -62,6 +62,8 @@
         Runs the attempt once it has left the queue.
     is_muted : bool
         True once the entry was told a fate or doesn't listen any more.
+    requeue_count : int
+        Times it was queued again because the engine lacked its adapter.
     """
 
     submit: Submit
@@ -76,6 +78,7 @@
     degree_hint: int = 0
     greenlet: object = None
     is_muted: bool = False
+    requeue_count: int = 0
     _frame_count: int = 0
     _digest: object = attrs.field(factory=hashlib.sha256)
 
--- a/nutmegdeal/agent/claims.py
+++ b/nutmegdeal/agent/claims.py
@@ -72,7 +72,8 @@
     def _end_unclaimed(self, attempt, failure):
         self._endings.refuse(attempt, failure)
         if failure.maybe_applied:
-            self._ledger.withdraw(attempt.submit)
+            submit = attempt.submit
+            self._insist(submit, lambda: self._ledger.withdraw(submit))
 
     def _is_unwanted(self, attempt):
         is_late = self._clock.monotonic_ms() >= attempt.deadline_ms
@@ -137,19 +138,21 @@
             self._record(attempt, claim, LedgerState.FAILED)
 
     def _record(self, attempt, claim, state, answer=None):
-        """Write the outcome, again and again until the key expires."""
+        """Write the outcome."""
+        self._insist(attempt.submit, lambda: self._ledger.finish(claim, state, answer))
+
+    def _insist(self, submit, write):
+        """Call `write` again while the store is down, until the key expires."""
         pause_ms = RECORD_RETRY_FIRST_MS
-        while True:
-            outcome = self._ledger.finish(claim, state, answer)
+        while self._clock.unix_ms() < submit.expiry_unix_ms:
+            outcome = write()
             if not isinstance(outcome, Failure):
                 return
             if outcome.reason is not Reason.STORE_UNAVAILABLE:
                 break
-            if self._clock.unix_ms() >= attempt.submit.expiry_unix_ms:
-                break
             gevent.sleep(pause_ms / 1000)
             pause_ms = min(2 * pause_ms, RECORD_RETRY_MAX_MS)
-        logger.warning("outcome_not_recorded", attempt=attempt.attempt_id)
+        logger.warning("outcome_not_recorded", attempt=submit.attempt_id)
 
     def _replay(self, attempt, row):
         """Answer a repeat by the recorded outcome, and wait for it if it is open."""
--- a/nutmegdeal/agent/dispatch.py
+++ b/nutmegdeal/agent/dispatch.py
@@ -9,6 +9,7 @@
 from nutmegdeal.messages import Fate
 
 RUN_SMOOTHING = 0.1
+REQUEUES_MAX = 3
 SUCCESS_STATUS_MIN = 200
 SUCCESS_STATUS_MAX = 299
 
@@ -119,8 +120,8 @@
 
     def end_unanswered(self, attempt, failure):
         """End an attempt whose call returned a Failure."""
-        if failure.reason is Reason.NOT_FOUND:
-            self._board.slots.mark_missing(attempt.adapter, self._clock.monotonic_ms())
+        if failure.reason is Reason.NOT_FOUND and self._requeue(attempt):
+            return
         if not failure.maybe_applied:
             self._endings.refuse(attempt, failure)
             return
@@ -129,6 +130,25 @@
         fate = Fate.IN_DOUBT if is_lost else Fate.FAILED
         self._endings.fail(attempt, fate, failure)
 
+    def _requeue(self, attempt):
+        """Queue an attempt again that the engine refused for lack of its adapter.
+
+        Returns
+        -------
+        bool
+            False for non-idempotent work, whose claim is for one try only.
+        """
+        self._board.slots.mark_missing(attempt.adapter, self._clock.monotonic_ms())
+        if not attempt.submit.idempotent or attempt.requeue_count >= REQUEUES_MAX:
+            return False
+        attempt.requeue_count += 1
+        attempt.state = AttemptState.WAITING
+        self._events.note(
+            attempt.submit, Step.QUEUE, Outcome.QUEUED, detail="adapter not resident"
+        )
+        self._board.notify()
+        return True
+
 
 def check_echo(adapter, head, peer):
     """Return a Failure if an answer isn't from the adapter that was asked for.
--- a/nutmegdeal/tests/agent_parts.py
+++ b/nutmegdeal/tests/agent_parts.py
@@ -26,6 +26,7 @@
 from nutmegdeal.tests.builders import build_configuration
 
 SETTLE_TURNS = 6
+TICK_MS = 500
 LOST = Failure(Reason.CONNECTION_LOST, Step.LOAD, "engine", maybe_applied=True)
 LOAD_FAILED = Failure(Reason.LOAD_FAILED, Step.LOAD, "engine")
 
@@ -216,8 +217,13 @@
             gevent.sleep(0)
 
     def advance(self, step_ms):
-        self.clock.advance(step_ms)
-        self.settle()
+        """Let time pass while the agent keeps its lease."""
+        while step_ms > 0:
+            self.clock.advance(min(step_ms, TICK_MS))
+            step_ms -= TICK_MS
+            if self.agent.board.lease is not None:
+                self.parts.leases.step()
+            self.settle()
 
     def report(self):
         self.parts.reports.read_once()
