Share the weight store's limits by start times taken from one row

Cause: an equal part of 4 loads a second left busy agents waiting while others were idle. Weighed: equal share, share by lagging demand, tranches by compare-and-set (docs/design/0005).

--- a/nutmegdeal/agent/assembly.py
+++ b/nutmegdeal/agent/assembly.py
@@ -6,7 +6,6 @@
 
 from nutmegdeal.agent.batches import WeightedBatchOrder
 from nutmegdeal.agent.blackboard import Blackboard
-from nutmegdeal.agent.budgets import EqualShareBudget
 from nutmegdeal.agent.claims import ClaimRunner
 from nutmegdeal.agent.configuring import ConfigurationController, PolicyTuner
 from nutmegdeal.agent.dispatch import Dispatcher
@@ -22,6 +21,7 @@
 from nutmegdeal.agent.relay import FrameFlusher, Relay
 from nutmegdeal.agent.reports import Reporter
 from nutmegdeal.agent.scheduling import Scheduler
+from nutmegdeal.agent.shares import ShareController, SharedBudget
 from nutmegdeal.agent.streams import StreamHandler
 from nutmegdeal.configuration import WeightStorePolicy
 from nutmegdeal.leases import TableLease
@@ -57,7 +57,7 @@
             self.board.slots,
             WeightedBatchOrder(STALL_WEIGHT_DEFAULT),
             WeightedEviction(STALL_WEIGHT_DEFAULT),
-            EqualShareBudget(WEIGHT_STORE_DEFAULT, agent_count=1),
+            SharedBudget(WEIGHT_STORE_DEFAULT, 1, clock),
             LoadBackoff(random.Random(incarnation)),
         )
         self.load_times = LoadTimes(WEIGHT_STORE_DEFAULT, agent_count=1)
@@ -184,8 +184,16 @@
         self.reports = ReportController(
             agent.board, engine, agent.clock, agent.settings.agent
         )
+        self.shares = ShareController(
+            agent.board, agent.planner.budget, agent.platform.table, agent.clock
+        )
         self.scheduler = agent.build_scheduler(engine, self.orders.give)
 
     def loops(self):
         """Return the functions to run in greenlets."""
-        return (self.leases.run, self.reports.run, self.scheduler.run)
+        return (
+            self.leases.run,
+            self.reports.run,
+            self.shares.run,
+            self.scheduler.run,
+        )
--- a/nutmegdeal/agent/blackboard.py
+++ b/nutmegdeal/agent/blackboard.py
@@ -50,6 +50,10 @@
         Until when no other agent can be in charge, by the last check of the lease.
     run_ms : float
         Moving average of what a request takes at the backend server.
+    wanted_load_count : int
+        Loads for which there is or can be room, and that wait for the budget.
+    loads_wanted : gevent.event.Event
+        Set when there are such loads.
     changed : gevent.event.Event
         Set when there may be something to plan.
     """
@@ -71,6 +75,8 @@
     trusted_from_ms: float = math.inf
     in_charge_until_ms: float = 0.0
     run_ms: float = 0.0
+    wanted_load_count: int = 0
+    loads_wanted: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     changed: gevent.event.Event = attrs.field(factory=gevent.event.Event)
 
     @property
--- a/nutmegdeal/agent/budgets.py
+++ b/nutmegdeal/agent/budgets.py
@@ -44,6 +44,11 @@
         """Give back a load in transit that has ended."""
         self.transit_count = max(0, self.transit_count - 1)
 
+    def restart(self, now_ms):
+        """Begin with nothing saved up, as when this budget takes over from another."""
+        self._level_count = 0.0
+        self._updated_ms = now_ms
+
     def next_start_ms(self, now_ms):
         """Return when the next load may start, as far as the rate decides."""
         self._fill(now_ms)
@@ -148,6 +153,7 @@
 
 HOLD_LAPSES_AFTER_MS = 4_000
 GRANT_AHEAD_MS = 500.0
+GRANT_KEPT_MS = 1_000.0
 
 
 def take_grants(row, weight_store, holder, wanted_count, ended_count, now_unix_ms):
@@ -225,13 +231,16 @@
         self.next_grant_unix_ms = grant.row.next_start_unix_ms
         self.ended_count -= returned_count
 
-    def drop_unused(self):
-        """Give back the grants that nothing waits for."""
-        self.ended_count += len(self._starts_unix_ms)
-        self._starts_unix_ms.clear()
+    def _drop_old(self):
+        """Give back grants left unused, or several agents could start many at once."""
+        oldest_unix_ms = self._clock.unix_ms() - GRANT_KEPT_MS
+        kept = [start for start in self._starts_unix_ms if start >= oldest_unix_ms]
+        self.ended_count += len(self._starts_unix_ms) - len(kept)
+        self._starts_unix_ms = kept
 
     def try_start(self, now_ms):
         """Take leave to start one load; return whether it is given."""
+        self._drop_old()
         if not self._starts_unix_ms:
             return False
         if self._starts_unix_ms[0] > self._clock.unix_ms():
--- a/nutmegdeal/agent/planning.py
+++ b/nutmegdeal/agent/planning.py
@@ -35,7 +35,8 @@
     orders : tuple of slots.Order
         Loads and unloads to give; their state in the table is open already.
     wanted_load_count : int
-        Loads that wait for the weight store's budget.
+        Loads that wait for the weight store's budget, at most as many as there is or
+        can be room for.
     """
 
     dispatches: tuple[Dispatch, ...] = ()
@@ -95,7 +96,20 @@
         evictions = []
         if wanted_count and may_evict:
             evictions = self._make_room(left, wanted_count, now_ms)
-        return Plan(dispatches, (*repeats, *loads, *evictions), wanted_count)
+        room_count = self._room_count(left, may_evict)
+        return Plan(
+            dispatches, (*repeats, *loads, *evictions), min(wanted_count, room_count)
+        )
+
+    def _room_count(self, waiting, may_evict):
+        """Return the slots that are free or can be emptied now (int)."""
+        evicting_count = len(self.slots.adapters_in(SlotState.EVICTING))
+        if not may_evict:
+            return self.slots.free_count + evicting_count
+        wanted = {item.adapter for item in waiting}
+        idle = self.slots.adapters_in(SlotState.RESIDENT) - wanted
+        idle_count = sum(not self.slots.pin_count(adapter) for adapter in idle)
+        return self.slots.free_count + evicting_count + idle_count
 
     def _dispatch(self, waiting, running, free_batch_count, now_ms):
         resident = self.slots.adapters_in(SlotState.RESIDENT)
--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -40,7 +40,6 @@
         self._endings = endings
         self._clock = clock
         self._load_times = load_times
-        self.wanted_load_count = 0
 
     def run(self):
         """Plan until the greenlet is killed."""
@@ -50,7 +49,7 @@
             self._board.changed.clear()
 
     def _pause_ms(self):
-        if not self.wanted_load_count:
+        if not self._board.wanted_load_count:
             return PAUSE_MAX_MS
         now_ms = self._clock.monotonic_ms()
         next_ms = self._planner.budget.next_start_ms(now_ms)
@@ -73,7 +72,9 @@
             now_ms,
         )
         self._note_load_starts(plan, now_ms)
-        self.wanted_load_count = plan.wanted_load_count
+        self._board.wanted_load_count = plan.wanted_load_count
+        if plan.wanted_load_count:
+            self._board.loads_wanted.set()
         self._note_load_waits(now_ms)
         for dispatch in plan.dispatches:
             self._dispatch(dispatch, now_ms)
@@ -86,7 +87,7 @@
         greenlet.link(self._board.running_greenlets.discard)
 
     def _note_load_starts(self, plan, now_ms):
-        had_waited = self.wanted_load_count > 0
+        had_waited = self._board.wanted_load_count > 0
         for order in plan.orders:
             if order.kind is OrderKind.LOAD:
                 self._load_times.record_start(now_ms, had_waited)
--- a/nutmegdeal/tests/agent_parts.py
+++ b/nutmegdeal/tests/agent_parts.py
@@ -215,6 +215,8 @@
         for _ in range(SETTLE_TURNS):
             self.parts.scheduler.step()
             gevent.sleep(0)
+            if self.agent.board.wanted_load_count:
+                self.parts.shares.step()
 
     def advance(self, step_ms):
         """Let time pass while the agent keeps its lease."""
