--- a/nutmegdeal/tests/agent_parts.py
+++ b/nutmegdeal/tests/agent_parts.py
@@ -270,6 +270,7 @@
         parts.reports.read_once()
     session = RecordingSession()
     agent.board.sessions.add(session)
+    agent.reporter.open(session)
     return Rig(agent, parts, backend, clock, table, recorder, session)
 
 
