--- /dev/null
+++ b/nutmegdeal/bench/generations.py
@@ -0,0 +1,150 @@
+"""What a change of configuration costs: objects, bytes and processor time."""
+
+import json
+import time
+
+import attrs
+
+from nutmegdeal.acceptance import accept
+from nutmegdeal.clock import SystemClock
+from nutmegdeal.configuration import (
+    AdapterPolicy,
+    Configuration,
+    OperationPolicy,
+    ServicePolicy,
+    WeightStorePolicy,
+)
+from nutmegdeal.fakes.memory import MemoryObjects, MemoryTable
+from nutmegdeal.generations import StoredConfigurationKeeper
+from nutmegdeal.messages import BackendKind, Urgency
+
+CHANGE_COUNT = 20
+
+
+class CountingObjects(MemoryObjects):
+    """Counts the objects and bytes that are read."""
+
+    def __init__(self):
+        super().__init__()
+        self.got_count = 0
+        self.got_bytes = 0
+
+    def get(self, name):
+        """Return the bytes under `name`."""
+        body = super().get(name)
+        self.got_count += 1
+        self.got_bytes += len(body)
+        return body
+
+
+@attrs.frozen
+class GenerationCost:
+    """Cost at one number of adapters, a change as the mean of `CHANGE_COUNT`.
+
+    Parameters
+    ----------
+    adapter_count : int
+    first_objects, first_bytes : int
+        Read by a process that knows nothing.
+    first_cpu_ms : float
+    change_objects, change_bytes : float
+        Read by a process that has the generation before.
+    change_cpu_ms : float
+    accept_cpu_ms : float
+        Used by the operator's command.
+    """
+
+    adapter_count: int
+    first_objects: int
+    first_bytes: int
+    first_cpu_ms: float
+    change_objects: float
+    change_bytes: float
+    change_cpu_ms: float
+    accept_cpu_ms: float
+
+
+def run(adapter_count):
+    """Return the GenerationCost of a number of adapters."""
+    table, objects = MemoryTable(), CountingObjects()
+    configuration = _build_configuration(adapter_count)
+    accept(configuration, 0, "accept-0", table, objects)
+    objects.got_count = objects.got_bytes = 0
+    keeper = StoredConfigurationKeeper(table, objects, SystemClock())
+    first_cpu_ms = _measure_cpu_ms(keeper.refresh)
+    first_objects, first_bytes = objects.got_count, objects.got_bytes
+    objects.got_count = objects.got_bytes = 0
+    accept_cpu_ms = change_cpu_ms = 0.0
+    change_objects = change_bytes = 0
+    for generation in range(1, CHANGE_COUNT + 1):
+        configuration = _change(configuration, generation)
+        accept_cpu_ms += _measure_cpu_ms(
+            accept, configuration, generation, f"accept-{generation}", table, objects
+        )
+        objects.got_count = objects.got_bytes = 0
+        change_cpu_ms += _measure_cpu_ms(keeper.refresh)
+        change_objects += objects.got_count
+        change_bytes += objects.got_bytes
+    return GenerationCost(
+        adapter_count,
+        first_objects,
+        first_bytes,
+        first_cpu_ms,
+        change_objects / CHANGE_COUNT,
+        change_bytes / CHANGE_COUNT,
+        change_cpu_ms / CHANGE_COUNT,
+        accept_cpu_ms / CHANGE_COUNT,
+    )
+
+
+def _measure_cpu_ms(function, *arguments):
+    begun_s = time.process_time()
+    function(*arguments)
+    return (time.process_time() - begun_s) * 1000
+
+
+def _build_configuration(adapter_count):
+    operation = OperationPolicy("c", "POST", "/v1/completions", True, Urgency.URGENT)
+    service = ServicePolicy(
+        "assist-llm",
+        BackendKind.MODEL_ENGINE,
+        (operation,),
+        replica_count=6,
+        concurrency_max=16,
+        base_model="m",
+        slot_count=8,
+    )
+    names = [f"quote-{number:05}" for number in range(adapter_count)]
+    adapters = {name: _build_adapter(name, 1) for name in names}
+    return Configuration(
+        0,
+        "t",
+        "r",
+        ("z",),
+        0.5,
+        WeightStorePolicy(4.0),
+        {service.name: service},
+        adapters,
+    )
+
+
+def _build_adapter(name, version):
+    versions = (str(version), str(version + 1))
+    return AdapterPolicy(name, "assist-llm", versions, versions[-1])
+
+
+def _change(configuration, number):
+    names = list(configuration.adapters)
+    name = names[number * 977 % len(names)]
+    changed = {name: _build_adapter(name, number + 1)}
+    return attrs.evolve(configuration, adapters={**configuration.adapters, **changed})
+
+
+def main():
+    """Print the cost at three sizes, one JSON object a line."""
+    for adapter_count in (3_000, 10_000, 37_000):
+        print(json.dumps(attrs.asdict(run(adapter_count))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/nutmegdeal/bench/ledger.py
@@ -0,0 +1,288 @@
+"""What the ledger costs: writes and added time of each way to keep it."""
+
+import json
+import random
+
+import attrs
+
+from nutmegdeal.bench.simulated_time import LimitedTable, SimulatedResult, Simulation
+from nutmegdeal.configuration import Fencing
+from nutmegdeal.leases import TableLease
+from nutmegdeal.ledger import LedgerAnswer, LedgerState, MayDispatch, TableLedger
+from nutmegdeal.ledger_rules import FinishRule, ledger_key
+from nutmegdeal.messages import Submit, Urgency
+from nutmegdeal.platform.grouping import GroupCommitTable
+from nutmegdeal.platform.table import Write, Written
+from nutmegdeal.records import encode_record
+from nutmegdeal.settings import AgentSettings
+
+WAYS = ("two_synchronous", "one_synchronous", "batched_outcomes", "grouped")
+ANSWER = LedgerAnswer(200, "application/json", b"x" * 300)
+FLUSH_EVERY_MS = 100.0
+BATCH_ROWS_MAX = 100
+DEADLINE_MS = 30_000
+EXPIRY_MS = 600_000
+
+
+@attrs.frozen
+class LedgerLoad:
+    """What is offered, and to what.
+
+    Parameters
+    ----------
+    requests_per_s : float
+        Non-idempotent requests, Poisson arrivals.
+    agent_count : int
+        Agents that they are spread over.
+    writes_per_s : float
+        Rate of the table service.
+    counts_rows : bool
+        True if that rate counts rows, False if it counts transactions.
+    one_way_ms : float
+        Time of a message to the table service or back.
+    backend_ms : float
+        Time that the backend server takes.
+    duration_s : float
+    seed : int
+    """
+
+    requests_per_s: float = 5.0
+    agent_count: int = 3
+    writes_per_s: float = 300.0
+    counts_rows: bool = False
+    one_way_ms: float = 0.5
+    backend_ms: float = 20.0
+    duration_s: float = 60.0
+    seed: int = 1
+
+
+@attrs.frozen
+class LedgerCost:
+    """What one way cost.
+
+    Parameters
+    ----------
+    way : str
+    requests_per_s : float
+    request_count : int
+    transactions_per_request, rows_per_request : float
+    added_p50_ms, added_p99_ms : float
+        Time that a caller waits for the ledger.
+    unrecorded_p99_ms : float
+        Time from an answer to its record; a repeat waits for as long, and a crash
+        within it leaves the request in doubt.
+    """
+
+    way: str
+    requests_per_s: float
+    request_count: int
+    transactions_per_request: float
+    rows_per_request: float
+    added_p50_ms: float
+    added_p99_ms: float
+    unrecorded_p99_ms: float
+
+
+@attrs.define
+class _Agent:
+    """One agent's ledger and its outcomes that wait to be written."""
+
+    ledger: TableLedger
+    outbox: list = attrs.Factory(list)
+    is_flushing: bool = False
+
+
+class LedgerBench:
+    """One run of one way."""
+
+    def __init__(self, way, load):
+        self._way = way
+        self._load = load
+        self._simulation = Simulation()
+        self._table = LimitedTable(
+            self._simulation, load.writes_per_s, load.one_way_ms, load.counts_rows
+        )
+        self._agents = [self._build_agent() for _ in range(load.agent_count)]
+        self._added_ms = []
+        self._unrecorded_ms = []
+
+    def _build_agent(self):
+        table = self._table
+        if self._way == "grouped":
+            table = GroupCommitTable(
+                table,
+                self._simulation.spawn,
+                lambda: SimulatedResult(self._simulation),
+            )
+        return _Agent(TableLedger(table, self._simulation.clock))
+
+    def run(self):
+        """Return the LedgerCost."""
+        source = random.Random(self._load.seed)
+        at_ms, count = 0.0, 0
+        while at_ms < self._load.duration_s * 1000:
+            at_ms += source.expovariate(self._load.requests_per_s) * 1000
+            count += 1
+            submit = self._build_submit(count, at_ms)
+            agent = source.choice(self._agents)
+            self._simulation.spawn(
+                lambda agent=agent, submit=submit: self._request(agent, submit), at_ms
+            )
+        self._simulation.run()
+        return LedgerCost(
+            way=self._way,
+            requests_per_s=self._load.requests_per_s,
+            request_count=count,
+            transactions_per_request=self._table.transaction_count / count,
+            rows_per_request=self._table.row_count / count,
+            added_p50_ms=_percentile(self._added_ms, 50),
+            added_p99_ms=_percentile(self._added_ms, 99),
+            unrecorded_p99_ms=_percentile(self._unrecorded_ms, 99),
+        )
+
+    def _build_submit(self, number, at_ms):
+        unix_ms = self._simulation.clock.unix_ms() + int(at_ms)
+        return Submit(
+            request_id=f"r{number}",
+            attempt_id=f"r{number}.1",
+            service="hire-core",
+            method="POST",
+            path="/bookings",
+            content_type="application/json",
+            body=b"{}",
+            adapter="",
+            version="",
+            urgency=Urgency.URGENT,
+            idempotent=False,
+            idempotency_key=f"k{number}",
+            expiry_unix_ms=unix_ms + EXPIRY_MS,
+            deadline_unix_ms=unix_ms + DEADLINE_MS,
+            generation=1,
+        )
+
+    def _request(self, agent, submit):
+        simulation = self._simulation
+        begun_ms = simulation.now_ms
+        claim = agent.ledger.begin(submit, "agent")
+        added_ms = simulation.now_ms - begun_ms
+        if not isinstance(claim, MayDispatch):
+            self._added_ms.append(float("inf"))
+            return
+        simulation.sleep(self._load.backend_ms)
+        answered_ms = simulation.now_ms
+        if self._way == "two_synchronous":
+            agent.ledger.finish(claim, LedgerState.COMPLETED, ANSWER)
+            added_ms += simulation.now_ms - answered_ms
+            self._unrecorded_ms.append(0.0)
+        elif self._way == "batched_outcomes":
+            self._put(agent, claim, answered_ms)
+        else:
+            agent.ledger.finish(claim, LedgerState.COMPLETED, ANSWER)
+            self._unrecorded_ms.append(simulation.now_ms - answered_ms)
+        self._added_ms.append(added_ms)
+
+    def _put(self, agent, claim, answered_ms):
+        agent.outbox.append((claim, answered_ms))
+        if not agent.is_flushing:
+            agent.is_flushing = True
+            self._simulation.spawn(lambda: self._flush(agent))
+
+    def _flush(self, agent):
+        while agent.outbox:
+            self._simulation.sleep(FLUSH_EVERY_MS)
+            batch = agent.outbox[:BATCH_ROWS_MAX]
+            del agent.outbox[:BATCH_ROWS_MAX]
+            result = self._table.write([_outcome_write(claim) for claim, _ in batch])
+            assert isinstance(result, Written)
+            for _, answered_ms in batch:
+                self._unrecorded_ms.append(self._simulation.now_ms - answered_ms)
+        agent.is_flushing = False
+
+
+def _outcome_write(claim):
+    rule = FinishRule(claim, LedgerState.COMPLETED, ANSWER)
+    key = ledger_key(claim.row.service, claim.row.key)
+    return Write(key, encode_record(rule.outcome), claim.version)
+
+
+def _percentile(values, percent):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
+
+
+def run(load):
+    """Return the LedgerCost of each way under a LedgerLoad, in a tuple."""
+    return tuple(LedgerBench(way, load).run() for way in WAYS)
+
+
+@attrs.frozen
+class LeaseCost:
+    """Renewals of a fleet at one term.
+
+    Parameters
+    ----------
+    term_ms : int
+    replica_count : int
+    renewals_per_s : float
+    takeover_ms : float
+        How long a successor waits if the holder dies just after a renewal.
+    """
+
+    term_ms: int
+    replica_count: int
+    renewals_per_s: float
+    takeover_ms: float
+
+
+def run_leases(terms_ms, replica_count, fencing, duration_s=7_200.0):
+    """Return the LeaseCost of each term, from one lease renewed in simulated time."""
+    return tuple(
+        _run_lease(term_ms, replica_count, fencing, duration_s) for term_ms in terms_ms
+    )
+
+
+def _run_lease(term_ms, replica_count, fencing, duration_s):
+    simulation = Simulation()
+    table = LimitedTable(simulation, 1e9, 0.0, counts_rows=False)
+    settings = AgentSettings(lease_term_ms=term_ms)
+    clock = simulation.clock
+    lease = TableLease(table, "lease/s/h", "a", clock, settings, fencing)
+    successor = TableLease(table, "lease/s/h", "b", clock, settings, fencing)
+    waits_ms = []
+
+    def hold():
+        lease.acquire()
+        while simulation.now_ms < duration_s * 1000:
+            simulation.sleep(500)
+            lease.renew()
+        lease.renew()
+        begun_ms = simulation.now_ms
+        if successor.acquire() is not None:
+            simulation.sleep(successor.retry_at_unix_ms - clock.unix_ms())
+            successor.acquire()
+        waits_ms.append(simulation.now_ms - begun_ms)
+
+    simulation.spawn(hold)
+    simulation.run()
+    renewals = table.transaction_count - 2
+    return LeaseCost(
+        term_ms, replica_count, replica_count * renewals / duration_s, waits_ms[0]
+    )
+
+
+def main():
+    """Print the costs of the ledger and of leases, one JSON object a line."""
+    for counts_rows in (False, True):
+        for rate in (5.0, 100.0, 250.0, 400.0):
+            load = LedgerLoad(
+                requests_per_s=rate, counts_rows=counts_rows, duration_s=20.0
+            )
+            for cost in run(load):
+                print(json.dumps({"counts_rows": counts_rows, **attrs.asdict(cost)}))
+    for fencing in Fencing:
+        for cost in run_leases((15_000, 60_000, 300_000, 900_000), 10_000, fencing):
+            print(json.dumps({"fencing": fencing.value, **attrs.asdict(cost)}))
+
+
+if __name__ == "__main__":
+    main()
--- a/nutmegdeal/ledger_rules.py
+++ b/nutmegdeal/ledger_rules.py
@@ -188,14 +188,14 @@
         if answer is not None and len(answer.body) > ANSWER_BYTES_MAX:
             answer = None
         self._claim = claim
-        self._outcome = attrs.evolve(claim.row, state=state, answer=answer)
+        self.outcome = attrs.evolve(claim.row, state=state, answer=answer)
 
     def decide(self, stored, in_doubt):
         """Replace the claim by the outcome."""
-        if stored.row == self._outcome:
+        if stored.row == self.outcome:
             return stored.row
         if stored.row == self._claim.row:
-            return self._outcome
+            return self.outcome
         detail = "the row no longer holds this attempt's claim"
         return Failure(Reason.STORE_CONFLICT, Step.LEDGER, "", detail)
 
