--- a/nutmegdeal/agent/platform.py
+++ b/nutmegdeal/agent/platform.py
@@ -5,6 +5,7 @@
 from nutmegdeal.accounts import SegmentRecorder
 from nutmegdeal.generations import ConfigurationKeeper, StoredConfigurationKeeper
 from nutmegdeal.ledger import Ledger, TableLedger
+from nutmegdeal.platform.grouping import GroupCommitTable
 from nutmegdeal.platform.hosts import HostList, HttpHostList
 from nutmegdeal.platform.objects import HttpObjectStore
 from nutmegdeal.platform.table import HttpTableService, TableService
@@ -39,7 +40,7 @@
         table=table,
         hosts=HttpHostList(settings.platform.hosts_url, within_ms),
         keeper=StoredConfigurationKeeper(table, objects, clock),
-        ledger=TableLedger(table, clock),
+        ledger=TableLedger(GroupCommitTable(table), clock),
         recorder=SegmentRecorder(
             objects, settings.process.name, incarnation, clock, settings.accounts
         ),
--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -27,6 +27,7 @@
 from nutmegdeal.identifiers import RequestIdSource, new_incarnation
 from nutmegdeal.ledger import TableLedger
 from nutmegdeal.log import get_logger
+from nutmegdeal.platform.grouping import GroupCommitTable
 from nutmegdeal.platform.hosts import HttpHostList
 from nutmegdeal.platform.objects import HttpObjectStore
 from nutmegdeal.platform.table import HttpTableService
@@ -81,7 +82,9 @@
         self._hosts = HostsController(self._board, platform.hosts)
         client = ChannelClient(GreenletBridge(), settings.channel)
         self._links = AgentLinks(self._board, client)
-        self._parts = self._build_parts(TableLedger(platform.table, clock))
+        self._parts = self._build_parts(
+            TableLedger(GroupCommitTable(platform.table), clock)
+        )
         service = EntryService(
             self._parts, self._recorder, RequestIdSource(incarnation)
         )
