--- /dev/null
+++ b/nutmegdeal/bench/loop.py
@@ -0,0 +1,88 @@
+"""Discrete-event loop whose greenlets sleep in simulated time."""
+
+import heapq
+import itertools
+
+import greenlet
+
+from nutmegdeal.clock import ManualClock
+
+
+class Sleeper:
+    """A sleeping greenlet that is woken once.
+
+    Parameters
+    ----------
+    owner : greenlet.greenlet
+    """
+
+    def __init__(self, owner):
+        self._owner = owner
+        self._is_awake = False
+
+    def wake(self, value):
+        """Continue the greenlet with `value` as the result of its sleep."""
+        if self._is_awake:
+            return
+        self._is_awake = True
+        self._owner.switch(value)
+
+
+class SimulationLoop:
+    """Events in the order of their simulated time.
+
+    Attributes
+    ----------
+    clock : ManualClock
+    """
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self._events = []
+        self._sequence = itertools.count()
+        self._hub = None
+
+    @property
+    def now_ms(self):
+        """Simulated time (float)."""
+        return self.clock.monotonic_ms()
+
+    def call_at(self, at_ms, function, *arguments):
+        """Call a function at a time, not before now."""
+        event = (max(at_ms, self.now_ms), next(self._sequence), function, arguments)
+        heapq.heappush(self._events, event)
+
+    def call_later(self, wait_ms, function, *arguments):
+        """Call a function after a wait."""
+        self.call_at(self.now_ms + wait_ms, function, *arguments)
+
+    def spawn(self, function, *arguments):
+        """Run a function soon in a greenlet of its own, and return the greenlet."""
+        spawned = greenlet.greenlet(function, parent=self._hub)
+        self.call_later(0.0, spawned.switch, *arguments)
+        return spawned
+
+    def begin_sleep(self):
+        """Return the Sleeper with which the current greenlet can be woken."""
+        return Sleeper(greenlet.getcurrent())
+
+    def sleep(self, wait_ms, sleeper=None):
+        """Suspend the current greenlet.
+
+        Returns
+        -------
+        object
+            None after the whole wait, else the value that `sleeper` was woken with.
+        """
+        sleeper = sleeper or self.begin_sleep()
+        self.call_later(wait_ms, sleeper.wake, None)
+        return self._hub.switch()
+
+    def run(self, until_ms):
+        """Run the events up to a time."""
+        self._hub = greenlet.getcurrent()
+        while self._events and self._events[0][0] <= until_ms:
+            at_ms, _sequence, function, arguments = heapq.heappop(self._events)
+            self.clock.advance_to(at_ms)
+            function(*arguments)
+        self.clock.advance_to(until_ms)
