--- a/nutmegdeal/bench/engine.py
+++ b/nutmegdeal/bench/engine.py
@@ -3,39 +3,48 @@
 import attrs
 
 from nutmegdeal.backends.base import EngineReport, ModelEngine
+from nutmegdeal.bench.bound import Use
 from nutmegdeal.bench.teams import BATCH_SIZE, SLOT_COUNT, TOKEN_MS
 from nutmegdeal.errors import Failure, Reason, Step
 
 
 @attrs.define
 class BatchMeter:
-    """Integrates how full a batch is while it runs anything.
+    """Integrates how full a batch is while its engine has work.
 
     Parameters
     ----------
     busy_ms, filled_ms : float
-        Time with a request running, and that time weighed by the batch's fullness.
+        Time with requests running or waiting, and that weighed by the batch's fullness.
     """
 
     busy_ms: float = 0.0
     filled_ms: float = 0.0
     _running_count: int = 0
+    _has_work: bool = False
     _since_ms: float = 0.0
+    _is_stopped: bool = False
 
-    def change(self, running_count, now_ms):
-        """Note a change of the number of running requests."""
-        span_ms = now_ms - self._since_ms
-        if self._running_count:
+    def change(self, running_count, has_work, now_ms):
+        """Note the number of running requests and whether any runs or waits."""
+        if self._has_work and not self._is_stopped:
+            span_ms = now_ms - self._since_ms
             self.busy_ms += span_ms
             self.filled_ms += span_ms * self._running_count / BATCH_SIZE
         self._running_count = running_count
+        self._has_work = has_work
         self._since_ms = now_ms
 
     def reset(self, now_ms):
         """Forget what was measured so far."""
-        self.change(self._running_count, now_ms)
+        self.change(self._running_count, self._has_work, now_ms)
         self.busy_ms = self.filled_ms = 0.0
 
+    def stop(self, now_ms):
+        """Measure up to now and no further."""
+        self.change(self._running_count, self._has_work, now_ms)
+        self._is_stopped = True
+
 
 class FakeEngine(ModelEngine):
     """Engine that batches continuously and loads through a TransferSchedule.
@@ -72,10 +81,9 @@
         if len(self._sleepers) >= BATCH_SIZE:
             raise AssertionError(f"{self.name} was sent more than its batch")
         self._sleepers[attempt_id] = sleeper = self._loop.begin_sleep()
-        self._note_running()
+        self.uses.append(Use(self._loop.now_ms, engine_name))
         cut = self._loop.sleep(token_count * TOKEN_MS, sleeper)
-        self._sleepers.pop(attempt_id, None)
-        self._note_running()
+        self._sleepers.pop(attempt_id)
         return cut
 
     def load(self, engine_name, fence):
@@ -99,7 +107,7 @@
     def unload(self, engine_name, fence):
         """Drop an adapter at once; return None or a Failure."""
         self._resident.discard(engine_name)
-        return None
+        return
 
     def report(self):
         """Return an EngineReport."""
@@ -125,5 +133,8 @@
         self.is_down = True
         self.restart()
 
-    def _note_running(self):
-        self.meter.change(len(self._sleepers), self._loop.now_ms)
+    def note_work(self, waiting_count):
+        """Note how many requests wait for the engine."""
+        running_count = len(self._sleepers)
+        has_work = running_count + waiting_count > 0
+        self.meter.change(running_count, has_work, self._loop.now_ms)
--- /dev/null
+++ b/nutmegdeal/bench/entry.py
@@ -0,0 +1,229 @@
+"""An entry's own classes, run in simulated time."""
+
+import attrs
+
+from nutmegdeal.bench.measures import RequestLog
+from nutmegdeal.bench.teams import COMPLETION_PATH, VERSION
+from nutmegdeal.entry.agents import AVOID_AFTER_FAILURE_MS, AgentLink, AttemptLost
+from nutmegdeal.entry.attempts import AttemptPlan, Finish
+from nutmegdeal.entry.blackboard import Blackboard
+from nutmegdeal.entry.budget import RetryBudget
+from nutmegdeal.entry.degree import DegreeTracker
+from nutmegdeal.entry.placement import Placement
+from nutmegdeal.entry.requests import Target
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.identifiers import AdapterRef, attempt_id, request_of_attempt
+from nutmegdeal.messages import AnswerEnd, AttemptEnded, Submit
+from nutmegdeal.settings import ProcessSettings, Settings
+
+HOP_MS = 0.5
+
+
+@attrs.define(eq=False)
+class OpenRequest:
+    """A request that this entry has not finished.
+
+    Parameters
+    ----------
+    request_id : str
+    log : RequestLog
+    target : Target
+    plan : AttemptPlan
+    excluded : set of str
+        Agents tried before.
+    sent_ms : float
+        When the current attempt was sent.
+    """
+
+    request_id: str
+    log: RequestLog
+    target: Target
+    plan: AttemptPlan
+    excluded: set = attrs.field(factory=set)
+    sent_ms: float = 0.0
+
+
+class BenchSession:
+    """What an agent answers one entry through.
+
+    Parameters
+    ----------
+    loop : SimulationLoop
+    receive : callable
+        Takes each message at the entry.
+    """
+
+    peer = "entry"
+
+    def __init__(self, loop, receive):
+        self._loop = loop
+        self._receive = receive
+
+    def send(self, message):
+        """Deliver a message after the network's time."""
+        self._loop.call_later(HOP_MS, self._receive, message)
+
+
+class BenchLinks:
+    """The AgentLinks of one entry.
+
+    Parameters
+    ----------
+    loop : SimulationLoop
+    """
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._links = {}
+
+    def add(self, host):
+        """Add the link to a host's agent."""
+        self._links[host.host_id] = AgentLink(host)
+
+    def link_of(self, host_id):
+        """Return the AgentLink of a host."""
+        return self._links[host_id]
+
+    def may_be_chosen(self, link):
+        """Return whether new work may go to an agent now."""
+        return self._loop.now_ms >= link.avoid_until_ms
+
+
+class BenchEntry:
+    """One entry.
+
+    Parameters
+    ----------
+    entry_id, zone : str
+    loop : SimulationLoop
+    agents : dict of str to BenchAgent
+    policies : PolicySet
+    """
+
+    def __init__(self, entry_id, zone, loop, agents, policies):
+        self._entry_id = entry_id
+        self._loop = loop
+        self._agents = agents
+        self._configuration = policies.configuration
+        settings = Settings(process=ProcessSettings(zone=zone))
+        self._attempts_max = settings.entry.attempts_max
+        self._board = Blackboard(settings, loop.clock, None, entry_id, entry_id)
+        self._links = BenchLinks(loop)
+        for agent in agents.values():
+            self._links.add(agent.host)
+        self.replace_hosts([agent.host for agent in agents.values()])
+        self._placement = Placement(
+            self._board, self._links, policies.make_chooser(entry_id), DegreeTracker()
+        )
+        self._budget = RetryBudget(settings.entry.retry_ratio)
+        self._session = BenchSession(loop, self._receive)
+        self._open = {}
+
+    def replace_hosts(self, hosts):
+        """Take over the host list."""
+        self._board.replace_hosts(hosts)
+
+    def begin(self, request_id, log):
+        """Take in a caller's request.
+
+        Parameters
+        ----------
+        request_id : str
+        log : RequestLog
+        """
+        plan = AttemptPlan(True, self._attempts_max, self._budget)
+        target = self._build_target(log.arrival)
+        request = OpenRequest(request_id, log, target, plan)
+        self._open[request_id] = request
+        self._placement.observe_request(target)
+        self._follow(request, plan.start())
+
+    def take_report(self, agent_id, report):
+        """Note an AgentReport."""
+        self._links.link_of(agent_id).take_report(report, self._loop.now_ms)
+
+    def lose_agent(self, agent_id):
+        """Note that the stream to an agent broke."""
+        link = self._links.link_of(agent_id)
+        link.avoid_until_ms = self._loop.now_ms + AVOID_AFTER_FAILURE_MS
+        failure = Failure(Reason.CONNECTION_LOST, Step.SUBMIT, agent_id)
+        for attempt in tuple(link.inboxes):
+            self._receive(AttemptLost(attempt, failure))
+
+    def _build_target(self, arrival):
+        (service,) = self._configuration.services.values()
+        return Target(
+            service=service,
+            operation=service.operations[0],
+            method="POST",
+            path=COMPLETION_PATH,
+            body=b"",
+            urgency=arrival.urgency,
+            adapter=AdapterRef(arrival.adapter, VERSION),
+        )
+
+    def _follow(self, request, step):
+        if isinstance(step, Finish):
+            del self._open[request.request_id]
+            request.log.finish(step.fate, self._loop.now_ms)
+            return
+        self._send(request, step.number)
+
+    def _send(self, request, number):
+        link = self._placement.choose(request.target, frozenset(request.excluded))
+        if isinstance(link, Failure):
+            self._follow(request, request.plan.on_no_replica(link))
+            return
+        agent_id = link.host.host_id
+        request.excluded.add(agent_id)
+        agent = self._agents[agent_id]
+        if agent.engine.is_down:
+            link.avoid_until_ms = self._loop.now_ms + AVOID_AFTER_FAILURE_MS
+            failure = Failure(Reason.CONNECTION_LOST, Step.SUBMIT, agent_id)
+            self._follow(request, request.plan.on_not_sent(failure))
+            return
+        request.plan.on_sent()
+        request.sent_ms = self._loop.now_ms
+        request.log.attempted_at(agent_id)
+        submit = self._build_submit(request, number)
+        link.inboxes[submit.attempt_id] = link
+        link.sent_since_report_count += 1
+        self._loop.call_later(HOP_MS, agent.submit, self._session, submit)
+
+    def _build_submit(self, request, number):
+        arrival = request.log.arrival
+        remaining_ms = arrival.deadline_ms - self._loop.now_ms
+        return Submit(
+            request_id=request.request_id,
+            attempt_id=attempt_id(request.request_id, number),
+            service=request.target.service.name,
+            method="POST",
+            path=COMPLETION_PATH,
+            content_type="application/json",
+            body=b"",
+            adapter=arrival.adapter,
+            version=VERSION,
+            urgency=arrival.urgency,
+            idempotent=True,
+            idempotency_key="",
+            expiry_unix_ms=0,
+            deadline_unix_ms=self._loop.clock.unix_ms() + int(remaining_ms),
+            generation=self._configuration.generation,
+        )
+
+    def _receive(self, message):
+        if not isinstance(message, AnswerEnd | AttemptEnded | AttemptLost):
+            return
+        request = self._open.get(request_of_attempt(message.attempt_id))
+        link = self._links.link_of(request.log.agent_id)
+        link.inboxes.pop(message.attempt_id)
+        link.take_hold(self._loop.now_ms - request.sent_ms)
+        if isinstance(message, AttemptLost):
+            self._follow(request, request.plan.on_lost(message.failure))
+            return
+        self._placement.observe_hint(request.target, message.degree_hint)
+        if isinstance(message, AttemptEnded):
+            self._follow(request, request.plan.on_ended(message))
+            return
+        request.log.note_waits(message.load_stall_ms, message.queue_ms)
+        self._follow(request, request.plan.on_whole())
--- a/nutmegdeal/bench/traffic.py
+++ b/nutmegdeal/bench/traffic.py
@@ -1,4 +1,4 @@
-"""Seeded traffic of the bench: who asks for which adapter, when, and what goes wrong."""
+"""Seeded traffic of the bench: who asks for which adapter, and what goes wrong."""
 
 import bisect
 import enum
@@ -166,9 +166,7 @@
         options, scenario=Scenario.STEADY, rate_per_s=COUNTER_RATE_PER_S
     )
     urgent = ClassShare(Urgency.URGENT, 1.0, options.team.classes[0].answer_within_ms)
-    counter = attrs.evolve(
-        counter, team=attrs.evolve(options.team, classes=(urgent,))
-    )
+    counter = attrs.evolve(counter, team=attrs.evolve(options.team, classes=(urgent,)))
     intake = [
         Arrival(
             options.warm_ms + random_source.uniform(0, INTAKE_SPREAD_MS),
--- a/nutmegdeal/fakes/transfers.py
+++ b/nutmegdeal/fakes/transfers.py
@@ -37,7 +37,7 @@
         self.rate_factor = 1.0
         self.transit_count = 0
         self.transit_count_max = 0
-        self.over_rate_count = 0
+        self.delayed_count = 0
 
     @property
     def rate_per_s(self):
@@ -47,13 +47,13 @@
     def try_begin(self, now_ms):
         """Begin a load; return its Transfer, or None if it is over the rate."""
         if not self._rate_limit.try_take(now_ms, self.rate_per_s):
-            self.over_rate_count += 1
             return None
         return self._transfer(now_ms, now_ms)
 
     def begin(self, now_ms):
         """Begin a load, in line if it is over the rate; return its Transfer."""
         due_ms = self._rate_limit.take(now_ms, self.rate_per_s)
+        self.delayed_count += due_ms > now_ms
         return self._transfer(now_ms, due_ms)
 
     def finish(self):
