Let the scheduler's greenlets be simulated; stop its planning every millisecond

Cause: with loads wanted but every slot pinned, or no place in transit, the budget's next start is now, and the scheduler planned again each ms, over the whole queue. Change: wait for the wake-up that the end of a load or request gives; keep the Waiting of an attempt instead of building it at each plan.

--- a/nutmegdeal/agent/attempts.py
+++ b/nutmegdeal/agent/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at a request, from its arrival at the agent to its last message."""
 
 import enum
+import functools
 import hashlib
 
 import attrs
@@ -83,12 +84,12 @@
         """Id of the attempt."""
         return self.submit.attempt_id
 
-    @property
+    @functools.cached_property
     def adapter(self):
         """Engine name of its adapter, "" for a plain service."""
         return engine_name_of(self.submit)
 
-    @property
+    @functools.cached_property
     def waiting(self):
         """The attempt as the policies see it while it waits."""
         return Waiting(
--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -28,10 +28,20 @@
     endings : Endings
     clock : Clock
     load_times : LoadTimes
+    spawn : callable
+        Runs a function in a greenlet of its own.
     """
 
     def __init__(
-        self, board, planner, run_attempt, give_order, endings, clock, load_times
+        self,
+        board,
+        planner,
+        run_attempt,
+        give_order,
+        endings,
+        clock,
+        load_times,
+        spawn=gevent.spawn,
     ):
         self._board = board
         self._planner = planner
@@ -40,20 +50,25 @@
         self._endings = endings
         self._clock = clock
         self._load_times = load_times
+        self._spawn = spawn
         self.wanted_load_count = 0
 
     def run(self):
         """Plan until the greenlet is killed."""
         while True:
             self.step()
-            self._board.changed.wait(self._pause_ms() / 1000)
+            self._board.changed.wait(self.pause_ms() / 1000)
             self._board.changed.clear()
 
-    def _pause_ms(self):
+    def pause_ms(self):
+        """Return the longest wait (float) before the next plan."""
         if not self.wanted_load_count:
             return PAUSE_MAX_MS
         now_ms = self._clock.monotonic_ms()
         next_ms = self._planner.budget.next_start_ms(now_ms)
+        if next_ms <= now_ms:
+            # Loads wait for a slot or a place in transit, whose end wakes the scheduler.
+            return PAUSE_MAX_MS
         return min(max(next_ms - now_ms, PAUSE_MIN_MS), PAUSE_MAX_MS)
 
     def step(self):
@@ -77,7 +92,7 @@
         for dispatch in plan.dispatches:
             self._dispatch(dispatch, now_ms)
         for order in plan.orders:
-            gevent.spawn(self._give_order, order)
+            self._spawn(self._give_order, order)
 
     def _note_load_starts(self, plan, now_ms):
         had_waited = self.wanted_load_count > 0
@@ -120,7 +135,7 @@
         telemetry.record_batch(
             running_count, self._board.batch_size_max, self._board.service
         )
-        attempt.greenlet = gevent.spawn(self._run_pinned, attempt, dispatch.pin)
+        attempt.greenlet = self._spawn(self._run_pinned, attempt, dispatch.pin)
         self._board.running_greenlets.add(attempt.greenlet)
 
     def _run_pinned(self, attempt, pin):
--- a/nutmegdeal/bench/entry.py
+++ b/nutmegdeal/bench/entry.py
@@ -4,7 +4,7 @@
 
 from nutmegdeal.bench.measures import RequestLog
 from nutmegdeal.bench.teams import COMPLETION_PATH, VERSION
-from nutmegdeal.entry.agents import AVOID_AFTER_FAILURE_MS, AgentLink, AttemptLost
+from nutmegdeal.entry.agents import AVOID_FIRST_MS, AgentLink, AttemptLost
 from nutmegdeal.entry.attempts import AttemptPlan, Finish
 from nutmegdeal.entry.blackboard import Blackboard
 from nutmegdeal.entry.budget import RetryBudget
@@ -64,6 +64,13 @@
         self._loop.call_later(HOP_MS, self._receive, message)
 
 
+@attrs.frozen
+class FixedConfiguration:
+    """Stands for a configuration keeper whose head never moves."""
+
+    current: object
+
+
 class BenchLinks:
     """The AgentLinks of one entry.
 
@@ -107,7 +114,13 @@
         self._configuration = policies.configuration
         settings = Settings(process=ProcessSettings(zone=zone))
         self._attempts_max = settings.entry.attempts_max
-        self._board = Blackboard(settings, loop.clock, None, entry_id, entry_id)
+        self._board = Blackboard(
+            settings,
+            loop.clock,
+            FixedConfiguration(policies.configuration),
+            entry_id,
+            entry_id,
+        )
         self._links = BenchLinks(loop)
         for agent in agents.values():
             self._links.add(agent.host)
@@ -145,7 +158,7 @@
     def lose_agent(self, agent_id):
         """Note that the stream to an agent broke."""
         link = self._links.link_of(agent_id)
-        link.avoid_until_ms = self._loop.now_ms + AVOID_AFTER_FAILURE_MS
+        link.avoid_until_ms = self._loop.now_ms + AVOID_FIRST_MS
         failure = Failure(Reason.CONNECTION_LOST, Step.SUBMIT, agent_id)
         for attempt in tuple(link.inboxes):
             self._receive(AttemptLost(attempt, failure))
@@ -178,7 +191,7 @@
         request.excluded.add(agent_id)
         agent = self._agents[agent_id]
         if agent.engine.is_down:
-            link.avoid_until_ms = self._loop.now_ms + AVOID_AFTER_FAILURE_MS
+            link.avoid_until_ms = self._loop.now_ms + AVOID_FIRST_MS
             failure = Failure(Reason.CONNECTION_LOST, Step.SUBMIT, agent_id)
             self._follow(request, request.plan.on_not_sent(failure))
             return
@@ -187,7 +200,7 @@
         request.log.attempted_at(agent_id)
         submit = self._build_submit(request, number)
         link.inboxes[submit.attempt_id] = link
-        link.sent_since_report_count += 1
+        link.note_sent(submit)
         self._loop.call_later(HOP_MS, agent.submit, self._session, submit)
 
     def _build_submit(self, request, number):
--- a/nutmegdeal/bench/loop.py
+++ b/nutmegdeal/bench/loop.py
@@ -34,6 +34,8 @@
     Attributes
     ----------
     clock : ManualClock
+    is_stopped : bool
+        True once `stop` was called.
     """
 
     def __init__(self):
@@ -41,6 +43,7 @@
         self._events = []
         self._sequence = itertools.count()
         self._hub = None
+        self.is_stopped = False
 
     @property
     def now_ms(self):
@@ -78,10 +81,14 @@
         self.call_later(wait_ms, sleeper.wake, None)
         return self._hub.switch()
 
+    def stop(self):
+        """End the run after the current event."""
+        self.is_stopped = True
+
     def run(self, until_ms):
         """Run the events up to a time."""
         self._hub = greenlet.getcurrent()
-        while self._events and self._events[0][0] <= until_ms:
+        while not self.is_stopped and self._events and self._events[0][0] <= until_ms:
             at_ms, _sequence, function, arguments = heapq.heappop(self._events)
             self.clock.advance_to(at_ms)
             function(*arguments)
--- a/nutmegdeal/bench/runs.py
+++ b/nutmegdeal/bench/runs.py
@@ -25,6 +25,7 @@
 HOST_LIST_LAG_MS = 2_000.0
 DRAIN_MS = 60_000.0
 DRAIN_STEP_MS = 1_000.0
+OPEN_MAX_COUNT = 1_000
 AGENT_HOST = "127.0.0.1"
 POLICY_CLASSES = {PolicyName.OURS: OwnPolicies, PolicyName.NAIVE: NaivePolicies}
 
@@ -95,7 +96,8 @@
         self.loop.call_at(self.options.disturbed_at_ms, self._disturb)
         self.loop.run(self.options.end_ms)
         self._end_measuring()
-        self._drain()
+        if not self.loop.is_stopped:
+            self._drain()
 
     def _arrive(self, number, arrival):
         request_id = f"r-{number}"
@@ -114,8 +116,17 @@
                 self.loop.call_later(HOP_MS, entry.take_report, agent_id, report)
         if self._is_intake_done():
             self._end_measuring()
+        if self.options.stops_when_refused and self._has_failed():
+            self.loop.stop()
+            return
         self.loop.call_later(REPORT_EVERY_MS, self._report)
 
+    def _has_failed(self):
+        measured = measured_logs(self.logs, self.options)
+        open_count = sum(log.fate is None for log in measured)
+        is_late = any(not log.is_good for log in measured if log.fate is not None)
+        return is_late or open_count > OPEN_MAX_COUNT
+
     def _is_intake_done(self):
         options = self.options
         if self.loop.now_ms < options.warm_ms + DRAIN_MS / 2:
--- a/nutmegdeal/bench/sustained.py
+++ b/nutmegdeal/bench/sustained.py
@@ -55,5 +55,11 @@
 
 
 def _holds(name, options, rate_per_s):
-    tried = attrs.evolve(options, scenario=Scenario.STEADY, rate_per_s=rate_per_s)
-    return is_sustained(play_policy(name, tried).measure())
+    tried = attrs.evolve(
+        options,
+        scenario=Scenario.STEADY,
+        rate_per_s=rate_per_s,
+        stops_when_refused=True,
+    )
+    fleet = play_policy(name, tried)
+    return not fleet.loop.is_stopped and is_sustained(fleet.measure())
--- a/nutmegdeal/bench/traffic.py
+++ b/nutmegdeal/bench/traffic.py
@@ -76,6 +76,10 @@
     warm_ms, measured_ms : float
         The run starts empty; measuring starts after `warm_ms`. A disturbance comes
         in the middle of the measured time.
+    intake_count : int
+        Requests of the overnight queue.
+    stops_when_refused : bool
+        True if the run ends as soon as a measured request is refused or late.
     """
 
     team: object
@@ -85,6 +89,8 @@
     rate_per_s: float = 10.0
     warm_ms: float = 60_000.0
     measured_ms: float = 120_000.0
+    intake_count: int = INTAKE_COUNT
+    stops_when_refused: bool = False
 
     @property
     def disturbed_at_ms(self):
@@ -175,7 +181,7 @@
             random_source.randint(INTAKE_TOKENS_MIN, INTAKE_TOKENS_MAX),
             options.warm_ms + INTAKE_WITHIN_MS,
         )
-        for _ in range(INTAKE_COUNT)
+        for _ in range(options.intake_count)
     ]
     both = generate_arrivals(counter) + intake
     return sorted(both, key=lambda arrival: arrival.at_ms)
--- /dev/null
+++ b/nutmegdeal/tests/test_policy_bench.py
@@ -0,0 +1,124 @@
+"""Small seeded runs of the policy bench, and tests of its parts."""
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from nutmegdeal.bench.bound import Use, count_fewest_loads
+from nutmegdeal.bench.loop import SimulationLoop
+from nutmegdeal.bench.measures import summarize_waits
+from nutmegdeal.bench.policies import PolicyName
+from nutmegdeal.bench.runs import compare, play_policy
+from nutmegdeal.bench.teams import TEAMS
+from nutmegdeal.bench.traffic import RunOptions, Scenario, generate_arrivals
+from nutmegdeal.messages import Fate
+
+
+def build_options(**changes):
+    values = {
+        "team": TEAMS["knusepool"],
+        "scenario": Scenario.STEADY,
+        "seed": 7,
+        "warm_ms": 20_000.0,
+        "measured_ms": 30_000.0,
+        "intake_count": 300,
+    }
+    return RunOptions(**{**values, **changes})
+
+
+def test_loop_wakes_greenlets_in_order_of_time():
+    loop, seen = SimulationLoop(), []
+
+    def nap(name, wait_ms):
+        loop.sleep(wait_ms)
+        seen.append((name, loop.now_ms))
+
+    loop.spawn(nap, "late", 20.0)
+    loop.spawn(nap, "early", 10.0)
+    loop.run(100.0)
+    assert seen == [("early", 10.0), ("late", 20.0)]
+
+
+def test_sleeper_wakes_once():
+    loop, results = SimulationLoop(), []
+
+    def nap():
+        sleeper = loop.begin_sleep()
+        loop.call_later(5.0, sleeper.wake, "cut")
+        results.append((loop.sleep(20.0, sleeper), loop.now_ms))
+
+    loop.spawn(nap)
+    loop.run(100.0)
+    assert results == [("cut", 5.0)]
+
+
+def fewest_loads_by_search(adapters, slot_count):
+    """Return the fewest loads by trying every choice of what to drop."""
+    states = {frozenset(): 0}
+    for adapter in adapters:
+        following = {}
+        for held, count in states.items():
+            for kept, cost in _choices(held, adapter, slot_count):
+                best = following.get(kept, count + cost)
+                following[kept] = min(best, count + cost)
+        states = following
+    return min(states.values())
+
+
+def _choices(held, adapter, slot_count):
+    if adapter in held:
+        return [(held, 0)]
+    if len(held) < slot_count:
+        return [(held | {adapter}, 1)]
+    kept = itertools.combinations(sorted(held), slot_count - 1)
+    return [(frozenset(choice) | {adapter}, 1) for choice in kept]
+
+
+@given(st.lists(st.sampled_from("abcde"), max_size=14), st.integers(1, 3))
+def test_bound_is_the_fewest_loads_of_any_choice(adapters, slot_count):
+    uses = [Use(float(at_ms), adapter) for at_ms, adapter in enumerate(adapters)]
+    expected = fewest_loads_by_search(adapters, slot_count)
+    assert count_fewest_loads(uses, slot_count, 0.0) == expected
+
+
+def test_percentiles_are_of_the_sorted_waits():
+    waits = summarize_waits(float(value) for value in range(100, 0, -1))
+    assert (waits.p50_ms, waits.p95_ms, waits.p99_ms) == (50, 95, 99)
+
+
+def test_traffic_repeats_by_seed_and_the_shift_changes_what_is_popular():
+    options = build_options(scenario=Scenario.SHIFT)
+    arrivals = generate_arrivals(options)
+    assert arrivals == generate_arrivals(options)
+
+    def most_popular(is_late):
+        names = [a.adapter for a in arrivals if (a.at_ms > 35_000) == is_late]
+        return max(sorted(set(names)), key=names.count)
+
+    assert most_popular(False) != most_popular(True)
+
+
+@pytest.mark.parametrize("scenario", list(Scenario))
+def test_every_request_ends_and_limits_hold(scenario):
+    fleet = play_policy(PolicyName.OURS, build_options(scenario=scenario))
+    fates = {log.fate for log in fleet.logs}
+    # Bulk work may wait for longer than the run.
+    if scenario not in (Scenario.OVERNIGHT, Scenario.OVERLOAD3X):
+        assert fates <= {Fate.COMPLETED, Fate.NOT_RUN}
+    result = fleet.measure()
+    assert result.transit_max_count <= 16
+    assert result.all_classes.good_count > 0
+
+
+def test_runs_repeat_by_seed():
+    options = build_options(scenario=Scenario.COLD_RESTART)
+    assert compare(options) == compare(options)
+
+
+@pytest.mark.parametrize("team", sorted(TEAMS))
+def test_ours_needs_no_more_loads_than_naive_in_steady_traffic(team):
+    comparison = compare(build_options(team=TEAMS[team]))
+    assert comparison.ours.load_count <= comparison.naive.load_count
+    assert comparison.ours.load_count >= comparison.bound.load_count
