--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -67,7 +67,7 @@
         now_ms = self._clock.monotonic_ms()
         next_ms = self._planner.budget.next_start_ms(now_ms)
         if next_ms <= now_ms:
-            # Loads wait for a slot or a place in transit, whose end wakes the scheduler.
+            # The end of what holds the loads back wakes the scheduler.
             return PAUSE_MAX_MS
         return min(max(next_ms - now_ms, PAUSE_MIN_MS), PAUSE_MAX_MS)
 
