--- a/nutmegdeal/bench/agent.py
+++ b/nutmegdeal/bench/agent.py
@@ -1,5 +1,6 @@
 """An agent's own classes, run in simulated time over a fake engine."""
 
+import math
 import random
 
 from nutmegdeal.agent.attempts import Attempt, AttemptState
@@ -156,7 +157,8 @@
             slots=SlotTable(SLOT_COUNT),
             has_report=True,
             lease=HeldLease(),
-            may_dispatch=True,
+            trusted_from_ms=0.0,
+            in_charge_until_ms=math.inf,
             changed=self._signal,
         )
         self.planner = Planner(
--- a/nutmegdeal/bench/loop.py
+++ b/nutmegdeal/bench/loop.py
@@ -8,6 +8,32 @@
 from nutmegdeal.clock import ManualClock
 
 
+class SimulatedGreenlet(greenlet.greenlet):
+    """Greenlet that calls what was linked to it when it ends, as gevent's do.
+
+    Parameters
+    ----------
+    function : callable
+    parent : greenlet.greenlet
+    """
+
+    def __init__(self, function, parent):
+        super().__init__(self._run_linked, parent)
+        self._function = function
+        self._callbacks = []
+
+    def link(self, callback):
+        """Call `callback` with this greenlet when it has ended."""
+        self._callbacks.append(callback)
+
+    def _run_linked(self, *arguments):
+        try:
+            self._function(*arguments)
+        finally:
+            for callback in self._callbacks:
+                callback(self)
+
+
 class Sleeper:
     """A sleeping greenlet that is woken once.
 
@@ -61,7 +87,7 @@
 
     def spawn(self, function, *arguments):
         """Run a function soon in a greenlet of its own, and return the greenlet."""
-        spawned = greenlet.greenlet(function, parent=self._hub)
+        spawned = SimulatedGreenlet(function, self._hub)
         self.call_later(0.0, spawned.switch, *arguments)
         return spawned
 
