Give a repeat the recorded answer with the fate of the first call; test leaving agents

A backend server's whole error answer was completed for the first call and failed for a repeat. Process test: an agent that gets SIGTERM, and a host that the list calls leaving, are no errors to callers while another home exists; the last one gone gives 503.

--- a/nutmegdeal/entry/attempts.py
+++ b/nutmegdeal/entry/attempts.py
@@ -207,12 +207,12 @@
         return self._conclude(failure)
 
     def _judge_row(self, row):
-        if row.state is LedgerState.COMPLETED and row.answer is not None:
+        if row.answer is not None:
             return Finish(Fate.COMPLETED, None, row.answer)
         if row.state in (LedgerState.COMPLETED, LedgerState.FAILED):
             detail = "it ran, but its answer was not recorded"
             failure = Failure(Reason.INCOMPLETE_ANSWER, Step.LEDGER, "", detail)
-            return Finish(Fate.FAILED, failure, row.answer)
+            return Finish(Fate.FAILED, failure)
         if row.state is LedgerState.NOT_RUN:
             self._outstanding = False
             detail = "the ledger says that it was not run"
--- a/nutmegdeal/tests/test_entry_program.py
+++ b/nutmegdeal/tests/test_entry_program.py
@@ -176,11 +176,13 @@
             for name, service, backend in (
                 ("engine-0", "assist-llm", backends.engine),
                 ("plain-0", "hire-core", backends.plain),
+                ("plain-1", "hire-core", backends.plain),
             )
         ]
         entries = [
             build_entry("engine-0", "assist-llm", agents[0]),
             build_entry("plain-0", "hire-core", agents[1]),
+            build_entry("plain-1", "hire-core", agents[2]),
         ]
         backends.hosts.call("PUT", "/hosts", {"hosts": entries})
         text = f"{platform}[process]\nname = entry-1\nzone = dk-west-1\n"
@@ -209,7 +211,8 @@
     assert len(site.backends.plain_runs("booking-7")) == 1
 
     status = site.call("GET", "/status").json()
-    assert len(status["links"]) == 2
+    services = {link["service"] for link in status["links"]}
+    assert services == {"assist-llm", "hire-core"}
     assert status["generation"] == 1
 
 
@@ -282,6 +285,25 @@
         text=True,
     )
     wait_until(lambda: site.backends.plain_runs("k"))
-    site.agents[1].process.kill()
+    for agent in site.agents[1:]:
+        agent.process.kill()
     output, _ = client.communicate(timeout=STOP_WITHIN_S)
     assert output.split() == ["502", "in_doubt"]
+
+
+@pytest.mark.promise(6)
+def test_leaving_agents_are_no_errors_to_callers(site):
+    def look_up():
+        return site.call("GET", "/services/hire-core/availability").status
+
+    assert {look_up() for _ in range(20)} == {200}
+    site.agents[1].process.send_signal(signal.SIGTERM)
+    assert {look_up() for _ in range(50)} == {200}
+    assert site.agents[1].process.wait(STOP_WITHIN_S) == 0
+    assert {look_up() for _ in range(50)} == {200}
+    entries = [build_entry("plain-1", "hire-core", site.agents[2], "leaving")]
+    site.backends.hosts.call("PUT", "/hosts", {"hosts": entries})
+    wait_until(lambda: look_up() == 503)
+    ran = len(site.backends.plain.record()["runs"])
+    assert {look_up() for _ in range(20)} == {503}
+    assert len(site.backends.plain.record()["runs"]) == ran
--- a/nutmegdeal/tests/test_entry_relay.py
+++ b/nutmegdeal/tests/test_entry_relay.py
@@ -168,6 +168,22 @@
     assert (finish.fate, finish.answer) == (Fate.COMPLETED, answer)
 
 
+@pytest.mark.parametrize("state", [LedgerState.COMPLETED, LedgerState.FAILED])
+def test_recorded_outcome_without_an_answer_is_failed(state):
+    ledger = ScriptedLedger(fences=[recorded(state)])
+    (finish,) = EntryFixture([CUT], ledger).run(build_booking_call())
+    assert (finish.fate, finish.answer) == (Fate.FAILED, None)
+
+
+def test_repeat_gets_the_recorded_error_as_the_first_call_did():
+    answer = LedgerAnswer(500, "application/json", b"{}")
+    first = Answering(lambda a: build_answer(a, [b"{}"], 500, "application/json"))
+    (given,) = EntryFixture([first]).run(build_booking_call())
+    row = recorded(LedgerState.FAILED, answer).row
+    (repeated,) = EntryFixture([], ScriptedLedger([row])).run(build_booking_call())
+    assert given == repeated
+
+
 def test_booking_is_not_run_while_the_store_is_down():
     fixture = EntryFixture([], ScriptedLedger(lookups=[STORE_DOWN]))
     (finish,) = fixture.run(build_booking_call())
