--- a/nutmegdeal/entry/rendezvous.py
+++ b/nutmegdeal/entry/rendezvous.py
@@ -41,6 +41,8 @@
     spill_factor : float
         Factor on the cost of a load that gives an adapter more copies than its degree:
         such a load delays the loads of other adapters.
+    wanted_factor : float
+        Factor on the cost of a load up to the degree: many later requests gain by it.
     surplus_ms : float
         Cost of using a copy beyond the degree, so that it falls idle and is evicted.
     """
@@ -48,6 +50,7 @@
     stall_weight: float = 0.5
     load_ms: float = 250.0
     spill_factor: float = 2.0
+    wanted_factor: float = 0.25
     surplus_ms: float = 20.0
 
     @classmethod
@@ -114,7 +117,9 @@
         """Return the weighed cost of having a replica load the adapter."""
         load_ms = max(replica.load_wait_ms, self.weights.load_ms)
         factor = self.weights.load_factor
-        return load_ms * factor * (self.weights.spill_factor if is_spill else 1.0)
+        if is_spill:
+            return load_ms * factor * self.weights.spill_factor
+        return load_ms * factor * self.weights.wanted_factor
 
     def _choose_plain(self, request, replicas):
         if len(replicas) > 2:
