--- a/nutmegdeal/entry/agents.py
+++ b/nutmegdeal/entry/agents.py
@@ -125,11 +125,13 @@
         self._blackboard = blackboard
         self._client = client
         self._links = {}
+        self._replaced = []
 
     @property
     def open_links(self):
         """The AgentLinks with an open stream."""
-        return [link for link in self._links.values() if link.is_open]
+        links = [*self._links.values(), *self._replaced]
+        return [link for link in links if link.is_open]
 
     def link_of(self, host_id):
         """Return the AgentLink of a host in the list, or None."""
@@ -142,9 +144,10 @@
         ):
             link.host = host
             return link
-        link = AgentLink(host)
-        self._links[host_id] = link
-        return link
+        if link is not None:
+            self._replaced.append(link)
+        self._links[host_id] = AgentLink(host)
+        return self._links[host_id]
 
     def may_be_chosen(self, link):
         """Return whether new work may go to an agent now."""
@@ -181,15 +184,18 @@
 
     def close_idle(self):
         """Close the streams that have not been used for a while."""
-        now_ms = self._blackboard.clock.monotonic_ms()
-        for host_id, link in tuple(self._links.items()):
-            if link.inboxes or link.opening or now_ms < link.close_at_ms:
-                continue
-            if link.is_open:
+        for link in self.open_links:
+            if self._is_idle(link):
                 link.session.close()
-            if host_id not in self._blackboard.hosts:
+        self._replaced = [link for link in self._replaced if link.is_open]
+        for host_id in self._links.keys() - self._blackboard.hosts.keys():
+            if self._is_idle(self._links[host_id]):
                 del self._links[host_id]
 
+    def _is_idle(self, link):
+        now_ms = self._blackboard.clock.monotonic_ms()
+        return not link.inboxes and not link.opening and now_ms >= link.close_at_ms
+
     def close(self):
         """Close all streams."""
         for link in self.open_links:
--- a/nutmegdeal/entry/pollers.py
+++ b/nutmegdeal/entry/pollers.py
@@ -37,7 +37,11 @@
 
     def poll_once(self):
         """Poll now; log the first failure of a series."""
-        result = self._read()
+        try:
+            result = self._read()
+        except Exception:
+            logger.exception("poll_crashed")
+            return
         is_failing = isinstance(result, Failure)
         if is_failing and not self._was_failing:
             logger.warning("poll_failed", failure=str(result))
--- a/nutmegdeal/tests/test_entry_agents.py
+++ b/nutmegdeal/tests/test_entry_agents.py
@@ -18,6 +18,7 @@
 from nutmegdeal.entry.blackboard import Blackboard
 from nutmegdeal.entry.degree import DegreeTracker
 from nutmegdeal.entry.placement import Placement
+from nutmegdeal.entry.pollers import Poller
 from nutmegdeal.entry.rendezvous import RendezvousChooser
 from nutmegdeal.entry.requests import resolve
 from nutmegdeal.errors import Failure, Reason, Step
@@ -175,6 +176,48 @@
     assert not session.is_open
 
 
+def test_stream_to_a_replaced_host_is_used_up_and_closed(fixture):
+    link, old = fixture.open()
+    submit = fixture.send(link)
+    moved = build_host(0, agent_port=9_500)
+    fixture.board.replace_hosts([moved, *build_hosts()[1:]])
+    new_link, new = fixture.open()
+    assert new is not old
+    old.receive(AnswerFrame("r-1.1", 0, b"x"))
+    assert fixture.inbox.qsize() == 1
+    fixture.links.forget(link, submit.attempt_id)
+    fixture.board.clock.advance(2 * IDLE_CLOSE_AFTER_MS)
+    fixture.links.close_idle()
+    assert not old.is_open
+    assert fixture.links.open_links == []
+
+
+def test_host_gone_from_the_list_finishes_its_attempts(fixture):
+    link, session = fixture.open()
+    submit = fixture.send(link)
+    fixture.board.replace_hosts([])
+    fixture.board.clock.advance(2 * IDLE_CLOSE_AFTER_MS)
+    fixture.links.close_idle()
+    assert session.is_open
+    fixture.links.forget(link, submit.attempt_id)
+    fixture.board.clock.advance(IDLE_CLOSE_AFTER_MS)
+    fixture.links.close_idle()
+    assert not session.is_open
+
+
+def test_crash_of_one_poll_does_not_end_polling():
+    calls = []
+
+    def read():
+        calls.append(1)
+        raise RuntimeError("bug")
+
+    poller = Poller(read, 1)
+    poller.poll_once()
+    poller.poll_once()
+    assert len(calls) == 2
+
+
 def test_messages_go_to_the_attempt_that_they_name(fixture):
     link, session = fixture.open()
     fixture.send(link)
