--- a/nutmegdeal/account_reader.py
+++ b/nutmegdeal/account_reader.py
@@ -17,6 +17,7 @@
 from nutmegdeal.ledger_rows import LedgerRow, is_row_of
 from nutmegdeal.ledger_rules import ledger_key
 from nutmegdeal.records import decode_record
+from nutmegdeal.segment_search import find_start, request_number
 
 NAMES_PAGE_COUNT = 1_000
 
@@ -99,7 +100,7 @@
 
 
 class AccountReader:
-    """Collects the evidence about one request.
+    """Collects the evidence about one request; not to be used for a second one.
 
     Parameters
     ----------
@@ -111,6 +112,7 @@
     def __init__(self, objects, find_row):
         self._objects = objects
         self._find_row = find_row
+        self._segments = {}
 
     def read(self, request_id):
         """Return the Evidence about a request; what could not be read is a hole."""
@@ -135,9 +137,14 @@
         if isinstance(names, Failure):
             hole = Hole(0, NO_END_UNIX_MS, Cause.UNREADABLE)
             return _Reading((), Coverage(incarnation, holes=(hole,)))
-        segments, holes = self._read_segments(names, window)
+        chosen = [name for name in names if window.meets(name)]
+        if incarnation == entry_of_request(request_id):
+            chosen = names[self._find_start(names, request_id) :]
+        segments, holes = self._read_segments(chosen, names, request_id)
         holes += find_missing(names)
         watermark = self._read_watermark(incarnation)
+        if watermark is not None and watermark.segment_count > count_segments(names):
+            holes.append(find_tail_hole(names, watermark))
         holders = [*segments, watermark] if watermark else segments
         coverage = Coverage(
             incarnation,
@@ -148,10 +155,6 @@
             is_final=watermark is not None and watermark.is_final,
             holes=tuple(holes),
         )
-        if watermark is not None and watermark.segment_count > count_segments(names):
-            coverage = attrs.evolve(
-                coverage, holes=(*holes, find_tail_hole(names, watermark))
-            )
         events = tuple(
             event
             for segment in segments
@@ -160,6 +163,13 @@
         )
         return _Reading(events, coverage)
 
+    def _find_start(self, names, request_id):
+        return find_start(
+            len(names),
+            request_number(request_id),
+            lambda index: self._read_segment(names[index]),
+        )
+
     def _list_segments(self, incarnation):
         """Return the SegmentNames of an incarnation by sequence, or a Failure."""
         prefix = accounts.account_prefix(incarnation)
@@ -175,13 +185,14 @@
         parsed = [segment for segment in map(SegmentName.parse, names) if segment]
         return sorted(parsed, key=lambda segment: segment.sequence)
 
-    def _read_segments(self, names, window):
-        """Return the Segments within a window, and the last, and their holes."""
+    def _read_segments(self, chosen, names, request_id):
+        """Return the Segments under chosen names, and the last, and their holes.
+
+        Reading stops where the entry has answered the request.
+        """
         segments, holes = [], []
-        for name in names:
-            if not window.meets(name) and name is not names[-1]:
-                continue
-            segment = self._read_record(name.name, accounts.Segment)
+        for name in chosen:
+            segment = self._read_segment(name)
             if segment is None:
                 span = (name.first_unix_ms, name.last_unix_ms)
                 holes.append(Hole(*span, Cause.UNREADABLE))
@@ -191,8 +202,19 @@
                 Hole(gap.first_unix_ms, gap.last_unix_ms, Cause.DROPPED)
                 for gap in segment.gaps
             ]
+            if has_entry_end(segment, request_id):
+                return segments, holes
+        last = self._read_segment(names[-1]) if names else None
+        if last is not None and last not in segments:
+            segments.append(last)
         return segments, holes
 
+    def _read_segment(self, name):
+        """Return the Segment under a SegmentName, or None; keep it for this reader."""
+        if name not in self._segments:
+            self._segments[name] = self._read_record(name.name, accounts.Segment)
+        return self._segments[name]
+
     def _read_watermark(self, incarnation):
         name = accounts.watermark_name(incarnation)
         return self._read_record(name, accounts.Watermark)
@@ -208,6 +230,14 @@
             return None
 
 
+def has_entry_end(segment, request_id):
+    """Return whether a Segment holds the last event of a request at its entry."""
+    if segment.incarnation != entry_of_request(request_id):
+        return False
+    own = (event for event in segment.events if event.request_id == request_id)
+    return any(map(is_end, own))
+
+
 def count_segments(names):
     """Return the number of segments that were ever written, as far as is known."""
     return names[-1].sequence + 1 if names else 0
