--- a/nutmegdeal/accounts.py
+++ b/nutmegdeal/accounts.py
@@ -13,6 +13,7 @@
 import abc
 import collections
 import enum
+import zlib
 
 import attrs
 import gevent
@@ -27,6 +28,7 @@
 
 SEGMENT_EVENTS_MAX = 5_000
 RECORDING_LAG_MS = 50
+COMPRESSION_LEVEL = 1
 
 
 class Outcome(enum.StrEnum):
@@ -195,8 +197,8 @@
 
 
 def encode(record):
-    """Return the msgpack bytes of a Segment or a Watermark."""
-    return _converter.dumps(record)
+    """Return the bytes of a Segment or a Watermark: msgpack, compressed by zlib."""
+    return zlib.compress(_converter.dumps(record), COMPRESSION_LEVEL)
 
 
 def decode(body, record_class):
@@ -208,7 +210,7 @@
         If `body` holds no such record.
     """
     try:
-        return _converter.loads(body, record_class)
+        return _converter.loads(zlib.decompress(body), record_class)
     except Exception as error:
         text = f"not a {record_class.__name__}: {error}"
         raise ValueError(text) from error
--- a/nutmegdeal/tests/test_ctl.py
+++ b/nutmegdeal/tests/test_ctl.py
@@ -130,6 +130,18 @@
     assert (account["fate"], account["ran"]) == ("completed", "no")
 
 
+def test_why_says_that_the_ledger_could_not_be_read(site):
+    path, headers = "/services/hire-core/bookings", {"Idempotency-Key": "booking-8"}
+    booked = call(site, "POST", path, {"crusher": 8}, headers)
+    request_id = booked.headers["X-Request-Id"]
+    wait_for_account(site, request_id)
+    site.table.set_faults(down=True)
+    text = site.why(request_id)
+    site.table.set_faults()
+    assert "The ledger row could not be read" in text
+    assert "A backend server ran it." in text
+
+
 def test_why_of_an_unknown_request_exits_6(site):
     assert "Nothing is recorded of it." in site.why("0123456789ab-1", code=6)
 
