--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -40,7 +40,6 @@
         self._endings = endings
         self._clock = clock
         self._load_times = load_times
-        self.wanted_load_count = 0
 
     def run(self):
         """Plan until the greenlet is killed."""
@@ -50,7 +49,7 @@
             self._board.changed.clear()
 
     def _pause_ms(self):
-        if not self.wanted_load_count:
+        if not self._board.wanted_load_count:
             return PAUSE_MAX_MS
         now_ms = self._clock.monotonic_ms()
         next_ms = self._planner.budget.next_start_ms(now_ms)
@@ -60,7 +59,7 @@
         """Plan once and carry the plan out."""
         now_ms = self._clock.monotonic_ms()
         self._expire(now_ms)
-        if not self._board.may_dispatch or self._board.policy is None:
+        if not self._board.may_dispatch(now_ms):
             return
         running = self._board.running_by_adapter()
         free_count = self._board.batch_size_max - sum(running.values())
@@ -69,18 +68,26 @@
             running,
             free_count,
             self._board.may_order,
+            not self._board.takeover.is_open,
             now_ms,
         )
         self._note_load_starts(plan, now_ms)
-        self.wanted_load_count = plan.wanted_load_count
+        self._board.wanted_load_count = plan.wanted_load_count
+        if plan.wanted_load_count:
+            self._board.loads_wanted.set()
         self._note_load_waits(now_ms)
         for dispatch in plan.dispatches:
             self._dispatch(dispatch, now_ms)
         for order in plan.orders:
-            gevent.spawn(self._give_order, order)
+            self._give(order)
+
+    def _give(self, order):
+        greenlet = gevent.spawn(self._give_order, order)
+        self._board.running_greenlets.add(greenlet)
+        greenlet.link(self._board.running_greenlets.discard)
 
     def _note_load_starts(self, plan, now_ms):
-        had_waited = self.wanted_load_count > 0
+        had_waited = self._board.wanted_load_count > 0
         for order in plan.orders:
             if order.kind is OrderKind.LOAD:
                 self._load_times.record_start(now_ms, had_waited)
@@ -116,13 +123,19 @@
         waited_ms = now_ms - attempt.arrived_ms
         attempt.queue_ms = max(0.0, waited_ms - attempt.load_stall_ms)
         telemetry.record_load_stall(attempt.load_stall_ms, self._board.service)
-        running_count = sum(self._board.running_by_adapter().values())
         telemetry.record_batch(
-            running_count, self._board.batch_size_max, self._board.service
+            self._note_running(), self._board.batch_size_max, self._board.service
         )
         attempt.greenlet = gevent.spawn(self._run_pinned, attempt, dispatch.pin)
         self._board.running_greenlets.add(attempt.greenlet)
 
+    def _note_running(self):
+        """Return the number of requests running, and tell the takeover's guard."""
+        running_count = sum(self._board.running_by_adapter().values())
+        now_ms = self._clock.monotonic_ms()
+        self._board.takeover.note_own(running_count, now_ms)
+        return running_count
+
     def _run_pinned(self, attempt, pin):
         try:
             self._run_attempt(attempt)
@@ -133,6 +146,7 @@
             if pin is not None:
                 self._board.slots.unpin(pin)
             self._board.running_greenlets.discard(attempt.greenlet)
+            self._note_running()
             self._board.notify()
 
     def _end_crashed(self, attempt, error):
