--- a/nutmegdeal/bench/weight_share.py
+++ b/nutmegdeal/bench/weight_share.py
@@ -13,21 +13,23 @@
 import attrs
 
 from nutmegdeal.agent.budgets import (
-    GRANT_AHEAD_MS,
     DemandShareBudget,
     EqualShareBudget,
-    TrancheBudget,
-    TrancheRow,
-    take_grants,
+)
+from nutmegdeal.agent.tranches import (
+    SHARED_KEY,
+    SharedBudget,
+    TrancheController,
 )
 from nutmegdeal.clock import ManualClock
 from nutmegdeal.configuration import WeightStorePolicy
+from nutmegdeal.fakes.memory import MemoryTable
 
 TICK_MS = 5
 DEMAND_LAG_MS = 1_000
 DURATION_MS = 600_000
 SKEW = 1.0
-TABLE_CALL_MS = 5
+WANTED_MAX = 4
 
 
 @attrs.frozen
@@ -100,81 +102,37 @@
 
 
 class TrancheSharing(Sharing):
-    """Grants are taken from one row by compare-and-set.
-
-    An agent's write takes `TABLE_CALL_MS`; of those that read the same version, one
-    succeeds and the others read again.
-    """
-
-    tranche_count = 1
+    """Start times are taken from one row by compare-and-set."""
 
     def build_budgets(self, site, store):
         """Return the LoadBudget of each agent."""
-        self._row = TrancheRow()
-        self._store = store
-        self._next_call_ms = [0] * site.agent_count
-        return [TrancheBudget(self.clock) for _ in range(site.agent_count)]
+        self._table = MemoryTable()
+        count = site.agent_count
+        budgets = [SharedBudget(self.clock, store, count) for _ in range(count)]
+        self._controllers = [
+            TrancheController(budget, self._table, f"agent-{index}", self.clock)
+            for index, budget in enumerate(budgets)
+        ]
+        for controller in self._controllers:
+            controller.step(0)
+        return budgets
 
     def update(self, queues):
-        """Let one agent write; the others that want to have lost the race."""
-        now_ms = self.clock.monotonic_ms()
-        callers = [
-            index
-            for index, queue in enumerate(queues)
-            if self._wants(index, queue) and self._next_call_ms[index] <= now_ms
-        ]
-        if not callers:
-            return
-        winner = callers.pop(int(now_ms / TICK_MS) % len(callers))
-        has_written = self._take(winner, queues)
-        for loser in callers:
-            # A conflict shows the row as it is now.
-            self._pause(loser, now_ms)
-        self.conflict_count += len(callers) * has_written
-
-    def _wants(self, index, queue):
-        budget = self.budgets[index]
-        return len(queue) > budget.granted_count
-
-    def _take(self, index, queues):
-        budget = self.budgets[index]
-        wanted_count = min(
-            self.tranche_count, len(queues[index]) - budget.granted_count
-        )
-        returned_count = budget.ended_count
-        grant = take_grants(
-            self._row,
-            self._store,
-            f"agent-{index}",
-            wanted_count,
-            returned_count,
-            self.clock.unix_ms(),
-        )
-        if grant.starts_unix_ms:
-            self.write_count += 1
-            self._row = grant.row
-            budget.accept(grant, returned_count)
-        self._pause(index, self.clock.monotonic_ms())
-        return bool(grant.starts_unix_ms)
-
-    def _pause(self, index, now_ms):
-        """Have an agent call again once the row may grant something."""
-        next_ms = self._row.next_start_unix_ms - self.clock.unix_ms()
-        wait_ms = max(TABLE_CALL_MS, next_ms - GRANT_AHEAD_MS)
-        self._next_call_ms[index] = now_ms + wait_ms
-
-
-class BigTrancheSharing(TrancheSharing):
-    """Up to four grants are taken with one write."""
-
-    tranche_count = 4
+        """Let the agents that want to write, a call's time apart, in turn."""
+        turn = int(self.clock.monotonic_ms() / TICK_MS) % len(queues)
+        wanted_count = min(len(queues[turn]), WANTED_MAX)
+        if self._controllers[turn].is_due(wanted_count):
+            self._controllers[turn].step(wanted_count)
+        row = self._table.rows.get(SHARED_KEY)
+        written_count = row.version if row else 0
+        self.write_count = written_count
+        self.conflict_count = self._table.write_count - written_count
 
 
 WAYS = {
     "equal": EqualSharing,
     "demand": DemandSharing,
-    "tranche_1": TrancheSharing,
-    "tranche_4": BigTrancheSharing,
+    "tranches": TrancheSharing,
 }
 
 
