--- a/nutmegdeal/agent/budgets.py
+++ b/nutmegdeal/agent/budgets.py
@@ -151,7 +151,7 @@
     starts_unix_ms: tuple[float, ...]
 
 
-HOLD_LAPSES_AFTER_MS = 4_000
+HOLD_LAPSES_AFTER_MS = 30_000
 GRANT_AHEAD_MS = 500.0
 GRANT_KEPT_MS = 1_000.0
 
