Measure slopes of memory, time and control bytes; bound the kept homes

Cause: an entry kept up to 50,000 rankings of 32 homes, 3,399 bytes each by nutmegdeal-bench slopes: 126 MB for 37,000 adapters, against 128 MB a node. Ruled out: keeping none (a first ranking takes 21 ms at 10,000 hosts). Before: 3,399 bytes a key, up to 50,000 keys. After: 1,799 bytes a key (16 homes, as many as a choice looks at), up to 16,384 keys, 29 MB at most. Also: make measure-path, nutmegdeal-bench path, bridge and slopes.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN = $(VENV)/bin
 TEST_WORKERS ?= 4
 
-.PHONY: help setup format check lint test search demo pages
+.PHONY: help setup format check lint test search demo pages measure-path
 
 help:  ## List the tasks.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -41,3 +41,6 @@
 search: setup  ## Search long for failures with random seeds, which are printed.
 	NUTMEGDEAL_PROFILE=search $(BIN)/python -m pytest -n $(TEST_WORKERS) \
 		--timeout=3600 -m "not processes" nutmegdeal/tests
+
+measure-path: setup  ## Measure the way through entry and agent on a small site.
+	$(BIN)/python scripts/measure_path.py
--- /dev/null
+++ b/nutmegdeal/bench/slopes.py
@@ -0,0 +1,205 @@
+"""How a process's memory, time and control bytes grow with adapters, hosts and streams.
+
+Memory is what Python allocates (tracemalloc), measured at two sizes; the slope between
+them is what one more adapter, host or stream costs.
+"""
+
+import gc
+import time
+import tracemalloc
+
+import attrs
+import gevent
+
+from nutmegdeal.channel import Address, ChannelClient, ChannelServer, GreenletBridge
+from nutmegdeal.configuration import AdapterPolicy
+from nutmegdeal.entry.homes import HomeTable
+from nutmegdeal.messages import (
+    AgentReport,
+    GenerationNotice,
+    LoadHint,
+    encode_message,
+    join_batch,
+)
+from nutmegdeal.platform.hosts import Host
+from nutmegdeal.settings import ChannelSettings
+
+ADAPTER_COUNTS = (3_000, 37_000)
+HOST_COUNTS = (10, 10_000)
+STREAM_COUNTS = (10, 200)
+RANKED_KEY_COUNT = 200
+RESIDENT_COUNT = 8
+WITHIN_MS = 60_000
+NS_PER_US = 1_000
+
+
+@attrs.frozen
+class Slope:
+    """A cost at two sizes and what one more item adds.
+
+    Parameters
+    ----------
+    name, unit : str
+    small_count, large_count : int
+    small_cost, large_cost : float
+    """
+
+    name: str
+    unit: str
+    small_count: int
+    large_count: int
+    small_cost: float
+    large_cost: float
+
+    @property
+    def per_item(self):
+        """Cost of one more item (float)."""
+        count = self.large_count - self.small_count
+        return (self.large_cost - self.small_cost) / count
+
+
+@attrs.frozen
+class MessageSize:
+    """Encoded bytes of a message that isn't part of a request."""
+
+    name: str
+    size_bytes: int
+
+
+def allocated_bytes(build):
+    """Return the bytes that the result of a function holds."""
+    gc.collect()
+    tracemalloc.start()
+    held = build()
+    gc.collect()
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return size_bytes
+
+
+def measure_slope(name, unit, counts, measure):
+    """Return the Slope of ``measure(count)`` between two counts."""
+    small, large = counts
+    return Slope(name, unit, small, large, measure(small), measure(large))
+
+
+def build_adapters(count):
+    """Return a dict of AdapterPolicy as a Configuration holds it."""
+    names = (f"quote-{number:05}" for number in range(count))
+    return {name: AdapterPolicy(name, "assist-llm", ("1", "2"), "2") for name in names}
+
+
+def build_hosts(count):
+    """Return a dict of Host as an entry holds it, and the HomeTable of the service."""
+    hosts = {
+        f"assist-llm-{number}": Host(
+            f"assist-llm-{number}", "assist-llm", "dk-west-1", "127.0.0.1", number
+        )
+        for number in range(count)
+    }
+    table = HomeTable()
+    table.replace_members(hosts)
+    return hosts, table
+
+
+def rank_us(host_count):
+    """Return the time in us to rank the homes of an adapter seen for the first time."""
+    _, table = build_hosts(host_count)
+    started_ns = time.perf_counter_ns()
+    for number in range(RANKED_KEY_COUNT):
+        table.rank(f"quote-{number:05}@2")
+    return (time.perf_counter_ns() - started_ns) / RANKED_KEY_COUNT / NS_PER_US
+
+
+def rank_again_us(host_count):
+    """Return the time in us to rank the homes of an adapter again."""
+    _, table = build_hosts(host_count)
+    table.rank("quote-00000@2")
+    started_ns = time.perf_counter_ns()
+    for _ in range(RANKED_KEY_COUNT):
+        table.rank("quote-00000@2")
+    return (time.perf_counter_ns() - started_ns) / RANKED_KEY_COUNT / NS_PER_US
+
+
+def ranked_bytes(key_count):
+    """Return the bytes that the kept homes of some adapters take at 10,000 hosts."""
+    _, table = build_hosts(HOST_COUNTS[1])
+
+    def rank():
+        for number in range(key_count):
+            table.rank(f"quote-{number:05}@2")
+
+    return allocated_bytes(rank)
+
+
+def stream_bytes(bridge, count):
+    """Return the bytes of open streams, both ends together."""
+    settings = ChannelSettings(shared_secret="bench")
+
+    def swallow(session):
+        for _ in session.messages():
+            pass
+
+    server = ChannelServer(bridge, settings, swallow)
+    address = server.start(Address("127.0.0.1", 0), WITHIN_MS)
+    client = ChannelClient(bridge, settings)
+    sessions = []
+
+    def connect():
+        sessions.extend(client.connect(address, WITHIN_MS) for _ in range(count))
+        gevent.sleep(0)
+        return sessions
+
+    size_bytes = allocated_bytes(connect)
+    for session in sessions:
+        session.close()
+    server.stop(WITHIN_MS)
+    return size_bytes
+
+
+def measure_slopes():
+    """Return all Slopes."""
+    bridge = GreenletBridge()
+    return (
+        measure_slope(
+            "configuration",
+            "bytes",
+            ADAPTER_COUNTS,
+            lambda count: allocated_bytes(lambda: build_adapters(count)),
+        ),
+        measure_slope(
+            "host list",
+            "bytes",
+            HOST_COUNTS,
+            lambda count: allocated_bytes(lambda: build_hosts(count)),
+        ),
+        measure_slope("homes kept", "bytes", (10, 110), ranked_bytes),
+        measure_slope("first ranking", "us", HOST_COUNTS, rank_us),
+        measure_slope("ranking again", "us", HOST_COUNTS, rank_again_us),
+        measure_slope(
+            "streams, both ends",
+            "bytes",
+            STREAM_COUNTS,
+            lambda count: stream_bytes(bridge, count),
+        ),
+    )
+
+
+def measure_messages():
+    """Return the MessageSize of each message that isn't part of a request."""
+    resident = tuple(f"quote-{number:04}@2" for number in range(RESIDENT_COUNT))
+    report = AgentReport(
+        "assist-llm-0",
+        "a1b2c3d4e5f6",
+        "assist-llm",
+        "dk-west-1",
+        3,
+        resident=resident,
+        valid_until_unix_ms=1_796_336_413_265,
+    )
+    messages = (report, LoadHint(3, 8, 12, 250), GenerationNotice(3))
+    return tuple(
+        MessageSize(type(each).__name__, len(join_batch([encode_message(each)])))
+        for each in messages
+    )
--- a/nutmegdeal/entry/homes.py
+++ b/nutmegdeal/entry/homes.py
@@ -7,8 +7,8 @@
 
 from nutmegdeal.entry.rendezvous import rank_score
 
-HOMES_KEPT = 32
-KEYS_KEPT = 50_000
+HOMES_KEPT = 16
+KEYS_KEPT = 16_384
 CHANGES_KEPT = 1_024
 
 
--- a/nutmegdeal/tools/bench.py
+++ b/nutmegdeal/tools/bench.py
@@ -7,8 +7,12 @@
 import cyclopts
 
 from nutmegdeal import __version__
+from nutmegdeal.bench.bridge import run as measure_bridges
+from nutmegdeal.bench.path import Load
+from nutmegdeal.bench.path import run as run_path
 from nutmegdeal.bench.policies import PolicyName
 from nutmegdeal.bench.runs import compare
+from nutmegdeal.bench.slopes import measure_messages, measure_slopes
 from nutmegdeal.bench.sustained import Sustained, find_sustained_rate
 from nutmegdeal.bench.teams import TEAMS
 from nutmegdeal.bench.traffic import RunOptions, Scenario
@@ -107,6 +111,75 @@
     )
 
 
+@app.command
+def bridge(*, count: int = 2_000):
+    """Compare the ways to join gevent and grpclib, as JSON lines.
+
+    Parameters
+    ----------
+    count
+        Round trips for each way.
+    """
+    for cost in measure_bridges(count):
+        print(json.dumps(attrs.asdict(cost)), flush=True)
+
+
+@app.command
+def slopes():
+    """Measure memory, time and control bytes at two sizes, as JSON lines."""
+    for slope in measure_slopes():
+        fields = attrs.asdict(slope) | {"per_item": round(slope.per_item, 2)}
+        print(json.dumps(fields), flush=True)
+    for size in measure_messages():
+        print(json.dumps(attrs.asdict(size)), flush=True)
+
+
+@app.command
+def path(
+    *,
+    engine_url: str,
+    entry_url: str,
+    entry_pid: int,
+    agent_pid: int,
+    models: tuple[str, ...],
+    rate: float = 130.0,
+    count: int = 1_300,
+    tokens: int = 8,
+    prompt_bytes: int = 100,
+    seed: int = 1,
+):
+    """Compare a load through a running entry with the same straight to the engine.
+
+    ``make measure-path`` starts the processes and calls the same measurement.
+
+    Parameters
+    ----------
+    engine_url
+        Base URL of the stand-in engine.
+    entry_url
+        Base URL of the entry.
+    entry_pid
+        Process id of the entry.
+    agent_pid
+        Process id of the agent beside the engine.
+    models
+        Values of ``model``, taken in turn.
+    rate
+        Requests a second.
+    count
+        Requests.
+    tokens
+        Tokens of each answer.
+    prompt_bytes
+        Size of each prompt.
+    seed
+        Seed of the arrivals.
+    """
+    load = Load(rate, count, tokens, prompt_bytes, models, seed)
+    for figures in run_path(engine_url, entry_url, entry_pid, agent_pid, load):
+        print(json.dumps(attrs.asdict(figures)), flush=True)
+
+
 def main():
     """Run the program."""
     app()
