--- a/nutmegdeal/entry/relay.py
+++ b/nutmegdeal/entry/relay.py
@@ -112,11 +112,15 @@
             return (yield from self._follow(link))
 
     def _start_span(self, number, host_id):
+        adapter = self._prepared.target.adapter
         return start_span(
             "submit",
             self._traceparent,
             request_id=self._request_id,
-            attempt=number,
+            attempt=identifiers.attempt_id(self._request_id, number),
+            adapter=adapter.name if adapter else "",
+            version=adapter.version if adapter else "",
+            generation=self._prepared.generation,
             peer=host_id,
         )
 
--- a/nutmegdeal/fleet.py
+++ b/nutmegdeal/fleet.py
@@ -175,7 +175,7 @@
         resident = ", ".join(link.get("resident", ())) or "none"
         yield (
             f"  agent {link['host_id']} ({link['service']}): "
-            f"generation {link['generation']}, in flight {link['in_flight_count']}, "
-            f"queued {link['queued_count']}, running {link['running_count']}, "
+            f"in flight {link['in_flight_count']}; by its last report generation "
+            f"{link['generation']}, queued {link['queued_count']}, running {link['running_count']}, "
             f"leaving {link['leaving']}, resident: {resident}"
         )
