--- a/nutmegdeal/agent/assembly.py
+++ b/nutmegdeal/agent/assembly.py
@@ -21,8 +21,12 @@
 from nutmegdeal.agent.relay import FrameFlusher, Relay
 from nutmegdeal.agent.reports import Reporter
 from nutmegdeal.agent.scheduling import Scheduler
-from nutmegdeal.agent.shares import ShareController, SharedBudget
 from nutmegdeal.agent.streams import StreamHandler
+from nutmegdeal.agent.tranches import (
+    SharedBudget,
+    TrancheController,
+    TrancheRunner,
+)
 from nutmegdeal.configuration import WeightStorePolicy
 from nutmegdeal.leases import TableLease
 
@@ -57,7 +61,7 @@
             self.board.slots,
             WeightedBatchOrder(STALL_WEIGHT_DEFAULT),
             WeightedEviction(STALL_WEIGHT_DEFAULT),
-            SharedBudget(WEIGHT_STORE_DEFAULT, 1, clock),
+            SharedBudget(clock, WEIGHT_STORE_DEFAULT, agent_count=1),
             LoadBackoff(random.Random(incarnation)),
         )
         self.load_times = LoadTimes(WEIGHT_STORE_DEFAULT, agent_count=1)
@@ -184,16 +188,20 @@
         self.reports = ReportController(
             agent.board, engine, agent.clock, agent.settings.agent
         )
-        self.shares = ShareController(
-            agent.board, agent.planner.budget, agent.platform.table, agent.clock
-        )
         self.scheduler = agent.build_scheduler(engine, self.orders.give)
+        controller = TrancheController(
+            agent.planner.budget,
+            agent.platform.table,
+            agent.board.incarnation,
+            agent.clock,
+        )
+        self.tranches = TrancheRunner(controller, agent.board)
 
     def loops(self):
         """Return the functions to run in greenlets."""
         return (
             self.leases.run,
             self.reports.run,
-            self.shares.run,
             self.scheduler.run,
+            self.tranches.run,
         )
--- a/nutmegdeal/tests/agent_parts.py
+++ b/nutmegdeal/tests/agent_parts.py
@@ -216,7 +216,7 @@
             self.parts.scheduler.step()
             gevent.sleep(0)
             if self.agent.board.wanted_load_count:
-                self.parts.shares.step()
+                self.parts.tranches.step()
 
     def advance(self, step_ms):
         """Let time pass while the agent keeps its lease."""
