--- a/nutmegdeal/fleet.py
+++ b/nutmegdeal/fleet.py
@@ -176,6 +176,7 @@
         yield (
             f"  agent {link['host_id']} ({link['service']}): "
             f"in flight {link['in_flight_count']}; by its last report generation "
-            f"{link['generation']}, queued {link['queued_count']}, running {link['running_count']}, "
+            f"{link['generation']}, queued {link['queued_count']}, "
+            f"running {link['running_count']}, "
             f"leaving {link['leaving']}, resident: {resident}"
         )
