--- a/nutmegdeal/agent/dispatch.py
+++ b/nutmegdeal/agent/dispatch.py
@@ -2,7 +2,6 @@
 
 import gevent
 
-from nutmegdeal import telemetry
 from nutmegdeal.accounts import Outcome
 from nutmegdeal.agent.attempts import AttemptState
 from nutmegdeal.errors import Failure, Reason, Step
@@ -87,16 +86,7 @@
         """Send the request; return a BackendAnswer that was checked, or a Failure."""
         submit = attempt.submit
         self._events.note(submit, Step.DISPATCH, Outcome.SENT, self._peer)
-        with telemetry.start_span(
-            "agent.call",
-            submit.traceparent,
-            request_id=submit.request_id,
-            attempt=submit.attempt_id,
-            adapter=submit.adapter,
-            version=submit.version,
-            generation=submit.generation,
-        ):
-            answer = self._backend.call(submit)
+        answer = self._backend.call(submit)
         if isinstance(answer, Failure):
             return answer
         mismatch = check_echo(attempt.adapter, answer.head, self._peer)
--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -153,7 +153,8 @@
 
     def _run_pinned(self, attempt, pin):
         try:
-            self._run_attempt(attempt)
+            with start_attempt_span(attempt):
+                self._run_attempt(attempt)
         except Exception as error:
             logger.exception("attempt_crashed", attempt=attempt.attempt_id)
             self._end_crashed(attempt, error)
@@ -171,3 +172,19 @@
             Reason.BACKEND_ERROR, Step.DISPATCH, self._board.agent_id, repr(error)
         )
         self._endings.crash(attempt, failure)
+
+
+def start_attempt_span(attempt):
+    """Return the span of this agent's hop, from dispatch to the last message."""
+    submit = attempt.submit
+    return telemetry.start_span(
+        "agent.attempt",
+        submit.traceparent,
+        request_id=submit.request_id,
+        attempt=submit.attempt_id,
+        adapter=submit.adapter,
+        version=submit.version,
+        generation=submit.generation,
+        load_stall_ms=attempt.load_stall_ms,
+        queue_ms=attempt.queue_ms,
+    )
