Give back grants that nothing waits for; keep controllers running after a fault

With more grants than wanted loads the controller of the shared row ended with AttributeError, and the agent loaded nothing any more, while it went on taking work. Before: test_grants_that_nothing_waits_for_are_given_back fails. After: it passes; only the surplus is given back, and a controller that fails is logged and run again.

--- a/nutmegdeal/agent/budgets.py
+++ b/nutmegdeal/agent/budgets.py
@@ -231,6 +231,11 @@
         self.next_grant_unix_ms = grant.row.next_start_unix_ms
         self.ended_count -= returned_count
 
+    def drop_surplus(self, wanted_count):
+        """Give back the latest grants beyond those that loads wait for."""
+        self.ended_count += max(0, self.granted_count - wanted_count)
+        del self._starts_unix_ms[wanted_count:]
+
     def _drop_old(self):
         """Give back grants left unused, or several agents could start many at once."""
         oldest_unix_ms = self._clock.unix_ms() - GRANT_KEPT_MS
--- a/nutmegdeal/agent/process.py
+++ b/nutmegdeal/agent/process.py
@@ -15,6 +15,7 @@
 
 FINAL_FLUSH_COUNT = 3
 FINAL_FLUSH_PAUSE_S = 0.2
+RESTART_PAUSE_S = 1.0
 
 
 class AgentProcess:
@@ -60,12 +61,13 @@
             self.agent.reporter.run,
             self._platform.recorder.run,
             watch.run,
-            self._start_backend,
         )
+        self._greenlets.append(gevent.spawn(self._start_backend))
         return address
 
     def _spawn(self, *functions):
-        self._greenlets += [gevent.spawn(function) for function in functions]
+        for function in functions:
+            self._greenlets.append(gevent.spawn(keep_running, function))
 
     def _start_backend(self):
         """Start what depends on the kind of the backend server, once it is known."""
@@ -106,3 +108,17 @@
                 return
             gevent.sleep(FINAL_FLUSH_PAUSE_S)
         logger.error("account_not_stored")
+
+
+def keep_running(loop):
+    """Run a controller's loop, and again after a fault that it did not expect.
+
+    Without it one fault would end a controller for good while the agent goes on
+    taking work.
+    """
+    while True:
+        try:
+            loop()
+        except Exception:
+            logger.exception("controller_failed", controller=loop.__qualname__)
+        gevent.sleep(RESTART_PAUSE_S)
--- a/nutmegdeal/agent/tranches.py
+++ b/nutmegdeal/agent/tranches.py
@@ -157,8 +157,7 @@
 
     def _write(self, known, wanted_count):
         tranches = self._budget.tranches
-        if tranches.granted_count > wanted_count:
-            tranches.drop_unused()
+        tranches.drop_surplus(wanted_count)
         ended_count = tranches.ended_count
         grant = take_grants(
             known.row,
--- a/nutmegdeal/tests/test_loads_shares.py
+++ b/nutmegdeal/tests/test_loads_shares.py
@@ -14,6 +14,7 @@
     take_grants,
 )
 from nutmegdeal.agent.tranches import (
+    SHARED_KEY,
     SharedBudget,
     TrancheController,
     TrancheRunner,
@@ -21,6 +22,7 @@
 from nutmegdeal.clock import ManualClock
 from nutmegdeal.configuration import WeightStorePolicy
 from nutmegdeal.fakes.memory import MemoryTable
+from nutmegdeal.records import decode_record
 
 STORE = WeightStorePolicy(loads_per_s=4.0)
 NOW_MS = 1_700_000_000_000
@@ -175,3 +177,22 @@
         budget.set_demand(own_count, 8, 2)
         assert budget.try_start(0.0)
     assert busy.next_start_ms(0.0) < idle.next_start_ms(0.0)
+
+
+def test_grants_that_nothing_waits_for_are_given_back(clock, table):
+    agent = SharingAgent("a0", table, clock)
+    agent.board.wanted_load_count = 2
+    agent.runner.step()
+    assert agent.budget.tranches.granted_count == 2
+    agent.board.wanted_load_count = 1
+    for _ in range(3):
+        clock.advance(600)
+        agent.runner.step()
+    assert agent.budget.tranches.granted_count <= 1
+    agent.board.wanted_load_count = 0
+    for _ in range(3):
+        clock.advance(600)
+        agent.runner.step()
+    assert agent.budget.tranches.granted_count == 0
+    row = decode_record(table.rows[SHARED_KEY].value, TrancheRow)
+    assert row.holds == ()
