--- a/nutmegdeal/agent/configuring.py
+++ b/nutmegdeal/agent/configuring.py
@@ -38,9 +38,9 @@
         self._is_behind = gevent.event.Event()
         self.on_change = []
 
-    def observe(self, generation):
-        """Note a generation that a peer has; never blocks."""
-        self._keeper.observe(generation)
+    def observe(self, generation, manifest=""):
+        """Note a generation that a peer has, and its manifest; never blocks."""
+        self._keeper.observe(generation, manifest)
         if generation > self._board.generation:
             self._is_behind.set()
 
--- a/nutmegdeal/agent/streams.py
+++ b/nutmegdeal/agent/streams.py
@@ -65,7 +65,9 @@
             self.submit(session, message)
         elif isinstance(message, Cancel):
             self.cancel(message.attempt_id)
-        elif isinstance(message, EntryHello | GenerationNotice):
+        elif isinstance(message, GenerationNotice):
+            self._configuration.observe(message.generation, message.manifest)
+        elif isinstance(message, EntryHello):
             self._configuration.observe(message.generation)
         else:
             logger.warning("unexpected_message", type=type(message).__name__)
--- a/nutmegdeal/bench/generations.py
+++ b/nutmegdeal/bench/generations.py
@@ -1,6 +1,5 @@
 """What a change of configuration costs: objects, bytes and processor time."""
 
-import json
 import time
 
 import attrs
@@ -138,13 +137,3 @@
     name = names[number * 977 % len(names)]
     changed = {name: _build_adapter(name, number + 1)}
     return attrs.evolve(configuration, adapters={**configuration.adapters, **changed})
-
-
-def main():
-    """Print the cost at three sizes, one JSON object a line."""
-    for adapter_count in (3_000, 10_000, 37_000):
-        print(json.dumps(attrs.asdict(run(adapter_count))))
-
-
-if __name__ == "__main__":
-    main()
--- a/nutmegdeal/bench/ledger.py
+++ b/nutmegdeal/bench/ledger.py
@@ -1,20 +1,16 @@
 """What the ledger costs: writes and added time of each way to keep it."""
 
-import json
 import random
 
 import attrs
 
 from nutmegdeal.bench.simulated_time import LimitedTable, SimulatedResult, Simulation
-from nutmegdeal.configuration import Fencing
-from nutmegdeal.leases import TableLease
 from nutmegdeal.ledger import LedgerAnswer, LedgerState, MayDispatch, TableLedger
 from nutmegdeal.ledger_rules import FinishRule, ledger_key
 from nutmegdeal.messages import Submit, Urgency
 from nutmegdeal.platform.grouping import GroupCommitTable
 from nutmegdeal.platform.table import Write, Written
 from nutmegdeal.records import encode_record
-from nutmegdeal.settings import AgentSettings
 
 WAYS = ("two_synchronous", "one_synchronous", "batched_outcomes", "grouped")
 ANSWER = LedgerAnswer(200, "application/json", b"x" * 300)
@@ -213,76 +209,3 @@
 def run(load):
     """Return the LedgerCost of each way under a LedgerLoad, in a tuple."""
     return tuple(LedgerBench(way, load).run() for way in WAYS)
-
-
-@attrs.frozen
-class LeaseCost:
-    """Renewals of a fleet at one term.
-
-    Parameters
-    ----------
-    term_ms : int
-    replica_count : int
-    renewals_per_s : float
-    takeover_ms : float
-        How long a successor waits if the holder dies just after a renewal.
-    """
-
-    term_ms: int
-    replica_count: int
-    renewals_per_s: float
-    takeover_ms: float
-
-
-def run_leases(terms_ms, replica_count, fencing, duration_s=7_200.0):
-    """Return the LeaseCost of each term, from one lease renewed in simulated time."""
-    return tuple(
-        _run_lease(term_ms, replica_count, fencing, duration_s) for term_ms in terms_ms
-    )
-
-
-def _run_lease(term_ms, replica_count, fencing, duration_s):
-    simulation = Simulation()
-    table = LimitedTable(simulation, 1e9, 0.0, counts_rows=False)
-    settings = AgentSettings(lease_term_ms=term_ms)
-    clock = simulation.clock
-    lease = TableLease(table, "lease/s/h", "a", clock, settings, fencing)
-    successor = TableLease(table, "lease/s/h", "b", clock, settings, fencing)
-    waits_ms = []
-
-    def hold():
-        lease.acquire()
-        while simulation.now_ms < duration_s * 1000:
-            simulation.sleep(500)
-            lease.renew()
-        lease.renew()
-        begun_ms = simulation.now_ms
-        if successor.acquire() is not None:
-            simulation.sleep(successor.retry_at_unix_ms - clock.unix_ms())
-            successor.acquire()
-        waits_ms.append(simulation.now_ms - begun_ms)
-
-    simulation.spawn(hold)
-    simulation.run()
-    renewals = table.transaction_count - 2
-    return LeaseCost(
-        term_ms, replica_count, replica_count * renewals / duration_s, waits_ms[0]
-    )
-
-
-def main():
-    """Print the costs of the ledger and of leases, one JSON object a line."""
-    for counts_rows in (False, True):
-        for rate in (5.0, 100.0, 250.0, 400.0):
-            load = LedgerLoad(
-                requests_per_s=rate, counts_rows=counts_rows, duration_s=20.0
-            )
-            for cost in run(load):
-                print(json.dumps({"counts_rows": counts_rows, **attrs.asdict(cost)}))
-    for fencing in Fencing:
-        for cost in run_leases((15_000, 60_000, 300_000, 900_000), 10_000, fencing):
-            print(json.dumps({"fencing": fencing.value, **attrs.asdict(cost)}))
-
-
-if __name__ == "__main__":
-    main()
--- a/nutmegdeal/tests/agent_parts.py
+++ b/nutmegdeal/tests/agent_parts.py
@@ -86,7 +86,7 @@
 
     current = None
 
-    def observe(self, generation):
+    def observe(self, generation, manifest=""):
         self.observed = max(self.observed, generation)
 
     def refresh(self):
--- a/nutmegdeal/tools/bench.py
+++ b/nutmegdeal/tools/bench.py
@@ -7,11 +7,19 @@
 import cyclopts
 
 from nutmegdeal import __version__
+from nutmegdeal.bench.generations import run as run_generations
+from nutmegdeal.bench.leases import run as run_leases
+from nutmegdeal.bench.leases import run_pauses
+from nutmegdeal.bench.ledger import LedgerLoad
+from nutmegdeal.bench.ledger import run as run_ledger
 from nutmegdeal.bench.policies import PolicyName
 from nutmegdeal.bench.runs import compare
 from nutmegdeal.bench.sustained import Sustained, find_sustained_rate
 from nutmegdeal.bench.teams import TEAMS
 from nutmegdeal.bench.traffic import RunOptions, Scenario
+from nutmegdeal.configuration import Fencing
+
+LEASE_TERMS_MS = (15_000, 60_000, 300_000, 900_000)
 
 JsonFlag = Annotated[bool, cyclopts.Parameter(name="--json")]
 
@@ -94,6 +102,76 @@
     _print_result(Sustained(team, skew, seed, *rates), as_json)
 
 
+@app.command
+def ledger(
+    *,
+    rate: float = 5.0,
+    agents: int = 3,
+    writes_per_s: float = 300.0,
+    counts_rows: bool = False,
+    seconds: float = 20.0,
+    seed: int = 1,
+):
+    """Compare ways to keep the ledger: writes a request, and time added to it.
+
+    Parameters
+    ----------
+    rate
+        Non-idempotent requests a second.
+    agents
+        Agents that they are spread over.
+    writes_per_s
+        Rate of the table service.
+    counts_rows
+        Whether that rate counts rows instead of transactions.
+    seconds
+        Simulated time.
+    seed
+        Seed of the arrivals.
+    """
+    load = LedgerLoad(
+        requests_per_s=rate,
+        agent_count=agents,
+        writes_per_s=writes_per_s,
+        counts_rows=counts_rows,
+        duration_s=seconds,
+        seed=seed,
+    )
+    for cost in run_ledger(load):
+        _print_result(cost, True)
+
+
+@app.command
+def leases(*, replicas: int = 10_000, pauses: int = 20_000, seed: int = 1):
+    """Show the renewals of each lease term, and the harm that random pauses do.
+
+    Parameters
+    ----------
+    replicas
+        Backend servers with a lease each.
+    pauses
+        Pauses of a holder to try.
+    seed
+        Seed of the pauses.
+    """
+    for fencing in Fencing:
+        for term_ms in LEASE_TERMS_MS:
+            _print_result(run_leases(term_ms, replicas, fencing), True)
+    _print_result(run_pauses(pauses, seed), True)
+
+
+@app.command
+def generations(*, adapters: int = 37_000):
+    """Show what a change of configuration costs a process and an operator.
+
+    Parameters
+    ----------
+    adapters
+        Adapters in the configuration.
+    """
+    _print_result(run_generations(adapters), True)
+
+
 def _build_options(team, scenario, seed, skew, rate, seconds):
     if team not in TEAMS:
         raise SystemExit(f"no team {team!r}; known: {', '.join(TEAMS)}")
