--- a/nutmegdeal/bench/agent.py
+++ b/nutmegdeal/bench/agent.py
@@ -43,7 +43,7 @@
 class SteadyConfiguration:
     """Stands for a configuration controller that is never behind."""
 
-    def observe(self, generation):
+    def observe(self, generation, manifest=""):
         """Do nothing."""
 
 
