--- a/nutmegdeal/bench/slopes.py
+++ b/nutmegdeal/bench/slopes.py
@@ -5,6 +5,7 @@
 """
 
 import gc
+import json
 import time
 import tracemalloc
 
@@ -21,7 +22,7 @@
     encode_message,
     join_batch,
 )
-from nutmegdeal.platform.hosts import Host
+from nutmegdeal.platform.hosts import Host, decode_hosts
 from nutmegdeal.settings import ChannelSettings
 
 ADAPTER_COUNTS = (3_000, 37_000)
@@ -29,6 +30,7 @@
 STREAM_COUNTS = (10, 200)
 RANKED_KEY_COUNT = 200
 RESIDENT_COUNT = 8
+CONNECT_COUNT = 200
 WITHIN_MS = 60_000
 NS_PER_US = 1_000
 
@@ -103,6 +105,28 @@
     return hosts, table
 
 
+def encode_hosts(count):
+    """Return the host list's answer as its service gives it (bytes)."""
+    hosts, _ = build_hosts(count)
+    entries = [
+        {**attrs.asdict(host), "state": host.state.value} for host in hosts.values()
+    ]
+    return json.dumps({"hosts": entries}).encode()
+
+
+def encoded_host_bytes(count):
+    """Return the size of the host list's answer."""
+    return len(encode_hosts(count))
+
+
+def read_hosts_us(count):
+    """Return the processor time in us to decode the host list's answer."""
+    body = encode_hosts(count)
+    started_ns = time.process_time_ns()
+    decode_hosts(json.loads(body))
+    return (time.process_time_ns() - started_ns) / NS_PER_US
+
+
 def rank_us(host_count):
     """Return the time in us to rank the homes of an adapter seen for the first time."""
     _, table = build_hosts(host_count)
@@ -158,10 +182,26 @@
     return size_bytes
 
 
+def connect_cpu_us(bridge):
+    """Return the processor time in us to open a stream, both ends together."""
+    settings = ChannelSettings(shared_secret="bench")
+    server = ChannelServer(bridge, settings, lambda session: None)
+    address = server.start(Address("127.0.0.1", 0), WITHIN_MS)
+    client = ChannelClient(bridge, settings)
+    started_ns = time.process_time_ns()
+    for _ in range(CONNECT_COUNT):
+        client.connect(address, WITHIN_MS)
+    cpu_ns = time.process_time_ns() - started_ns
+    server.stop(WITHIN_MS)
+    return cpu_ns / CONNECT_COUNT / NS_PER_US
+
+
 def measure_slopes():
     """Return all Slopes."""
     bridge = GreenletBridge()
+    connect_us = connect_cpu_us(bridge)
     return (
+        Slope("opening streams, both ends", "us", 0, 1, 0.0, connect_us),
         measure_slope(
             "configuration",
             "bytes",
@@ -177,6 +217,8 @@
         measure_slope("homes kept", "bytes", (10, 110), ranked_bytes),
         measure_slope("first ranking", "us", HOST_COUNTS, rank_us),
         measure_slope("ranking again", "us", HOST_COUNTS, rank_again_us),
+        measure_slope("host list as JSON", "bytes", HOST_COUNTS, encoded_host_bytes),
+        measure_slope("reading the host list", "us", HOST_COUNTS, read_hosts_us),
         measure_slope(
             "streams, both ends",
             "bytes",
--- a/nutmegdeal/platform/hosts.py
+++ b/nutmegdeal/platform/hosts.py
@@ -59,6 +59,17 @@
     )
 
 
+def decode_hosts(content):
+    """Return the Hosts of the list's decoded answer as a tuple.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If it is not of the form that docs/interfaces.md gives.
+    """
+    return tuple(map(_decode_host, content["hosts"]))
+
+
 class HttpHostList(HostList):
     """The host list over HTTP.
 
@@ -79,7 +90,7 @@
             return answer
         try:
             if answer.status_code == 200:
-                return tuple(map(_decode_host, answer.json()["hosts"]))
+                return decode_hosts(answer.json())
         except (KeyError, TypeError, ValueError):
             pass
         return self._client.fail_unexpected(answer, maybe_applied=False)
