--- a/nutmegdeal/agent/eviction.py
+++ b/nutmegdeal/agent/eviction.py
@@ -3,6 +3,8 @@
 from nutmegdeal.agent.policy import EvictionPolicy
 
 MS_PER_S = 1_000.0
+# Every load takes from the weight store's rate, so use counts most for every team.
+RATE_WEIGHT_MIN = 0.7
 
 
 class WeightedEviction(EvictionPolicy):
@@ -19,7 +21,7 @@
     """
 
     def __init__(self, stall_weight):
-        self._stall_weight = stall_weight
+        self._rate_weight = RATE_WEIGHT_MIN + (1.0 - RATE_WEIGHT_MIN) * stall_weight
 
     def choose_victim(self, slots, now_ms):
         """Return the adapter to evict, or None if none may go."""
@@ -33,8 +35,8 @@
         idle_s = max(now_ms - used_ms, 0.0) / MS_PER_S
         recency_per_s = 1.0 / (1.0 + idle_s)
         return (
-            self._stall_weight * slot.use_rate_per_s
-            + (1.0 - self._stall_weight) * recency_per_s,
+            self._rate_weight * slot.use_rate_per_s
+            + (1.0 - self._rate_weight) * recency_per_s,
             used_ms,
             slot.adapter,
         )
