--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -51,7 +51,6 @@
         self._clock = clock
         self._load_times = load_times
         self._spawn = spawn
-        self.wanted_load_count = 0
 
     def run(self):
         """Plan until the greenlet is killed."""
@@ -62,7 +61,7 @@
 
     def pause_ms(self):
         """Return the longest wait (float) before the next plan."""
-        if not self.wanted_load_count:
+        if not self._board.wanted_load_count:
             return PAUSE_MAX_MS
         now_ms = self._clock.monotonic_ms()
         next_ms = self._planner.budget.next_start_ms(now_ms)
@@ -88,7 +87,9 @@
             now_ms,
         )
         self._note_load_starts(plan, now_ms)
-        self.wanted_load_count = plan.wanted_load_count
+        self._board.wanted_load_count = plan.wanted_load_count
+        if plan.wanted_load_count:
+            self._board.loads_wanted.set()
         self._note_load_waits(now_ms)
         for dispatch in plan.dispatches:
             self._dispatch(dispatch, now_ms)
@@ -101,7 +102,7 @@
         greenlet.link(self._board.running_greenlets.discard)
 
     def _note_load_starts(self, plan, now_ms):
-        had_waited = self.wanted_load_count > 0
+        had_waited = self._board.wanted_load_count > 0
         for order in plan.orders:
             if order.kind is OrderKind.LOAD:
                 self._load_times.record_start(now_ms, had_waited)
