Expect a wait that has lasted to last as long again

Cause: under overload loads can't start while every slot is in use, which the forecast did not see: requests were admitted and expired in the queue. Change: the expected load wait is at least twice what the loads ahead have waited for.

--- a/nutmegdeal/agent/forecast.py
+++ b/nutmegdeal/agent/forecast.py
@@ -5,6 +5,9 @@
 from nutmegdeal.agent.slots import SlotState
 from nutmegdeal.messages import URGENCY_RANK
 
+# A wait that has lasted for a while is expected to last as long again.
+HELD_FACTOR = 2.0
+
 
 class Forecast:
     """Expected waits by the queue, the slots and the load budget.
@@ -53,7 +56,13 @@
         if state is SlotState.LOADING:
             elapsed_ms = now_ms - self._board.slots.changed_ms(item.adapter)
             return max(0.0, self._load_times.load_ms - elapsed_ms)
-        return self._outlook(item, now_ms).arrival_ms(now_ms) - now_ms
+        waiting = [attempt.waiting for attempt in self._board.waiting()]
+        present = self._board.slots.adapters_in(SlotState.RESIDENT, SlotState.LOADING)
+        order = self._planner.batch_order.order_loads([*waiting, item], present, now_ms)
+        ahead = order[: order.index(item.adapter)]
+        outlook = self._outlook_at(item.adapter, len(ahead), now_ms)
+        held_ms = _longest_wait_ms(waiting, {*ahead, item.adapter}, now_ms)
+        return max(outlook.arrival_ms(now_ms) - now_ms, held_ms * HELD_FACTOR)
 
     def new_load_wait_ms(self):
         """Return the expected wait for an adapter that nothing waits for yet."""
@@ -61,12 +70,6 @@
         queued_count = len(self._board.slots.adapters_in(SlotState.QUEUED))
         return self._outlook_at("", queued_count, now_ms).arrival_ms(now_ms) - now_ms
 
-    def _outlook(self, item, now_ms):
-        present = self._board.slots.adapters_in(SlotState.RESIDENT, SlotState.LOADING)
-        waiting = [attempt.waiting for attempt in self._board.waiting()]
-        order = self._planner.batch_order.order_loads([*waiting, item], present, now_ms)
-        return self._outlook_at(item.adapter, order.index(item.adapter), now_ms)
-
     def _outlook_at(self, adapter, ahead_count, now_ms):
         return LoadOutlook(
             self._planner.budget.next_start_ms(now_ms),
@@ -75,3 +78,9 @@
             self._load_times.load_ms,
             self._planner.backoff.retry_at_ms(adapter),
         )
+
+
+def _longest_wait_ms(waiting, adapters, now_ms):
+    """Return how long the first of some adapters has been waited for (float)."""
+    waits_ms = (now_ms - w.arrived_ms for w in waiting if w.adapter in adapters)
+    return max(waits_ms, default=0.0)
--- /dev/null
+++ b/nutmegdeal/tests/test_policy_rounds.py
@@ -0,0 +1,57 @@
+"""Each weakness that the policy bench showed has a test here."""
+
+from nutmegdeal.agent.batches import WeightedBatchOrder
+from nutmegdeal.agent.eviction import WeightedEviction
+from nutmegdeal.agent.policy import SlotView, Waiting
+from nutmegdeal.bench.policies import PolicyName
+from nutmegdeal.bench.runs import play_policy
+from nutmegdeal.bench.teams import TEAMS
+from nutmegdeal.bench.traffic import RunOptions, Scenario
+from nutmegdeal.messages import Urgency
+
+HOUR_MS = 3_600_000.0
+
+
+def build_waiting(attempt_id, urgency, arrived_ms, allowed_ms):
+    return Waiting(attempt_id, "a@1", urgency, arrived_ms, arrived_ms + allowed_ms)
+
+
+def order_ids(waiting, now_ms):
+    order = WeightedBatchOrder(0.5).order_dispatch(
+        waiting, frozenset({"a@1"}), {}, now_ms
+    )
+    return [item.attempt_id for item in order]
+
+
+def test_old_bulk_work_with_an_hour_left_does_not_go_before_urgent_work():
+    bulk = build_waiting("bulk", Urgency.BULK, 0.0, HOUR_MS)
+    urgent = build_waiting("urgent", Urgency.URGENT, 60_000.0, 10_000.0)
+    assert order_ids([bulk, urgent], 60_000.0) == ["urgent", "bulk"]
+
+
+def test_bulk_work_that_has_waited_for_half_its_time_goes_before_new_urgent_work():
+    bulk = build_waiting("bulk", Urgency.BULK, 0.0, HOUR_MS)
+    urgent = build_waiting("urgent", Urgency.URGENT, HOUR_MS / 2 + 1, 10_000.0)
+    assert order_ids([urgent, bulk], HOUR_MS / 2 + 1) == ["bulk", "urgent"]
+
+
+def test_use_outweighs_recency_for_a_team_that_cares_more_for_batches():
+    popular = SlotView("popular@1", 0, 0, 0.0, 0.5, 0.0)
+    recent = SlotView("recent@1", 0, 0, 9_500.0, 0.01, 9_500.0)
+    assert (
+        WeightedEviction(0.3).choose_victim([popular, recent], 10_000.0) == "recent@1"
+    )
+
+
+def test_overload_is_refused_at_once_rather_than_at_the_deadline():
+    options = RunOptions(
+        team=TEAMS["knusepool"],
+        scenario=Scenario.OVERLOAD3X,
+        seed=7,
+        rate_per_s=16.0,
+        warm_ms=20_000.0,
+        measured_ms=30_000.0,
+    )
+    result = play_policy(PolicyName.OURS, options).measure().all_classes
+    assert result.refused_count > 0
+    assert result.late_refused_count <= result.refused_count * 0.5
