--- a/nutmegdeal/agent/budgets.py
+++ b/nutmegdeal/agent/budgets.py
@@ -151,7 +151,7 @@
     starts_unix_ms: tuple[float, ...]
 
 
-HOLD_LAPSES_AFTER_MS = 4_000
+HOLD_LAPSES_AFTER_MS = 30_000
 GRANT_AHEAD_MS = 500.0
 GRANT_KEPT_MS = 1_000.0
 
@@ -231,6 +231,11 @@
         self.next_grant_unix_ms = grant.row.next_start_unix_ms
         self.ended_count -= returned_count
 
+    def drop_unused(self):
+        """Give back the grants that nothing waits for."""
+        self.ended_count += len(self._starts_unix_ms)
+        self._starts_unix_ms.clear()
+
     def _drop_old(self):
         """Give back grants left unused, or several agents could start many at once."""
         oldest_unix_ms = self._clock.unix_ms() - GRANT_KEPT_MS
--- a/nutmegdeal/bench/agent.py
+++ b/nutmegdeal/bench/agent.py
@@ -168,8 +168,8 @@
             policies.make_budget(loop),
             LoadBackoff(random.Random(host.host_id)),
         )
-        self.shares = policies.make_shares(self.board, self.planner.budget, loop)
-        self._is_sharing = False
+        self.claims = policies.make_claims(self.planner.budget, loop, host.host_id)
+        self._is_claiming = False
         self._build_controllers(policies)
 
     def _build_controllers(self, policies):
@@ -231,23 +231,24 @@
             return
         self._scheduler.step()
         self._loop.call_later(0.0, self._note_work)
-        self._share_soon()
+        self._claim_soon()
         if self.board.waiting():
             self._signal.set_at(self._loop.now_ms + self._scheduler.pause_ms())
 
-    def _share_soon(self):
-        if self.shares is None or self._is_sharing:
+    def _claim_soon(self):
+        if self.claims is None or self._is_claiming:
             return
-        if self.shares.missing_count() > 0:
-            self._is_sharing = True
-            self._loop.spawn(self._take_shares)
-
-    def _take_shares(self):
-        while self.shares.missing_count() > 0:
-            pause_ms = self.shares.step()
-            self.board.notify()
-            self._loop.sleep(pause_ms)
-        self._is_sharing = False
+        wanted_count = self.board.wanted_load_count
+        if self.claims.is_due(wanted_count):
+            self._is_claiming = True
+            self._loop.spawn(self._claim, wanted_count)
+
+    def _claim(self, wanted_count):
+        try:
+            self.claims.step(wanted_count)
+        finally:
+            self._is_claiming = False
+        self.board.notify()
 
     def _note_work(self):
         self.engine.note_work(len(self.board.waiting()))
--- a/nutmegdeal/bench/policies.py
+++ b/nutmegdeal/bench/policies.py
@@ -6,7 +6,7 @@
 
 from nutmegdeal.agent.batches import WeightedBatchOrder
 from nutmegdeal.agent.eviction import WeightedEviction
-from nutmegdeal.agent.shares import ShareController, SharedBudget
+from nutmegdeal.agent.tranches import SharedBudget, TrancheController
 from nutmegdeal.entry.rendezvous import RendezvousChooser, RoutingWeights
 from nutmegdeal.fakes.memory import MemoryTable
 
@@ -63,7 +63,7 @@
     def make_budget(self, loop):
         """Return the LoadBudget of an agent."""
 
-    def make_shares(self, board, budget, loop):
+    def make_claims(self, budget, loop, holder):
         """Return the controller that takes leave for loads, or None."""
         return
 
@@ -89,14 +89,14 @@
     def make_budget(self, loop):
         """Return a SharedBudget."""
         return SharedBudget(
-            self.configuration.weight_store, self.engine_count, loop.clock
+            loop.clock, self.configuration.weight_store, self.engine_count
         )
 
-    def make_shares(self, board, budget, loop):
-        """Return a ShareController on the fleet's table."""
+    def make_claims(self, budget, loop, holder):
+        """Return a TrancheController on the fleet's table."""
         if self._table is None:
             self._table = BenchTable(loop)
-        return ShareController(board, budget, self._table, loop.clock)
+        return TrancheController(budget, self._table, holder, loop.clock)
 
 
 class BenchTable(MemoryTable):
