--- a/nutmegdeal/agent/budgets.py
+++ b/nutmegdeal/agent/budgets.py
@@ -231,10 +231,10 @@
         self.next_grant_unix_ms = grant.row.next_start_unix_ms
         self.ended_count -= returned_count
 
-    def drop_unused(self):
-        """Give back the grants that nothing waits for."""
-        self.ended_count += len(self._starts_unix_ms)
-        self._starts_unix_ms.clear()
+    def drop_surplus(self, wanted_count):
+        """Give back the latest grants beyond those that loads wait for."""
+        self.ended_count += max(0, self.granted_count - wanted_count)
+        del self._starts_unix_ms[wanted_count:]
 
     def _drop_old(self):
         """Give back grants left unused, or several agents could start many at once."""
