Let bulk work wait for two minutes before it outranks urgent work

Cause: with 30 s, an overnight queue outranked counter traffic half-way. Ruled out: ageing by half of the time left, which kept bulk work with a far deadline waiting without end (test_batches, no starvation).

--- a/nutmegdeal/agent/batches.py
+++ b/nutmegdeal/agent/batches.py
@@ -8,24 +8,15 @@
 CLASS_OFFSET_MS = {
     Urgency.URGENT: 0.0,
     Urgency.NORMAL: 2_000.0,
-    Urgency.BULK: 30_000.0,
+    Urgency.BULK: 120_000.0,
 }
-BULK_OFFSET_FRACTION = 0.5
 SHARED_LOAD_GAIN_MS = 1_000.0
 SHARED_LOAD_COUNT_MAX = 16
 
 
 def rank_ms(waiting):
-    """Return the time by which a Waiting is ordered (float); earlier goes first.
-
-    Bulk work with much time left ages more slowly, or a long queue of it would go
-    before urgent work.
-    """
-    offset_ms = CLASS_OFFSET_MS[waiting.urgency]
-    if waiting.urgency is Urgency.BULK:
-        allowed_ms = waiting.deadline_ms - waiting.arrived_ms
-        offset_ms = max(offset_ms, allowed_ms * BULK_OFFSET_FRACTION)
-    return waiting.arrived_ms + offset_ms
+    """Return the time by which a Waiting is ordered (float); earlier goes first."""
+    return waiting.arrived_ms + CLASS_OFFSET_MS[waiting.urgency]
 
 
 class WeightedBatchOrder(BatchOrder):
