--- a/nutmegdeal/bench/sustained.py
+++ b/nutmegdeal/bench/sustained.py
@@ -7,7 +7,7 @@
 from nutmegdeal.messages import Urgency
 
 STALL_MAX_MS = 500.0
-RATE_MIN_PER_S = 0.5
+RATE_MIN_PER_S = 0.125
 RATE_MAX_PER_S = 256.0
 PRECISION = 1.05
 
--- a/nutmegdeal/tests/test_policy_bench.py
+++ b/nutmegdeal/tests/test_policy_bench.py
@@ -1,6 +1,9 @@
 """Small seeded runs of the policy bench, and tests of its parts."""
 
 import itertools
+import json
+import subprocess
+import sys
 
 import pytest
 from hypothesis import given
@@ -122,3 +125,11 @@
     comparison = compare(build_options(team=TEAMS[team]))
     assert comparison.ours.load_count <= comparison.naive.load_count
     assert comparison.ours.load_count >= comparison.bound.load_count
+
+
+def test_json_line_is_all_that_standard_output_holds():
+    command = [sys.executable, "-m", "nutmegdeal.tools.bench", "policy", "--json"]
+    options = ["--scenario", "zone_loss", "--seed", "201", "--seconds", "10"]
+    output = subprocess.run(command + options, capture_output=True, check=True).stdout
+    (line,) = output.splitlines()
+    assert json.loads(line)["scenario"] == "zone_loss"
--- a/nutmegdeal/tools/bench.py
+++ b/nutmegdeal/tools/bench.py
@@ -6,7 +6,7 @@
 import attrs
 import cyclopts
 
-from nutmegdeal import __version__
+from nutmegdeal import __version__, log
 from nutmegdeal.bench.bridge import run as measure_bridges
 from nutmegdeal.bench.generations import run as run_generations
 from nutmegdeal.bench.leases import run as run_leases
@@ -259,7 +259,8 @@
 
 
 def main():
-    """Run the program."""
+    """Run the program; logs go to standard error, figures to standard output."""
+    log.configure("error", app.name[0])
     app()
 
 
