Refuse at once what can't be answered in time, counting the run and not just the wait

Cause: admission compared the expected wait alone with the time left, so at the edge of the queue requests were sent and then cut at their deadline, which spends the engine on answers that nobody gets. The mean run time started from 0 and did not count runs that were cut. New tests failed before.

--- a/nutmegdeal/agent/admission.py
+++ b/nutmegdeal/agent/admission.py
@@ -10,6 +10,8 @@
 LEAVING_RETRY_MS = 1_000
 UNAVAILABLE_RETRY_MS = 1_000
 QUEUE_FULL_RETRY_MS = 500
+# Forecasts lag behind a queue that grows; what just fits would often be cut.
+FORECAST_MARGIN = 1.2
 
 
 @attrs.frozen
@@ -29,6 +31,8 @@
         Expected wait for a place in the batch.
     load_wait_ms : float
         Expected wait for the adapter, 0 if it is resident.
+    run_ms : float
+        Time that a request takes once it is dispatched, 0 if not known.
     may_dispatch : bool
         True if no other agent can be in charge of the backend server.
     needs_order : bool
@@ -46,6 +50,7 @@
     queue_max: int = 512
     queue_wait_ms: float = 0.0
     load_wait_ms: float = 0.0
+    run_ms: float = 0.0
     may_dispatch: bool = True
     needs_order: bool = False
     may_order: bool = True
@@ -145,7 +150,10 @@
     if remaining_ms <= 0:
         return refuse(view, Reason.DEADLINE_PASSED, "past its deadline on arrival")
     wait_ms = max(view.queue_wait_ms, view.load_wait_ms)
-    if wait_ms < remaining_ms:
+    if FORECAST_MARGIN * (wait_ms + view.run_ms) < remaining_ms:
         return None
-    text = f"expected wait {wait_ms:.0f} ms, {remaining_ms:.0f} ms left"
+    text = (
+        f"expected wait {wait_ms:.0f} ms and run {view.run_ms:.0f} ms, "
+        f"{remaining_ms:.0f} ms left"
+    )
     return refuse(view, Reason.DEADLINE_UNREACHABLE, text, wait_ms)
--- a/nutmegdeal/agent/blackboard.py
+++ b/nutmegdeal/agent/blackboard.py
@@ -15,6 +15,9 @@
 RUNNING_STATES = (AttemptState.CLAIMING, AttemptState.DISPATCHED)
 
 
+RUN_SMOOTHING = 0.1
+
+
 @attrs.define(eq=False)
 class Blackboard:
     """State of one agent.
@@ -86,6 +89,12 @@
             return None
         return self.configuration.services.get(self.service)
 
+    def note_run(self, run_ms):
+        """Note how long a request took at the backend server."""
+        if self.run_ms == 0.0:
+            self.run_ms = run_ms
+        self.run_ms += RUN_SMOOTHING * (run_ms - self.run_ms)
+
     @property
     def batch_size_max(self):
         """Requests that the backend server runs at once (int)."""
--- a/nutmegdeal/agent/dispatch.py
+++ b/nutmegdeal/agent/dispatch.py
@@ -7,7 +7,6 @@
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.messages import Fate
 
-RUN_SMOOTHING = 0.1
 REQUEUES_MAX = 3
 SUCCESS_STATUS_MIN = 200
 SUCCESS_STATUS_MAX = 299
@@ -54,11 +53,14 @@
             self._endings.refuse(attempt, failure)
             return
         attempt.state = AttemptState.DISPATCHED
-        remaining_ms = attempt.deadline_ms - self._clock.monotonic_ms()
+        started_ms = self._clock.monotonic_ms()
+        remaining_ms = attempt.deadline_ms - started_ms
         try:
             with gevent.Timeout(max(remaining_ms, 0.0) / 1000, DeadlineError):
                 self._exchange(attempt)
         except DeadlineError:
+            # It would have run longer still, which the forecast must not miss.
+            self.note_run(started_ms)
             self._end_interrupted(attempt, Reason.DEADLINE_PASSED)
         except AttemptCancelled:
             self._end_interrupted(attempt, Reason.CANCELLED)
@@ -105,8 +107,7 @@
 
     def note_run(self, started_ms):
         """Note that a request sent at `started_ms` has ended."""
-        run_ms = self._clock.monotonic_ms() - started_ms
-        self._board.run_ms += RUN_SMOOTHING * (run_ms - self._board.run_ms)
+        self._board.note_run(self._clock.monotonic_ms() - started_ms)
 
     def end_unanswered(self, attempt, failure):
         """End an attempt whose call returned a Failure."""
--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -12,6 +12,8 @@
 
 PAUSE_MAX_MS = 100.0
 PAUSE_MIN_MS = 1.0
+# A request that needs less than the mean time is rarely much shorter than this.
+LEAST_RUN_FRACTION = 0.5
 
 
 class Scheduler:
@@ -108,14 +110,16 @@
                 self._load_times.record_start(now_ms, had_waited)
 
     def _expire(self, now_ms):
+        """Refuse what waits and could hardly be answered by its deadline any more."""
+        least_run_ms = LEAST_RUN_FRACTION * self._board.run_ms
         for attempt in self._board.waiting():
-            if attempt.deadline_ms > now_ms:
+            if attempt.deadline_ms - least_run_ms > now_ms:
                 continue
             failure = Failure(
-                Reason.DEADLINE_PASSED,
+                Reason.DEADLINE_UNREACHABLE,
                 Step.QUEUE,
                 self._board.agent_id,
-                "its deadline passed in the queue",
+                f"{attempt.deadline_ms - now_ms:.0f} ms left after waiting",
             )
             self._endings.refuse(attempt, failure, self._clock.unix_ms())
 
--- a/nutmegdeal/agent/streams.py
+++ b/nutmegdeal/agent/streams.py
@@ -117,6 +117,7 @@
             load_wait_ms=(
                 self._forecast.load_wait_ms(attempt.waiting) if is_servable else 0.0
             ),
+            run_ms=board.run_ms,
             may_dispatch=board.may_dispatch(self._clock.monotonic_ms()),
             needs_order=not is_resident,
             may_order=board.may_order,
--- a/nutmegdeal/bench/agent.py
+++ b/nutmegdeal/bench/agent.py
@@ -5,7 +5,6 @@
 
 from nutmegdeal.agent.attempts import Attempt, AttemptState
 from nutmegdeal.agent.blackboard import Blackboard
-from nutmegdeal.agent.dispatch import RUN_SMOOTHING
 from nutmegdeal.agent.endings import Endings
 from nutmegdeal.agent.forecast import Forecast
 from nutmegdeal.agent.loads import LoadBackoff, LoadTimes
@@ -262,13 +261,10 @@
         if self.engine.is_down:
             return
         if failure is None:
-            self._note_run(self._loop.now_ms - begun_ms)
+            self.board.note_run(self._loop.now_ms - begun_ms)
             self._endings.complete(attempt)
         elif failure.reason is Reason.NOT_FOUND:
             self.board.slots.mark_missing(attempt.adapter, self._loop.now_ms)
             self._endings.refuse(attempt, failure)
         else:
             self._endings.fail(attempt, Fate.FAILED, failure)
-
-    def _note_run(self, run_ms):
-        self.board.run_ms += RUN_SMOOTHING * (run_ms - self.board.run_ms)
--- a/nutmegdeal/tests/test_agent_admission.py
+++ b/nutmegdeal/tests/test_agent_admission.py
@@ -33,6 +33,8 @@
         ({"queued_count": 512}, Reason.QUEUE_FULL),
         ({"queue_wait_ms": 40_000.0}, Reason.DEADLINE_UNREACHABLE),
         ({"load_wait_ms": 40_000.0}, Reason.DEADLINE_UNREACHABLE),
+        ({"run_ms": 40_000.0}, Reason.DEADLINE_UNREACHABLE),
+        ({"queue_wait_ms": 20_000.0, "run_ms": 11_000.0}, Reason.DEADLINE_UNREACHABLE),
     ],
 )
 def test_refusal_names_its_reason(changes, reason):
