Count a request as open until the server has written its answer

Cause: bottle drops an iterable that begins with an empty chunk without closing it, so that an answer with an empty body stayed open for ever and a shutdown waited for its whole time limit. Found when a load under a profiler did not end at SIGTERM; whether this was that cause is not known, as none of its answers was empty; three loads without the profiler ended with exit code 0.

--- a/nutmegdeal/entry/http.py
+++ b/nutmegdeal/entry/http.py
@@ -49,31 +49,45 @@
         self._blackboard = blackboard
         self._describe_status = describe_status
         self.open_count = 0
-        self.wsgi = bottle.Bottle()
-        self.wsgi.default_error_handler = self._answer_error
+        self._routes = bottle.Bottle()
+        self._routes.default_error_handler = self._answer_error
         for path in COMPLETION_PATHS:
-            self.wsgi.route(path, "POST", self._answer_call)
-        self.wsgi.route(f"{SERVICES_PREFIX}<rest:path>", "ANY", self._answer_call)
-        self.wsgi.route("/healthz", "GET", self._answer_health)
-        self.wsgi.route("/readyz", "GET", self._answer_readiness)
-        self.wsgi.route("/status", "GET", self._answer_status)
+            self._routes.route(path, "POST", self._answer_call)
+        self._routes.route(f"{SERVICES_PREFIX}<rest:path>", "ANY", self._answer_call)
+        self._routes.route("/healthz", "GET", self._answer_health)
+        self._routes.route("/readyz", "GET", self._answer_readiness)
+        self._routes.route("/status", "GET", self._answer_status)
+
+    def wsgi(self, environ, start_response):
+        """Answer a WSGI call; it counts as open until the server has written it."""
+        self.open_count += 1
+        try:
+            body = self._routes(environ, start_response)
+        except BaseException:
+            self._count_closed()
+            raise
+        return ClosingBody(body, self._count_closed)
+
+    def _count_closed(self):
+        self.open_count -= 1
 
     def reply_to_invalid(self, failure):
         """Return the Reply to a request that could not be read."""
         opened = self._service.open("", "")
-        return self._reply(opened, opened.refuse(failure))
+        return self.reply(opened, opened.refuse(failure))
 
     def _answer_call(self, rest=""):
         environ = bottle.request.environ
         opened = self._service.open(environ["REQUEST_METHOD"], environ[RAW_PATH_KEY])
         body = self._read_body(environ)
         if isinstance(body, Failure):
-            return _respond(self._reply(opened, opened.refuse(body)))
+            return _respond(self.reply(opened, opened.refuse(body)))
         watch = DisconnectWatch(environ.get(SOCKET_KEY), opened.cancel)
         answer = CallerAnswer(self, opened, watch, _read_request(environ, body))
         return answer.respond()
 
-    def _reply(self, opened, finish):
+    def reply(self, opened, finish):
+        """Return the Reply that tells the caller of an OpenRequest of its Finish."""
         now_unix_ms = self._blackboard.clock.unix_ms()
         return reply_to_finish(finish, opened.request_id, now_unix_ms)
 
@@ -105,9 +119,9 @@
             finish = opened.fail(
                 Failure(Reason.INTERNAL_ERROR, Step.RECEIVE, "", detail)
             )
-            return _respond(self._reply(opened, finish))
+            return _respond(self.reply(opened, finish))
         failure = Failure(Reason.NOT_FOUND, Step.RECEIVE, "", detail)
-        reply = self._reply(opened, opened.refuse(failure))
+        reply = self.reply(opened, opened.refuse(failure))
         return _respond(attrs.evolve(reply, status_code=error.status_code))
 
     def _answer_health(self):
@@ -140,7 +154,6 @@
         self._watch = watch
         self._events = opened.events(request)
         self._is_closed = False
-        application.open_count += 1
 
     def respond(self):
         """Return the bottle response once its head is known."""
@@ -150,8 +163,8 @@
             self.close()
             raise
         if isinstance(first, Finish):
-            reply = self._application._reply(self._opened, first)
-            return _respond(reply, ClosingBody([reply.body], self.close))
+            self.close()
+            return _respond(self._application.reply(self._opened, first))
         if not isinstance(first, StreamStarted):
             raise TypeError(f"unexpected {first!r}")
         headers = standard_headers(
@@ -176,7 +189,6 @@
         self._is_closed = True
         self._watch.stop()
         self._events.close()
-        self._application.open_count -= 1
 
 
 class ClosingBody:
@@ -185,10 +197,12 @@
     Parameters
     ----------
     chunks : iterable of bytes
+        Closed, too, if it can be.
     on_close : callable
     """
 
     def __init__(self, chunks, on_close):
+        self._source = chunks
         self._chunks = iter(chunks)
         self._on_close = on_close
 
@@ -199,17 +213,22 @@
         return next(self._chunks)
 
     def close(self):
-        """Call the function."""
-        self._on_close()
+        """Close the chunks and call the function."""
+        try:
+            getattr(self._source, "close", _do_nothing)()
+        finally:
+            self._on_close()
+
 
+def _do_nothing():
+    """Stand for the close of what needs none."""
 
-def _respond(reply, body=None):
+
+def _respond(reply):
     """Return the bottle response of a Reply."""
     pairs = [(header.name, header.value) for header in reply.headers]
     pairs.append(("Content-Length", str(len(reply.body))))
-    return bottle.HTTPResponse(
-        reply.body if body is None else body, reply.status_code, pairs
-    )
+    return bottle.HTTPResponse(reply.body, reply.status_code, pairs)
 
 
 def _read_request(environ, body):
--- a/nutmegdeal/tests/test_entry_http.py
+++ b/nutmegdeal/tests/test_entry_http.py
@@ -106,6 +106,24 @@
     assert web.fixture.parts.gate.in_flight_count == 0
 
 
+def test_empty_answer_leaves_nothing_open():
+    """An entry that counted it as open would never finish its shutdown."""
+    web = build_web(Answering(lambda a: build_answer(a, [], 204)))
+    assert web.complete().status_code == 204
+    assert web.application.open_count == 0
+    assert web.fixture.parts.gate.in_flight_count == 0
+
+
+def test_answer_counts_as_open_until_it_was_written():
+    web = build_web(WHOLE)
+    environ = build_environ("POST", COMPLETIONS, json.dumps(GIVEN).encode(), {})
+    result = web.application.wsgi(environ, lambda *_: None)
+    assert web.application.open_count == 1
+    assert b"".join(result) == b"whole"
+    result.close()
+    assert web.application.open_count == 0
+
+
 def test_stream_ends_with_done():
     chunks = [b"data: a\n\n", b"data: [DONE]\n\n"]
     step = Answering(lambda a: build_answer(a, chunks, content_type=EVENT_STREAM))
