--- a/nutmegdeal/agent/attempts.py
+++ b/nutmegdeal/agent/attempts.py
@@ -92,7 +92,7 @@
         """Engine name of its adapter, "" for a plain service."""
         return engine_name_of(self.submit)
 
-    @property
+    @functools.cached_property
     def waiting(self):
         """The attempt as the policies see it while it waits."""
         return Waiting(
