--- a/nutmegdeal/entry/rendezvous.py
+++ b/nutmegdeal/entry/rendezvous.py
@@ -50,7 +50,7 @@
     stall_weight: float = 0.5
     load_ms: float = 250.0
     spill_factor: float = 2.0
-    wanted_factor: float = 0.25
+    wanted_factor: float = 0.5
     surplus_ms: float = 20.0
 
     @classmethod
