Let the retry budget cover the requests of one lost agent

Cause: at most ten tokens were held, so that of the streams of a killed agent only ten were run again; the process test that kills one with twelve streams saw in_doubt in one run of the whole suite. Unit test: of 64 lost requests 54 ended before, none after.

--- a/nutmegdeal/entry/budget.py
+++ b/nutmegdeal/entry/budget.py
@@ -3,6 +3,18 @@
 RETRY_BURST_TOKENS = 10.0
 
 
+def burst_for(ratio, in_flight_max):
+    """Return the tokens to hold: all requests of a lost agent may be tried again.
+
+    Parameters
+    ----------
+    ratio : float
+    in_flight_max : int
+        Requests that the entry has in progress at most.
+    """
+    return max(RETRY_BURST_TOKENS, ratio * in_flight_max)
+
+
 class RetryBudget:
     """Tokens earned by first attempts and spent by retries.
 
--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -13,7 +13,7 @@
 from nutmegdeal.entry.admission import AdmissionGate
 from nutmegdeal.entry.agents import AgentLinks
 from nutmegdeal.entry.blackboard import Blackboard
-from nutmegdeal.entry.budget import RetryBudget
+from nutmegdeal.entry.budget import RetryBudget, burst_for
 from nutmegdeal.entry.degree import DegreeTracker
 from nutmegdeal.entry.http import CallerApplication
 from nutmegdeal.entry.placement import Placement
@@ -98,13 +98,14 @@
     def _build_parts(self, ledger):
         chooser = RendezvousChooser(random.Random())
         entry_settings = self._settings.entry
+        ratio = entry_settings.retry_ratio
         return Parts(
             blackboard=self._board,
             links=self._links,
             placement=Placement(self._board, self._links, chooser, DegreeTracker()),
             ledger=ledger,
             gate=AdmissionGate(entry_settings.in_flight_max),
-            budget=RetryBudget(entry_settings.retry_ratio),
+            budget=RetryBudget(ratio, burst_for(ratio, entry_settings.in_flight_max)),
         )
 
     def start(self):
--- a/nutmegdeal/tests/test_entry_attempts.py
+++ b/nutmegdeal/tests/test_entry_attempts.py
@@ -22,11 +22,12 @@
     SendAttempt,
     WithdrawAttempt,
 )
-from nutmegdeal.entry.budget import RetryBudget
+from nutmegdeal.entry.budget import RetryBudget, burst_for
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.fakes.memory import MemoryTable
 from nutmegdeal.ledger import LedgerAnswer, LedgerState, MayDispatch, TableLedger
 from nutmegdeal.messages import AttemptEnded, Fate
+from nutmegdeal.settings import EntrySettings
 from nutmegdeal.tests.builders import build_booking, build_submit
 
 LOST = Failure(Reason.CONNECTION_LOST, Step.RELAY, "agent", "reset")
@@ -338,6 +339,23 @@
         return True
 
 
+def test_budget_covers_the_requests_of_one_lost_agent():
+    """With ten tokens only ten of its streams went on elsewhere."""
+    ratio = EntrySettings().retry_ratio
+    burst = burst_for(ratio, EntrySettings().in_flight_max)
+    lost = {}
+    for tokens in (10.0, burst):
+        budget = RetryBudget(ratio, tokens)
+        plans = [AttemptPlan(True, 3, budget) for _ in range(64)]
+        for plan in plans:
+            plan.start()
+            plan.on_sent()
+        actions = [plan.on_lost(LOST) for plan in plans]
+        lost[tokens] = sum(isinstance(action, Finish) for action in actions)
+    assert lost == {10.0: 54, burst: 0}
+    assert burst_for(ratio, 10) == 10.0
+
+
 def test_retry_storm_stays_within_the_budget():
     offered, ratio = 10_000, 0.1
     assert storm(RetryBudget(ratio), offered) <= offered * (1 + ratio) + 10
