--- a/nutmegdeal/bench/agent.py
+++ b/nutmegdeal/bench/agent.py
@@ -15,6 +15,7 @@
 from nutmegdeal.agent.scheduling import Scheduler
 from nutmegdeal.agent.slots import SlotTable
 from nutmegdeal.agent.streams import StreamHandler
+from nutmegdeal.agent.tranches import POLL_EVERY_MS
 from nutmegdeal.bench.teams import SLOT_COUNT
 from nutmegdeal.errors import Reason
 from nutmegdeal.messages import Fate
@@ -244,11 +245,11 @@
             self._loop.spawn(self._claim, wanted_count)
 
     def _claim(self, wanted_count):
-        try:
-            self.claims.step(wanted_count)
-        finally:
-            self._is_claiming = False
+        self.claims.step(wanted_count)
         self.board.notify()
+        self._loop.sleep(POLL_EVERY_MS)
+        self._is_claiming = False
+        self._claim_soon()
 
     def _note_work(self):
         self.engine.note_work(len(self.board.waiting()))
