--- a/nutmegdeal/bench/entry.py
+++ b/nutmegdeal/bench/entry.py
@@ -4,11 +4,12 @@
 
 from nutmegdeal.bench.measures import RequestLog
 from nutmegdeal.bench.teams import COMPLETION_PATH, VERSION
-from nutmegdeal.entry.agents import AVOID_FIRST_MS, AgentLink, AttemptLost
+from nutmegdeal.entry.agents import AVOID_FIRST_MS
 from nutmegdeal.entry.attempts import AttemptPlan, Finish
 from nutmegdeal.entry.blackboard import Blackboard
 from nutmegdeal.entry.budget import RetryBudget
 from nutmegdeal.entry.degree import DegreeTracker
+from nutmegdeal.entry.links import AgentLink, AttemptLost
 from nutmegdeal.entry.placement import Placement
 from nutmegdeal.entry.requests import Target
 from nutmegdeal.errors import Failure, Reason, Step
--- a/nutmegdeal/entry/agents.py
+++ b/nutmegdeal/entry/agents.py
@@ -7,9 +7,8 @@
 import gevent.event
 
 from nutmegdeal.channel import Address
-from nutmegdeal.entry.routing import ReplicaView
+from nutmegdeal.entry.links import AgentLink, AttemptLost
 from nutmegdeal.errors import Failure, Reason, Step
-from nutmegdeal.identifiers import AdapterRef
 from nutmegdeal.log import get_logger
 from nutmegdeal.messages import (
     AgentReport,
@@ -26,109 +25,6 @@
 AVOID_MAX_MS = 30_000
 INBOX_MESSAGES_MAX = 4_096
 AVOID_JITTER = 0.5
-HOLD_DECAY = 0.1
-
-
-@attrs.frozen
-class AttemptLost:
-    """The stream that an attempt was on is closed."""
-
-    attempt_id: str
-    failure: Failure
-
-
-class AgentLink:
-    """What this entry has with one agent.
-
-    Parameters
-    ----------
-    host : Host
-    """
-
-    def __init__(self, host):
-        self.host = host
-        self.session = None
-        self.opening = None
-        self.reported = gevent.event.Event()
-        self.report = None
-        self.resident = frozenset()
-        self.reported_at_ms = 0.0
-        self.sent_since_report_count = 0
-        self.sent_adapters = set()
-        self.avoid_until_ms = 0.0
-        self.failure_count = 0
-        self.close_at_ms = 0.0
-        self.hold_ms = 0.0
-        self.inboxes = {}
-
-    @property
-    def address(self):
-        """Address of the agent's channel."""
-        return Address(self.host.agent_host, self.host.agent_port)
-
-    @property
-    def is_open(self):
-        """True if a stream is open."""
-        return self.session is not None and self.session.is_open
-
-    @property
-    def incarnation(self):
-        """Incarnation of the agent, "" if it has not told yet."""
-        return self.report.incarnation if self.report else ""
-
-    @property
-    def is_leaving(self):
-        """True if the agent said that it takes no new work."""
-        return self.is_open and self.report is not None and self.report.leaving
-
-    def take_report(self, report, now_ms):
-        """Note an AgentReport."""
-        self.report = report
-        self.resident = frozenset(report.resident)
-        self.reported_at_ms = now_ms
-        self.sent_since_report_count = 0
-        self.sent_adapters.clear()
-        self.reported.set()
-
-    def take_hint(self, hint, now_ms):
-        """Note a LoadHint."""
-        if self.report is None:
-            return
-        self.report = attrs.evolve(
-            self.report,
-            queued_count=hint.queued_count,
-            running_count=hint.running_count,
-            queue_wait_ms=hint.queue_wait_ms,
-            load_wait_ms=hint.load_wait_ms,
-        )
-        self.reported_at_ms = now_ms
-        self.sent_since_report_count = 0
-
-    def note_sent(self, submit):
-        """Note a Submit that the last report can't know of."""
-        self.sent_since_report_count += 1
-        if submit.adapter:
-            ref = AdapterRef(submit.adapter, submit.version)
-            self.sent_adapters.add(ref.engine_name)
-
-    def take_hold(self, held_ms):
-        """Note how long an attempt that has ended was under way."""
-        self.hold_ms += HOLD_DECAY * (held_ms - self.hold_ms)
-
-    def view(self, adapter, concurrency_max, now_ms):
-        """Return the ReplicaView of this agent for an engine name."""
-        report = self.report
-        return ReplicaView(
-            agent_id=self.host.host_id,
-            zone=self.host.zone,
-            reported_wait_ms=report.queue_wait_ms if report else 0.0,
-            reported_age_ms=now_ms - self.reported_at_ms if report else 0.0,
-            service_ms=self.hold_ms / concurrency_max,
-            sent_since_report_count=self.sent_since_report_count,
-            in_flight_count=len(self.inboxes),
-            is_resident=adapter in self.resident or adapter in self.sent_adapters,
-            load_wait_ms=report.load_wait_ms if report else 0.0,
-        )
 
 
 class AgentLinks:
--- a/nutmegdeal/entry/relay.py
+++ b/nutmegdeal/entry/relay.py
@@ -6,7 +6,7 @@
 
 from nutmegdeal import identifiers
 from nutmegdeal.entry.admission import AdmissionGate
-from nutmegdeal.entry.agents import AgentLinks, AttemptLost
+from nutmegdeal.entry.agents import AgentLinks
 from nutmegdeal.entry.assembly import (
     AnswerAssembly,
     Broken,
@@ -17,6 +17,7 @@
 from nutmegdeal.entry.attempts import AttemptPlan, Finish, SendAttempt
 from nutmegdeal.entry.blackboard import Blackboard
 from nutmegdeal.entry.budget import RetryBudget
+from nutmegdeal.entry.links import AttemptLost
 from nutmegdeal.entry.placement import Placement
 from nutmegdeal.entry.records import RecordReader
 from nutmegdeal.entry.requests import build_submit
--- a/nutmegdeal/tests/entry_parts.py
+++ b/nutmegdeal/tests/entry_parts.py
@@ -8,9 +8,9 @@
 from nutmegdeal.accounts import Recorder
 from nutmegdeal.clock import ManualClock
 from nutmegdeal.entry.admission import AdmissionGate
-from nutmegdeal.entry.agents import AgentLink
 from nutmegdeal.entry.blackboard import Blackboard
 from nutmegdeal.entry.budget import RetryBudget
+from nutmegdeal.entry.links import AgentLink
 from nutmegdeal.entry.relay import Parts
 from nutmegdeal.entry.requests import CallerHeaders, CallerRequest
 from nutmegdeal.entry.service import EntryService
--- a/nutmegdeal/tests/test_entry_agents.py
+++ b/nutmegdeal/tests/test_entry_agents.py
@@ -13,10 +13,10 @@
     IDLE_CLOSE_AFTER_MS,
     INBOX_MESSAGES_MAX,
     AgentLinks,
-    AttemptLost,
 )
 from nutmegdeal.entry.blackboard import Blackboard
 from nutmegdeal.entry.degree import DegreeTracker
+from nutmegdeal.entry.links import AttemptLost
 from nutmegdeal.entry.placement import Placement
 from nutmegdeal.entry.pollers import Poller
 from nutmegdeal.entry.rendezvous import RendezvousChooser
--- a/nutmegdeal/tests/test_entry_relay.py
+++ b/nutmegdeal/tests/test_entry_relay.py
@@ -3,8 +3,8 @@
 import attrs
 import pytest
 
-from nutmegdeal.entry.agents import AttemptLost
 from nutmegdeal.entry.assembly import StreamStarted
+from nutmegdeal.entry.links import AttemptLost
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.ledger import LedgerAnswer, LedgerState
 from nutmegdeal.messages import AnswerEnd, AnswerFrame, AnswerHead, Fate
