Read an agent's account as far as it may concern the request

Cause: find_window took the first event at hand for the first of the request and the entry's answer for the end of the agents' events. With the entry's first events dropped, or an agent that acts long after the answer, events were not read and the account said nothing of it. A third case: a gap at the entry may hide a second attempt at the same agent, so an agent's account ends only if the entry's is whole. Three tests in test_account_reader.py fail without the change.

--- a/nutmegdeal/account_reader.py
+++ b/nutmegdeal/account_reader.py
@@ -11,7 +11,9 @@
     Coverage,
     Evidence,
     Hole,
+    have_attempts_ended,
     is_end,
+    is_whole,
 )
 from nutmegdeal.identifiers import entry_of_request
 from nutmegdeal.ledger_rows import LedgerRow, is_row_of
@@ -40,21 +42,6 @@
         return cls(name, *map(int, parts))
 
 
-@attrs.frozen
-class Window:
-    """The time span in which a request's events are looked for."""
-
-    first_unix_ms: int = 0
-    last_unix_ms: int = NO_END_UNIX_MS
-
-    def meets(self, segment):
-        """Return whether a SegmentName's time span shares a moment with this one."""
-        return (
-            segment.last_unix_ms >= self.first_unix_ms
-            and segment.first_unix_ms <= self.last_unix_ms
-        )
-
-
 class LedgerReader:
     """Finds the ledger row that the entry's events name.
 
@@ -89,14 +76,16 @@
     coverage: Coverage
 
 
-def find_window(entry_events):
-    """Return the Window of the agents' events, allowing for clock skew."""
-    if not entry_events:
-        return Window()
-    first_ms = entry_events[0].at_unix_ms - CLOCK_SKEW_MAX_MS
-    if not is_end(entry_events[-1]):
-        return Window(first_ms)
-    return Window(first_ms, entry_events[-1].at_unix_ms + CLOCK_SKEW_MAX_MS)
+def find_first_ms(entry_events):
+    """Return the earliest time of an agent's events, allowing for clock skew."""
+    if not entry_events or entry_events[0].step is not Step.RECEIVE:
+        return 0
+    return entry_events[0].at_unix_ms - CLOCK_SKEW_MAX_MS
+
+
+def has_entry_ended(entry_events):
+    """Return whether the entry's last event of the request is at hand."""
+    return bool(entry_events) and is_end(entry_events[-1])
 
 
 class AccountReader:
@@ -117,51 +106,45 @@
     def read(self, request_id):
         """Return the Evidence about a request; what could not be read is a hole."""
         entry = entry_of_request(request_id)
-        readings = [self._read_incarnation(entry, request_id, Window())]
+        readings = [self._read_entry(entry, request_id)]
         entry_events = readings[0].events
-        window = find_window(entry_events)
+        is_entry_whole = is_whole(entry_events, readings[0].coverage)
         ledger_row = self._find_row(entry_events)
         agents = {event.peer_incarnation: None for event in entry_events}
         if is_row_of(ledger_row, request_id):
             agents[ledger_row.agent_incarnation] = None
         for incarnation in agents:
             if incarnation and incarnation != entry:
-                reading = self._read_incarnation(incarnation, request_id, window)
-                readings.append(reading)
+                readings.append(
+                    self._read_agent(
+                        incarnation, request_id, entry_events, is_entry_whole
+                    )
+                )
         events = tuple(event for reading in readings for event in reading.events)
         coverages = tuple(reading.coverage for reading in readings)
         return Evidence(events, coverages, ledger_row)
 
-    def _read_incarnation(self, incarnation, request_id, window):
+    def _read_entry(self, incarnation, request_id):
         names = self._list_segments(incarnation)
         if isinstance(names, Failure):
-            hole = Hole(0, NO_END_UNIX_MS, Cause.UNREADABLE)
-            return _Reading((), Coverage(incarnation, holes=(hole,)))
-        chosen = [name for name in names if window.meets(name)]
-        if incarnation == entry_of_request(request_id):
-            chosen = names[self._find_start(names, request_id) :]
-        segments, holes = self._read_segments(chosen, names, request_id)
-        holes += find_missing(names)
-        watermark = self._read_watermark(incarnation)
-        if watermark is not None and watermark.segment_count > count_segments(names):
-            holes.append(find_tail_hole(names, watermark))
-        holders = [*segments, watermark] if watermark else segments
-        coverage = Coverage(
-            incarnation,
-            process=holders[0].process if holders else "",
-            covers_to_unix_ms=max(
-                (holder.covers_to_unix_ms for holder in holders), default=0
-            ),
-            is_final=watermark is not None and watermark.is_final,
-            holes=tuple(holes),
-        )
-        events = tuple(
-            event
-            for segment in segments
-            for event in segment.events
-            if event.request_id == request_id
+            return _nothing_read(incarnation)
+        chosen = names[self._find_start(names, request_id) :]
+        return self._read_segments(
+            incarnation, names, chosen, request_id, has_entry_ended
         )
-        return _Reading(events, coverage)
+
+    def _read_agent(self, incarnation, request_id, entry_events, is_entry_whole):
+        names = self._list_segments(incarnation)
+        if isinstance(names, Failure):
+            return _nothing_read(incarnation)
+        first_ms = find_first_ms(entry_events)
+        chosen = [name for name in names if name.last_unix_ms >= first_ms]
+        sent = [e for e in entry_events if e.peer_incarnation == incarnation]
+
+        def has_ended(events):
+            return is_entry_whole and have_attempts_ended(events, sent)
+
+        return self._read_segments(incarnation, names, chosen, request_id, has_ended)
 
     def _find_start(self, names, request_id):
         return find_start(
@@ -185,12 +168,19 @@
         parsed = [segment for segment in map(SegmentName.parse, names) if segment]
         return sorted(parsed, key=lambda segment: segment.sequence)
 
-    def _read_segments(self, chosen, names, request_id):
-        """Return the Segments under chosen names, and the last, and their holes.
-
-        Reading stops where the entry has answered the request.
+    def _read_segments(self, incarnation, names, chosen, request_id, has_ended):
+        """Read chosen segments in order until the request has ended there.
+
+        Parameters
+        ----------
+        incarnation : str
+        names, chosen : list of SegmentName
+            All of the incarnation, and those to read.
+        request_id : str
+        has_ended : callable
+            Takes the request's events so far; returns whether no more can follow.
         """
-        segments, holes = [], []
+        segments, events, holes = [], [], find_missing(names)
         for name in chosen:
             segment = self._read_segment(name)
             if segment is None:
@@ -198,16 +188,32 @@
                 holes.append(Hole(*span, Cause.UNREADABLE))
                 continue
             segments.append(segment)
+            events += [e for e in segment.events if e.request_id == request_id]
             holes += [
                 Hole(gap.first_unix_ms, gap.last_unix_ms, Cause.DROPPED)
                 for gap in segment.gaps
             ]
-            if has_entry_end(segment, request_id):
-                return segments, holes
+            if has_ended(events):
+                break
+        coverage = self._find_coverage(incarnation, names, segments, holes)
+        return _Reading(tuple(events), coverage)
+
+    def _find_coverage(self, incarnation, names, segments, holes):
+        """Return the Coverage that the segments read and the watermark give."""
         last = self._read_segment(names[-1]) if names else None
-        if last is not None and last not in segments:
-            segments.append(last)
-        return segments, holes
+        watermark = self._read_watermark(incarnation)
+        if watermark is not None and watermark.segment_count > count_segments(names):
+            holes.append(find_tail_hole(names, watermark))
+        holders = [holder for holder in (*segments, last, watermark) if holder]
+        return Coverage(
+            incarnation,
+            process=holders[0].process if holders else "",
+            covers_to_unix_ms=max(
+                (holder.covers_to_unix_ms for holder in holders), default=0
+            ),
+            is_final=watermark is not None and watermark.is_final,
+            holes=tuple(holes),
+        )
 
     def _read_segment(self, name):
         """Return the Segment under a SegmentName, or None; keep it for this reader."""
@@ -230,12 +236,9 @@
             return None
 
 
-def has_entry_end(segment, request_id):
-    """Return whether a Segment holds the last event of a request at its entry."""
-    if segment.incarnation != entry_of_request(request_id):
-        return False
-    own = (event for event in segment.events if event.request_id == request_id)
-    return any(map(is_end, own))
+def _nothing_read(incarnation):
+    hole = Hole(0, NO_END_UNIX_MS, Cause.UNREADABLE)
+    return _Reading((), Coverage(incarnation, holes=(hole,)))
 
 
 def count_segments(names):
--- a/nutmegdeal/evidence.py
+++ b/nutmegdeal/evidence.py
@@ -48,6 +48,20 @@
     PROCESS_UNKNOWN = "process_unknown"
 
 
+def have_attempts_ended(agent_events, sent_events):
+    """Return whether an agent's events end each attempt that is known to be its.
+
+    Parameters
+    ----------
+    agent_events : sequence of Event
+    sent_events : sequence of Event
+        The entry's events that send attempts to this agent.
+    """
+    known = {event.attempt_id for event in (*agent_events, *sent_events)} - {""}
+    ended = {event.attempt_id for event in agent_events if is_end(event)}
+    return bool(agent_events) and known <= ended
+
+
 @attrs.frozen
 class Hole:
     """A time span in which events of an incarnation may be missing.
@@ -91,6 +105,24 @@
     holes: tuple[Hole, ...] = ()
 
 
+def is_whole(entry_events, coverage):
+    """Return whether an entry's events of a request are at hand without a gap.
+
+    Parameters
+    ----------
+    entry_events : sequence of Event
+        In the order of recording.
+    coverage : Coverage
+        Of the entry.
+    """
+    if not entry_events or entry_events[0].step is not Step.RECEIVE:
+        return False
+    if not is_end(entry_events[-1]):
+        return False
+    span = (entry_events[0].at_unix_ms, entry_events[-1].at_unix_ms)
+    return not any(hole.overlaps(*span) for hole in coverage.holes)
+
+
 @attrs.frozen
 class Evidence:
     """What the object store gave about one request.
--- a/nutmegdeal/tests/histories.py
+++ b/nutmegdeal/tests/histories.py
@@ -17,6 +17,7 @@
 AGENTS = ("a1", "a2")
 ADAPTER = "quote-0001"
 BUFFER_EVENTS_MAX = 4
+PAUSES_MS = ((0, 1, 70, 400), (1, 20_000))
 FAULTS = ("kill", "store", "late", "lost", "spoilt", "small buffer", "left running")
 TERMINAL = (Fate.COMPLETED, Fate.FAILED, Fate.IN_DOUBT, Fate.NOT_RUN)
 
@@ -70,6 +71,7 @@
         self.with_faults = with_faults
         faults = st.sets(st.sampled_from(FAULTS)) if with_faults else st.just(set())
         self._faults = draw(faults)
+        self._pauses_ms = draw(st.sampled_from(PAUSES_MS))
         self.clock = ManualClock()
         self.objects = FaultyObjects()
         self.truth = Truth()
@@ -110,7 +112,7 @@
 
     def _befall(self):
         """Let time pass, and perhaps a flush, a fault of the store or a death."""
-        self.clock.advance(self.draw(st.sampled_from((0, 1, 70, 400))))
+        self.clock.advance(self.draw(st.sampled_from(self._pauses_ms)))
         processes = (self.entry, *self.agents.values())
         process = self.draw(st.sampled_from(processes))
         faults = sorted(self._faults & {"kill", "store"})
--- a/nutmegdeal/tests/test_account_reader.py
+++ b/nutmegdeal/tests/test_account_reader.py
@@ -9,6 +9,7 @@
 from nutmegdeal.account_reader import AccountReader
 from nutmegdeal.accounts import Outcome
 from nutmegdeal.errors import Step
+from nutmegdeal.explanations import explain
 from nutmegdeal.tests.builders import FaultyObjects, build_event
 
 START_UNIX_MS = 1_700_000_000_000
@@ -107,3 +108,83 @@
     objects = FaultyObjects()
     store_segments(objects, [[build_event()]])
     assert read(objects, "e1-not a number").events == ()
+
+
+def test_agents_are_read_from_the_start_if_the_entrys_first_events_are_missing():
+    objects = FaultyObjects()
+    later_ms = START_UNIX_MS + 100_000
+    sent = build_event(
+        at_unix_ms=later_ms,
+        step=Step.SUBMIT,
+        outcome=Outcome.SENT,
+        attempt_id="e1-1.2",
+        peer_incarnation="a1",
+    )
+    answered = build_life(1, later_ms + 1, Step.ANSWER, "not_run")
+    gap = accounts.Gap(START_UNIX_MS, START_UNIX_MS + 1, 2)
+    entry = accounts.Segment("entry-1", "e1", 0, later_ms, (sent, answered), (gap,))
+    early = build_event(incarnation="a1", attempt_id="e1-1.1", step=Step.QUEUE)
+    agent = accounts.Segment("agent-1", "a1", 0, START_UNIX_MS + 50, (early,))
+    last = accounts.Segment("agent-1", "a1", 1, later_ms + 50, ())
+    for segment in (entry, agent, last):
+        objects.stored[segment.name] = accounts.encode(segment)
+    assert early in read(objects, "e1-1").events
+
+
+def build_sent(number, at_unix_ms):
+    return build_event(
+        at_unix_ms=at_unix_ms,
+        step=Step.SUBMIT,
+        outcome=Outcome.SENT,
+        attempt_id=f"e1-1.{number}",
+        peer_incarnation="a1",
+    )
+
+
+def build_agent_event(number, at_unix_ms, step, outcome):
+    return build_event(
+        incarnation="a1",
+        at_unix_ms=at_unix_ms,
+        step=step,
+        outcome=outcome,
+        attempt_id=f"e1-1.{number}",
+    )
+
+
+def test_agent_that_acts_long_after_the_answer_is_read_to_its_end():
+    objects = FaultyObjects()
+    late_ms = START_UNIX_MS + 60_000
+    entry = [
+        build_life(1, START_UNIX_MS, Step.RECEIVE, Outcome.RECEIVED),
+        build_sent(1, START_UNIX_MS),
+        build_life(1, START_UNIX_MS + 9, Step.ANSWER, "in_doubt"),
+    ]
+    store_segments(objects, [entry])
+    queued = build_agent_event(1, START_UNIX_MS + 1, Step.QUEUE, "queued")
+    late = build_agent_event(1, late_ms, Step.ANSWER, "completed")
+    for sequence, event in enumerate((queued, late)):
+        segment = accounts.Segment("agent-1", "a1", sequence, late_ms + 1, (event,))
+        objects.stored[segment.name] = accounts.encode(segment)
+    assert late in read(objects, "e1-1").events
+
+
+def test_agent_is_read_on_if_the_entry_may_have_sent_it_more():
+    objects = FaultyObjects()
+    start_ms = START_UNIX_MS
+    entry_events = (
+        build_life(1, start_ms, Step.RECEIVE, Outcome.RECEIVED),
+        build_sent(1, start_ms),
+        build_life(1, start_ms + 9, Step.ANSWER, "not_run"),
+    )
+    gap = accounts.Gap(start_ms + 3, start_ms + 4, 1)
+    entry = accounts.Segment("entry-1", "e1", 0, start_ms + 50, entry_events, (gap,))
+    ended = build_agent_event(1, start_ms + 1, Step.ANSWER, "not_run")
+    more = build_agent_event(2, start_ms + 5, Step.QUEUE, "queued")
+    first = accounts.Segment("agent-1", "a1", 0, start_ms + 2, (ended,))
+    second = accounts.Segment("agent-1", "a1", 1, start_ms + 6, (more,))
+    for segment in (entry, first, second):
+        objects.stored[segment.name] = accounts.encode(segment)
+    evidence = read(objects, "e1-1")
+    assert more in evidence.events
+    account = explain("e1-1", evidence.events, evidence.coverages, None, start_ms + 99)
+    assert {unknown.incarnation for unknown in account.unknowns} == {"e1", "a1"}
--- a/nutmegdeal/unknowns.py
+++ b/nutmegdeal/unknowns.py
@@ -9,8 +9,10 @@
     Cause,
     Coverage,
     Hole,
+    have_attempts_ended,
     is_end,
     is_submit,
+    is_whole,
 )
 from nutmegdeal.identifiers import entry_of_request
 from nutmegdeal.ledger_rows import is_row_of
@@ -37,13 +39,15 @@
     """Return an Unknown for each span in which events may be missing."""
     entry = entry_of_request(request_id)
     coverages = {coverage.incarnation: coverage for coverage in watermarks}
+    entry_coverage = coverages.get(entry, _nothing_read(entry))
+    is_entry_whole = is_whole(split.get(entry, []), entry_coverage)
     unknowns = []
     for incarnation in _list_incarnations(request_id, split, ledger_row):
         own = split.get(incarnation, [])
         coverage = coverages.get(incarnation, _nothing_read(incarnation))
         process = coverage.process or (own[0].process if own else "")
         process = process or _name_by_peers(split.get(entry, []), incarnation)
-        window = _find_window(incarnation, entry, split)
+        window = _find_window(incarnation, entry, split, is_entry_whole)
         holes = _find_holes(coverage, window)
         unknowns += [Unknown(process, incarnation, hole) for hole in holes]
     unknowns += _find_unnamed_agents(split.get(entry, []))
@@ -83,7 +87,7 @@
     last_unix_ms: int
 
 
-def _find_window(incarnation, entry, split):
+def _find_window(incarnation, entry, split, is_entry_whole):
     """Return the _Window of an incarnation, allowing for clock skew."""
     own = split.get(incarnation, [])
     entry_events = split.get(entry, [])
@@ -93,21 +97,11 @@
         last_ms = own[-1].at_unix_ms if own and is_end(own[-1]) else NO_END_UNIX_MS
         return _Window(first_ms, last_ms)
     sent = [e for e in entry_events if e.peer_incarnation == incarnation]
-    if sent:
-        first_ms = sent[0].at_unix_ms
-    entry_has_ended = bool(entry_events) and is_end(entry_events[-1])
-    is_closed = entry_has_ended and _has_ended(own, sent)
+    is_closed = is_entry_whole and have_attempts_ended(own, sent)
     last_ms = max(e.at_unix_ms for e in own) if is_closed else NO_END_UNIX_MS
     return _Window(first_ms - CLOCK_SKEW_MAX_MS, last_ms)
 
 
-def _has_ended(own, sent):
-    """Return whether an agent's events end each attempt that was sent to it."""
-    attempts = {event.attempt_id for event in (*own, *sent) if event.attempt_id}
-    ended = {event.attempt_id for event in own if is_end(event)}
-    return bool(own) and attempts <= ended
-
-
 def _find_holes(coverage, window):
     """Return the Holes of a coverage that may hide events of the request."""
     span = (window.first_unix_ms, window.last_unix_ms)
