--- a/scripts/write_settings_page.py
+++ b/scripts/write_settings_page.py
@@ -20,7 +20,7 @@
 at once with section, key and what is allowed. A key that is left out has its default.
 
 These are the settings of one process. What a team wants is not here but in its
-[questionnaire](../examples/knusepool/questionnaire.ini).
+[questionnaire](questionnaire.md).
 
 Units are in the names: `_ms` is milliseconds, `_bytes` bytes. Values of keys marked
 *secret* are never logged. This page is written by `scripts/write_settings_page.py`.
