--- a/nutmegdeal/ledger_sweep.py
+++ b/nutmegdeal/ledger_sweep.py
@@ -52,6 +52,19 @@
     return Swept(next_after, len(expired) if is_written else 0)
 
 
+def sweep_all(table, clock, skew_ms):
+    """Delete all expired rows; return their number (int), or a Failure."""
+    deleted_count, after = 0, ""
+    while True:
+        swept = sweep_expired(table, clock, skew_ms, after)
+        if isinstance(swept, Failure):
+            return swept
+        deleted_count += swept.deleted_count
+        after = swept.after
+        if not after:
+            return deleted_count
+
+
 def _expiry_unix_ms(row):
     """Return when a row's key expires; never for one that cannot be read."""
     try:
--- a/nutmegdeal/tests/test_ctl.py
+++ b/nutmegdeal/tests/test_ctl.py
@@ -6,6 +6,11 @@
 import pytest
 import urllib3
 
+from nutmegdeal import settings as settings_module
+from nutmegdeal.clock import ManualClock
+from nutmegdeal.ledger import MayDispatch, TableLedger
+from nutmegdeal.platform.table import HttpTableService
+from nutmegdeal.tests.builders import build_booking
 from nutmegdeal.tests.processes import STOP_WITHIN_S, Site, wait_until
 
 pytestmark = pytest.mark.processes
@@ -146,6 +151,18 @@
     assert "Nothing is recorded of it." in site.why("0123456789ab-1", code=6)
 
 
+def test_sweep_deletes_what_expired_long_ago(site):
+    path = site.settings_path("ctl")
+    platform = settings_module.load(path).platform
+    table = HttpTableService(platform.table_url, platform.call_within_ms)
+    book = TableLedger(table, ManualClock())
+    assert isinstance(
+        book.begin(build_booking(idempotency_key="old"), "agent"), MayDispatch
+    )
+    assert "deleted 1 " in site.ctl("sweep", "--settings", str(path))
+    assert "deleted 0 " in site.ctl("sweep", "--settings", str(path))
+
+
 def test_settings_without_the_platform_are_invalid(tmp_path, site):
     path = tmp_path / "empty.ini"
     path.write_text("")
--- a/nutmegdeal/tools/ctl.py
+++ b/nutmegdeal/tools/ctl.py
@@ -15,6 +15,7 @@
     explanations,
     fleet,
     identifiers,
+    ledger_sweep,
     sentences,
 )
 from nutmegdeal import questionnaire as questionnaires
@@ -224,6 +225,24 @@
         sys.exit(ExitCode.UNAVAILABLE if is_unread else ExitCode.NOT_FOUND)
 
 
+@app.command
+def sweep(*, settings: str):
+    """Delete the ledger rows of keys that expired long ago.
+
+    Parameters
+    ----------
+    settings
+        INI file with the section [platform]; its [agent] clock_skew_ms holds.
+    """
+    loaded = _unless_invalid(settings_module.load(settings, PLATFORM_KEYS))
+    platform = loaded.platform
+    table = HttpTableService(platform.table_url, platform.call_within_ms)
+    deleted = ledger_sweep.sweep_all(table, SystemClock(), loaded.agent.clock_skew_ms)
+    if isinstance(deleted, Failure):
+        _fail(ExitCode.UNAVAILABLE, f"stopped, rows may be left: {deleted}")
+    print(f"deleted {deleted} expired rows")
+
+
 def _print(content, describe, as_json):
     """Print an attrs object as JSON or as the lines that `describe` returns."""
     if as_json:
