--- a/nutmegdeal/configuration_files.py
+++ b/nutmegdeal/configuration_files.py
@@ -10,6 +10,7 @@
     ServiceSection,
     TeamSection,
     WeightStoreSection,
+    find_hiding,
     format_adapter,
     parse_adapter,
     parse_one,
@@ -17,6 +18,14 @@
 from nutmegdeal.settings import InvalidFile, Mistake
 
 HEAD_SECTION = "configuration"
+KNOWN_SECTIONS = (
+    HEAD_SECTION,
+    "team",
+    "weight_store",
+    "service",
+    "operation",
+    "adapters",
+)
 
 
 def write(configuration):
@@ -37,7 +46,11 @@
     parser = parse_text(text)
     if isinstance(parser, InvalidFile):
         return parser
-    mistakes = []
+    mistakes = [
+        Mistake(section, "", "unknown section")
+        for section in parser.sections()
+        if section.partition(" ")[0] not in KNOWN_SECTIONS
+    ]
     configuration = read_policy(parser, mistakes)
     adapters = read_adapters(parser, mistakes)
     for adapter in adapters:
@@ -135,7 +148,11 @@
     for name in _names_after(parser, f"operation {service}"):
         heading = f"operation {service} {name}"
         section = parse_one(parser, heading, OperationSection, mistakes)
-        operations.append(section.as_policy(name))
+        operation = section.as_policy(name)
+        hiding = find_hiding(operation, operations) if section.is_complete else ""
+        if hiding:
+            mistakes.append(Mistake(heading, "path", hiding))
+        operations.append(operation)
     return tuple(operations)
 
 
--- a/nutmegdeal/policy_sections.py
+++ b/nutmegdeal/policy_sections.py
@@ -254,6 +254,23 @@
     return answers
 
 
+def find_hiding(operation, earlier):
+    """Say which of the `earlier` OperationPolicy takes all calls; "" if none does."""
+    for other in earlier:
+        if _covers(other, operation):
+            return f"no call reaches it: operation {other.name!r} above takes them all"
+    return ""
+
+
+def _covers(first, second):
+    """Return whether operation `first` matches all calls that `second` matches."""
+    if first.method != second.method:
+        return False
+    if not first.path.endswith("*"):
+        return first.path == second.path
+    return second.path.removesuffix("*").startswith(first.path[:-1])
+
+
 def parse_adapter(name, service, text):
     """Return the AdapterPolicy of one line, or a str that says what is wrong."""
     words = [_split_part(part) for part in text.split(";")]
--- a/nutmegdeal/questionnaire.py
+++ b/nutmegdeal/questionnaire.py
@@ -17,6 +17,7 @@
     ServiceSection,
     TeamSection,
     WeightStoreSection,
+    find_hiding,
     format_answer,
     parse_adapter,
     parse_one,
@@ -231,12 +232,9 @@
         return tuple(operations)
 
     def _check_reachable(self, section, operation, earlier):
-        for other in earlier:
-            if _covers(other, operation):
-                text = (
-                    f"no call reaches it: operation {other.name!r} above takes them all"
-                )
-                self._add(section, "path", text)
+        text = find_hiding(operation, earlier)
+        if text:
+            self._add(section, "path", text)
 
     def _read_adapters(self, services):
         answers = []
@@ -305,12 +303,3 @@
     "[team], [weight_store], [service NAME], [operation SERVICE NAME], "
     "[adapters SERVICE]"
 )
-
-
-def _covers(first, second):
-    """Return whether operation `first` matches all calls that `second` matches."""
-    if first.method != second.method:
-        return False
-    if not first.path.endswith("*"):
-        return first.path == second.path
-    return second.path.removesuffix("*").startswith(first.path[:-1])
--- a/nutmegdeal/tests/test_questionnaire.py
+++ b/nutmegdeal/tests/test_questionnaire.py
@@ -212,3 +212,25 @@
     assert "idempotent yes" in changes[1]
     assert "idempotent no" in changes[1]
     assert changes[2] == "adapter quote-11: removed"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "section"),
+    [
+        ("[team]", "[extra]\n[team]", "extra"),
+        ("generation = 0", "generation = x", "configuration"),
+        ("[adapters engine]", "[adapters other]", "adapters other"),
+        (
+            "[adapters engine]",
+            "[operation engine book]\nmethod = POST\npath = /v1/bookings\n"
+            "idempotent = no\nurgency = urgent\n[adapters engine]",
+            "operation engine book",
+        ),
+    ],
+)
+def test_mistake_in_an_edited_configuration_is_named(tmp_path, old, new, section):
+    text = configuration_files.write(questionnaire.generate(load_text(tmp_path, GOOD)))
+    assert old in text
+    invalid = configuration_files.read(text.replace(old, new, 1))
+    assert isinstance(invalid, InvalidFile)
+    assert section in {mistake.section for mistake in invalid.mistakes}
