--- a/nutmegdeal/agent/batches.py
+++ b/nutmegdeal/agent/batches.py
@@ -8,7 +8,7 @@
 CLASS_OFFSET_MS = {
     Urgency.URGENT: 0.0,
     Urgency.NORMAL: 2_000.0,
-    Urgency.BULK: 30_000.0,
+    Urgency.BULK: 120_000.0,
 }
 SHARED_LOAD_GAIN_MS = 1_000.0
 SHARED_LOAD_COUNT_MAX = 16
--- a/nutmegdeal/tests/test_agent_tranches.py
+++ b/nutmegdeal/tests/test_agent_tranches.py
@@ -120,3 +120,13 @@
         agent.want(1)
         clock.advance(200)
     assert agent.budget.tranches.transit_count <= WEIGHT_STORE.transit_max + 1
+
+
+def test_grants_that_nothing_waits_for_any_more_are_given_back():
+    table, clock = MemoryTable(), ManualClock()
+    agent, *_ = build_agents(table, clock)
+    assert agent.controller.step(2) is None
+    assert agent.budget.tranches.granted_count == 2
+    assert agent.controller.step(0) is None
+    tranches = agent.budget.tranches
+    assert (tranches.granted_count, tranches.ended_count) == (0, 0)
