--- a/nutmegdeal/agent/attempts.py
+++ b/nutmegdeal/agent/attempts.py
@@ -45,7 +45,7 @@
     Parameters
     ----------
     submit : Submit
-    session : channel.Session
+    session : sessions.Session
         The stream on which it came and on which its answer goes.
     arrived_ms, deadline_ms : float
         Monotonic times.
--- a/nutmegdeal/agent/blackboard.py
+++ b/nutmegdeal/agent/blackboard.py
@@ -35,7 +35,7 @@
         All attempts that have not ended, by id.
     running_greenlets : set of gevent.Greenlet
         Those that run an attempt, record its outcome or wait for an order's answer.
-    sessions : set of channel.Session
+    sessions : set of sessions.Session
         Open streams.
     is_leaving : bool
         True once no new work is taken.
--- a/nutmegdeal/agent/process.py
+++ b/nutmegdeal/agent/process.py
@@ -26,7 +26,7 @@
     settings : Settings
     incarnation : str
     clock : Clock
-    bridge : channel.Bridge
+    bridge : bridges.Bridge
     platform : PlatformClients
     """
 
--- a/nutmegdeal/bench/bridge.py
+++ b/nutmegdeal/bench/bridge.py
@@ -14,14 +14,8 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Server
 
-from nutmegdeal.channel import (
-    Address,
-    Bridge,
-    BytesCodec,
-    ChannelClient,
-    ChannelServer,
-    GreenletBridge,
-)
+from nutmegdeal.bridges import Bridge, GreenletBridge
+from nutmegdeal.channel import Address, BytesCodec, ChannelClient, ChannelServer
 from nutmegdeal.messages import (
     AnswerFrame,
     decode_batch,
--- a/nutmegdeal/bench/slopes.py
+++ b/nutmegdeal/bench/slopes.py
@@ -12,7 +12,8 @@
 import attrs
 import gevent
 
-from nutmegdeal.channel import Address, ChannelClient, ChannelServer, GreenletBridge
+from nutmegdeal.bridges import GreenletBridge
+from nutmegdeal.channel import Address, ChannelClient, ChannelServer
 from nutmegdeal.configuration import AdapterPolicy
 from nutmegdeal.entry.homes import HomeTable
 from nutmegdeal.messages import (
--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -8,7 +8,8 @@
 import gevent.pool
 
 from nutmegdeal.accounts import SegmentRecorder
-from nutmegdeal.channel import Address, ChannelClient, GreenletBridge
+from nutmegdeal.bridges import GreenletBridge
+from nutmegdeal.channel import Address, ChannelClient
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.entry.admission import AdmissionGate
 from nutmegdeal.entry.agents import AgentLinks
--- /dev/null
+++ b/nutmegdeal/sessions.py
@@ -0,0 +1,169 @@
+"""One open stream of messages, seen from either end."""
+
+import asyncio
+import collections
+import functools
+
+import gevent.queue
+
+from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.messages import decode_batch, encode_message, join_batch
+
+BATCH_MESSAGES_MAX = 256
+MISSED_HEARTBEATS_MAX = 3
+EMPTY_BATCH = join_batch([])
+
+
+class Session:
+    """One open stream, seen from either end.
+
+    Parameters
+    ----------
+    bridge : Bridge
+    peer : str
+        Address of the other end, for logs and errors.
+    settings : ChannelSettings
+    is_initiator : bool
+        True at the end that opened the stream. Only this end sends heartbeats, and only
+        while `is_awaiting` is set and nothing arrives, so that idle streams cost
+        nothing; the other end answers each.
+
+    Attributes
+    ----------
+    is_awaiting : bool
+        Set by the initiator while it awaits something from the peer.
+    sent_bytes : int
+        Bytes of all batches sent.
+    """
+
+    def __init__(self, bridge, peer, settings, is_initiator):
+        self.peer = peer
+        self.close_reason = None
+        self.is_awaiting = False
+        self.sent_bytes = 0
+        self._is_initiator = is_initiator
+        self._bridge = bridge
+        self._settings = settings
+        self._outbox = collections.deque()
+        self._outbox_bytes = 0
+        self._wake_pending = False
+        self._wake = asyncio.Event()
+        self._received_since_check = True
+        self._heartbeat_due = False
+
+    @functools.cached_property
+    def _inbox(self):
+        # Made on first use, so that it belongs to gevent's thread.
+        return gevent.queue.Queue()
+
+    @property
+    def is_open(self):
+        """True until either end closed the stream or it broke."""
+        return self.close_reason is None
+
+    def send(self, message):
+        """Queue a message; return False if the stream is closed.
+
+        True does not mean that the message has arrived; False means that it never
+        will.
+        """
+        if not self.is_open:
+            return False
+        encoded = encode_message(message)
+        if self._outbox_bytes + len(encoded) > self._settings.outbox_bytes_max:
+            self.break_off(Reason.OVERLOADED, "the peer reads too slowly")
+            return False
+        self._outbox.append(encoded)
+        self._outbox_bytes += len(encoded)
+        if not self._wake_pending:
+            self._wake_pending = True
+            self._bridge.call_in_loop(self._wake.set)
+        return True
+
+    def messages(self):
+        """Yield the messages received, in order, until the stream is closed."""
+        while True:
+            message = self._inbox.get()
+            if message is None:
+                return
+            yield message
+
+    def _deliver(self, message):
+        self._inbox.put(message)
+
+    def close(self):
+        """Close the stream from this end."""
+        self.break_off(Reason.CANCELLED, "closed by this process")
+
+    def break_off(self, reason, detail):
+        """Close the stream for a Reason, unless it is closed already."""
+        if not self.is_open:
+            return
+        self.close_reason = Failure(reason, Step.RELAY, self.peer, detail)
+        self._bridge.call_in_loop(self._wake.set)
+        self._bridge.call_in_gevent(self._deliver, None)
+
+    async def serve(self, stream):
+        """Move messages between the stream and the queues until either end closes."""
+        tasks = [
+            asyncio.ensure_future(self._write(stream)),
+            asyncio.ensure_future(self._read(stream)),
+            asyncio.ensure_future(self._exchange_heartbeats()),
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            errors = [task.exception() for task in done if task.exception()]
+            detail = repr(errors[0]) if errors else "the peer closed the stream"
+            self.break_off(Reason.CONNECTION_LOST, detail)
+        finally:
+            self.break_off(Reason.CONNECTION_LOST, "the connection ended")
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _write(self, stream):
+        while self.is_open:
+            await self._wake.wait()
+            self._wake.clear()
+            self._wake_pending = False
+            if self._heartbeat_due:
+                self._heartbeat_due = False
+                await self._send_batch(stream, EMPTY_BATCH)
+            while self._outbox:
+                await self._send_batch(stream, self._take_batch())
+
+    async def _send_batch(self, stream, batch):
+        self.sent_bytes += len(batch)
+        await stream.send_message(batch)
+
+    def _take_batch(self):
+        count = min(len(self._outbox), BATCH_MESSAGES_MAX)
+        encoded = [self._outbox.popleft() for _ in range(count)]
+        self._outbox_bytes -= sum(map(len, encoded))
+        return join_batch(encoded)
+
+    async def _read(self, stream):
+        while True:
+            data = await stream.recv_message()
+            if data is None:
+                return
+            self._received_since_check = True
+            if data == EMPTY_BATCH and not self._is_initiator:
+                self._send_heartbeat()
+            for message in decode_batch(data):
+                self._bridge.call_in_gevent(self._deliver, message)
+
+    def _send_heartbeat(self):
+        self._heartbeat_due = True
+        self._wake.set()
+
+    async def _exchange_heartbeats(self):
+        missed_count = 0
+        while missed_count <= MISSED_HEARTBEATS_MAX:
+            await asyncio.sleep(self._settings.heartbeat_every_ms / 1000)
+            is_silent = self.is_awaiting and not self._received_since_check
+            missed_count = missed_count + 1 if is_silent else 0
+            self._received_since_check = False
+            if is_silent:
+                self._send_heartbeat()
+        raise TimeoutError("no heartbeat from the peer")
--- a/nutmegdeal/tests/stream_client.py
+++ b/nutmegdeal/tests/stream_client.py
@@ -12,7 +12,8 @@
 import gevent
 from gevent.fileobject import FileObjectThread
 
-from nutmegdeal.channel import Address, ChannelClient, GreenletBridge
+from nutmegdeal.bridges import GreenletBridge
+from nutmegdeal.channel import Address, ChannelClient
 from nutmegdeal.errors import Failure
 from nutmegdeal.settings import ChannelSettings
 from nutmegdeal.tests.stream_lines import decode_line, encode_line
--- a/nutmegdeal/tests/test_channel.py
+++ b/nutmegdeal/tests/test_channel.py
@@ -4,7 +4,8 @@
 import gevent.event
 import pytest
 
-from nutmegdeal.channel import Address, ChannelClient, ChannelServer, GreenletBridge
+from nutmegdeal.bridges import GreenletBridge
+from nutmegdeal.channel import Address, ChannelClient, ChannelServer
 from nutmegdeal.errors import Failure, Reason
 from nutmegdeal.messages import AnswerFrame
 from nutmegdeal.settings import ChannelSettings
--- a/nutmegdeal/tools/agent.py
+++ b/nutmegdeal/tools/agent.py
@@ -12,7 +12,7 @@
 from nutmegdeal import settings as settings_module
 from nutmegdeal.agent.platform import connect_platform
 from nutmegdeal.agent.process import AgentProcess
-from nutmegdeal.channel import GreenletBridge
+from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.identifiers import new_incarnation
 
