Have an accepted configuration in force within the bound also on idle agents

Cause: an agent without streams polled the head each 10 s, so without traffic an accepted configuration took 9.3 s (median of 10, at most 9.5 s) to be in force in every process of a small site under the default settings; the bound is 4 s. Ruled out: the entries, which poll each second; agents with streams are told.

--- a/nutmegdeal/agent/configuring.py
+++ b/nutmegdeal/agent/configuring.py
@@ -11,7 +11,7 @@
 
 logger = get_logger(__name__)
 
-IDLE_POLL_FACTOR = 10
+IDLE_POLL_FACTOR = 3
 
 
 def engine_count(configuration):
