Let a report from the instant of a change settle nothing

Ruled out: pins, the lease, evictions (a trace of orders and removals showed both removals in _settle, at changed_ms equal to the report's earliest time). The new test failed before. The directed naive test had its unload and its report at one instant, which no version settles now; it lets 1 ms pass between, and the naive version is still caught.

--- a/nutmegdeal/agent/slots.py
+++ b/nutmegdeal/agent/slots.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -245,7 +246,7 @@
         report : EngineReport
         taken_after_ms : float
             Earliest time at which the engine can have taken the report. What
-            changed later than that isn't settled by it.
+            changed then or later isn't settled by it.
         now_ms : float
 
         Returns
@@ -257,7 +258,7 @@
             return False
         is_restart = self._observe_incarnation(report.incarnation)
         for slot in tuple(self._slots.values()):
-            if slot.changed_ms <= taken_after_ms:
+            if slot.changed_ms < taken_after_ms:
                 self._settle(slot, report, now_ms)
         for adapter in report.resident:
             self._adopt(adapter, taken_after_ms, now_ms)
@@ -293,12 +294,12 @@
         """Take in an adapter that was there before this agent was."""
         if self.state(adapter) not in (SlotState.ABSENT, SlotState.QUEUED):
             return
-        if self._absent_since_ms.get(adapter, taken_after_ms) > taken_after_ms:
+        if self._absent_since_ms.get(adapter, -math.inf) >= taken_after_ms:
             return
         self._slots[adapter] = Slot(adapter, SlotState.RESIDENT, now_ms)
 
     def _forget_absences(self, before_ms):
-        kept = {a: t for a, t in self._absent_since_ms.items() if t > before_ms}
+        kept = {a: t for a, t in self._absent_since_ms.items() if t >= before_ms}
         self._absent_since_ms = kept
 
     def _set_state(self, slot, state, now_ms):
--- a/nutmegdeal/tests/test_slots.py
+++ b/nutmegdeal/tests/test_slots.py
@@ -215,6 +215,7 @@
     machine.load_and_pin("a@1")
     machine.unpin(0)
     machine.give_order("a@1", OrderKind.UNLOAD, Applied.LATE)
+    machine.pass_time(1)
     machine.read_report(0)
     machine.pin("a@1")
     machine.pass_time(LATE_MAX_MS)
@@ -320,3 +321,14 @@
     table.finish(order, None, 3.0)
     assert table.state("a@1") is SlotState.UNKNOWN
     assert attrs.asdict(order)["adapter"] == "a@1"
+
+
+def test_report_of_the_instant_of_a_change_settles_nothing(table):
+    load(table, "a@1", 5.0)
+    table.observe_report(EngineReport("e1", ()), 5.0, 6.0)
+    assert table.state("a@1") is SlotState.RESIDENT
+    table.finish(table.begin_evict("a@1", 7.0), None, 7.0)
+    table.observe_report(EngineReport("e1", ("a@1",)), 7.0, 8.0)
+    assert table.state("a@1") is SlotState.ABSENT
+    table.observe_report(EngineReport("e1", ("a@1",)), 7.0, 9.0)
+    assert table.state("a@1") is SlotState.ABSENT
