--- a/nutmegdeal/bench/ledger.py
+++ b/nutmegdeal/bench/ledger.py
@@ -38,7 +38,8 @@
         Time of a message to the table service or back.
     backend_ms : float
         Time that the backend server takes.
-    duration_s : float
+    until_s : float
+        Simulated time at which the arrivals end.
     seed : int
     """
 
@@ -48,7 +49,7 @@
     counts_rows: bool = False
     one_way_ms: float = 0.5
     backend_ms: float = 20.0
-    duration_s: float = 60.0
+    until_s: float = 60.0
     seed: int = 1
 
 
@@ -116,7 +117,7 @@
         """Return the LedgerCost."""
         source = random.Random(self._load.seed)
         at_ms, count = 0.0, 0
-        while at_ms < self._load.duration_s * 1000:
+        while at_ms < self._load.until_s * 1000:
             at_ms += source.expovariate(self._load.requests_per_s) * 1000
             count += 1
             submit = self._build_submit(count, at_ms)
--- a/nutmegdeal/tests/test_ledger_bench.py
+++ b/nutmegdeal/tests/test_ledger_bench.py
@@ -15,7 +15,7 @@
 
 
 def test_group_commit_saves_transactions_under_load():
-    load = ledger.LedgerLoad(requests_per_s=250.0, duration_s=2.0)
+    load = ledger.LedgerLoad(requests_per_s=250.0, until_s=2.0)
     costs = {cost.way: cost for cost in ledger.run(load)}
     assert costs["one_synchronous"].transactions_per_request == 2.0
     assert costs["grouped"].transactions_per_request < 1.5
--- a/nutmegdeal/tools/bench.py
+++ b/nutmegdeal/tools/bench.py
@@ -147,7 +147,7 @@
         agent_count=agents,
         writes_per_s=writes_per_s,
         counts_rows=counts_rows,
-        duration_s=seconds,
+        until_s=seconds,
         seed=seed,
     )
     for cost in run_ledger(load):
--- a/nutmegdeal/tools/fakes.py
+++ b/nutmegdeal/tools/fakes.py
@@ -1,5 +1,6 @@
 """``nutmegdeal-fakes``: stand-ins of the platform and of backend servers."""
 
+import attrs
 import cyclopts
 import urllib3
 
@@ -23,9 +24,10 @@
 )
 
 
-@app.command
-def table(*, host: str = "127.0.0.1", port: int = 0):
-    """Run the table service.
+@cyclopts.Parameter(name="*")
+@attrs.frozen
+class Listen:
+    """Options of every stand-in.
 
     Parameters
     ----------
@@ -34,28 +36,30 @@
     port
         TCP port; 0 takes a free one.
     """
-    serve(TableStandIn(SystemClock()), "table", host, port)
+
+    host: str = "127.0.0.1"
+    port: int = 0
+
+
+LOOPBACK = Listen()
 
 
 @app.command
-def objects(*, host: str = "127.0.0.1", port: int = 0):
-    """Run the object store.
+def table(*, listen: Listen = LOOPBACK):
+    """Run the table service."""
+    serve(TableStandIn(SystemClock()), "table", listen.host, listen.port)
 
-    Parameters
-    ----------
-    host
-        IP address to listen on.
-    port
-        TCP port; 0 takes a free one.
-    """
-    serve(ObjectsStandIn(SystemClock()), "objects", host, port)
+
+@app.command
+def objects(*, listen: Listen = LOOPBACK):
+    """Run the object store."""
+    serve(ObjectsStandIn(SystemClock()), "objects", listen.host, listen.port)
 
 
 @app.command
 def weights(
     *,
-    host: str = "127.0.0.1",
-    port: int = 0,
+    listen: Listen = LOOPBACK,
     loads_per_s: float = 4.0,
     full_speed_count: int = 2,
     transit_max: int = 16,
@@ -66,10 +70,6 @@
 
     Parameters
     ----------
-    host
-        IP address to listen on.
-    port
-        TCP port; 0 takes a free one.
     loads_per_s
         Adapters handed over a second.
     full_speed_count
@@ -83,28 +83,19 @@
     """
     policy = WeightStorePolicy(loads_per_s, full_speed_count, transit_max, load_ms)
     stand_in = WeightsStandIn(SystemClock(), policy, over_rate)
-    serve(stand_in, "weights", host, port)
+    serve(stand_in, "weights", listen.host, listen.port)
 
 
 @app.command
-def hosts(*, host: str = "127.0.0.1", port: int = 0):
-    """Run the host list.
-
-    Parameters
-    ----------
-    host
-        IP address to listen on.
-    port
-        TCP port; 0 takes a free one.
-    """
-    serve(HostsStandIn(SystemClock()), "hosts", host, port)
+def hosts(*, listen: Listen = LOOPBACK):
+    """Run the host list."""
+    serve(HostsStandIn(SystemClock()), "hosts", listen.host, listen.port)
 
 
 @app.command
 def engine(
     *,
-    host: str = "127.0.0.1",
-    port: int = 0,
+    listen: Listen = LOOPBACK,
     weights_url: str = "",
     slots: int = 8,
     batch_size: int = 8,
@@ -116,10 +107,6 @@
 
     Parameters
     ----------
-    host
-        IP address to listen on.
-    port
-        TCP port; 0 takes a free one.
     weights_url
         Base URL of the weight store; without one, loads take no time.
     slots
@@ -136,23 +123,19 @@
     options = EngineOptions(slots, batch_size, token_ms, fencing, secret)
     client = WeightsClient(urllib3.PoolManager(maxsize=slots), weights_url)
     stand_in = EngineStandIn(SystemClock(), options, client.fetch)
-    serve(stand_in, "engine", host, port)
+    serve(stand_in, "engine", listen.host, listen.port)
 
 
 @app.command
-def plain(*, host: str = "127.0.0.1", port: int = 0, secret: str = ""):
+def plain(*, listen: Listen = LOOPBACK, secret: str = ""):
     """Run a plain service.
 
     Parameters
     ----------
-    host
-        IP address to listen on.
-    port
-        TCP port; 0 takes a free one.
     secret
         Secret that calls must carry; empty to check none.
     """
-    serve(PlainStandIn(SystemClock(), secret), "plain", host, port)
+    serve(PlainStandIn(SystemClock(), secret), "plain", listen.host, listen.port)
 
 
 def main():
