Call the metric by the one term, batch efficiency

Cause: code said batch fill in the metric and batch efficiency everywhere else. The metric nutmegdeal.batch_fill is now nutmegdeal.batch_efficiency; values are the same.

--- a/nutmegdeal/telemetry.py
+++ b/nutmegdeal/telemetry.py
@@ -53,7 +53,7 @@
     meter_provider: MeterProvider
     tracer: trace.Tracer
     load_stall: object
-    batch_fill: object
+    batch_efficiency: object
 
 
 _export = None
@@ -101,7 +101,7 @@
             description="Time a request waited for its adapter to arrive",
         ),
         meter.create_histogram(
-            "nutmegdeal.batch_fill",
+            "nutmegdeal.batch_efficiency",
             unit="1",
             description="Requests running in a backend server over its batch size",
         ),
@@ -184,4 +184,6 @@
     """
     if _export is None:
         return
-    _export.batch_fill.record(running_count / batch_size_max, {"service": service})
+    _export.batch_efficiency.record(
+        running_count / batch_size_max, {"service": service}
+    )
--- a/nutmegdeal/tests/test_telemetry.py
+++ b/nutmegdeal/tests/test_telemetry.py
@@ -77,4 +77,4 @@
         metric.name: metric.data.data_points[0].sum
         for metric in resource.scope_metrics[0].metrics
     }
-    assert sums == {"nutmegdeal.load_stall": 250.0, "nutmegdeal.batch_fill": 0.5}
+    assert sums == {"nutmegdeal.load_stall": 250.0, "nutmegdeal.batch_efficiency": 0.5}
--- a/nutmegdeal/tests/test_telemetry_programs.py
+++ b/nutmegdeal/tests/test_telemetry_programs.py
@@ -104,7 +104,7 @@
         )
         assert answer.status == 200, answer.data
         request_id = answer.headers["X-Request-Id"]
-        expected = {"nutmegdeal.load_stall", "nutmegdeal.batch_fill"}
+        expected = {"nutmegdeal.load_stall", "nutmegdeal.batch_efficiency"}
         wait_until(lambda: expected <= receiver.metric_names())
     spans = receiver.spans()
     assert {process for process, _ in spans} == {"entry-0", "assist-llm-0"}
