Have the system probe accepted connections, so that vanished entries are noticed

Ruled out: heartbeats from agents (bytes on idle streams again), closing streams that are silent (an entry is silent while it reads a long answer). After: TCP keepalive after 60 s, and 90 s for data that nobody acknowledges, set once on the listener. Both new tests fail without it; no host was really cut off.

--- a/nutmegdeal/channel.py
+++ b/nutmegdeal/channel.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import hmac
+import socket
 
 import attrs
 import gevent
@@ -23,6 +24,10 @@
 STREAM_PATH = "/nutmegdeal.Agent/Exchange"
 SECRET_HEADER = "authorization"
 STOP_POLL_S = 0.01
+PROBE_AFTER_S = 60
+PROBE_EVERY_S = 10
+PROBE_COUNT = 3
+UNACKNOWLEDGED_MAX_MS = 90_000
 
 
 class BytesCodec(CodecBase):
@@ -50,6 +55,21 @@
         return f"{self.host}:{self.port}"
 
 
+def probe_connections(listener):
+    """Have the system close the accepted connections of peers that have vanished.
+
+    Only the end that opens a stream sends heartbeats; a host that fails closes nothing.
+    Accepted sockets take these options over from the listening one.
+    """
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+    listener.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS
+    )
+
+
 class ChannelServer:
     """Accepts streams; each accepted Session goes to a greenlet of its own.
 
@@ -81,8 +101,9 @@
     async def _start(self, address):
         self._server = Server([self], codec=BytesCodec())
         await self._server.start(address.host, address.port)
-        port = self._server._server.sockets[0].getsockname()[1]
-        return Address(address.host, port)
+        (listener,) = self._server._server.sockets
+        probe_connections(listener)
+        return Address(address.host, listener.getsockname()[1])
 
     def stop(self, within_ms=5_000):
         """Close the listener and all streams."""
--- a/nutmegdeal/tests/test_channel.py
+++ b/nutmegdeal/tests/test_channel.py
@@ -1,16 +1,24 @@
 """Tests of the stream between an entry and an agent, over loopback."""
 
+import socket
+
 import gevent
 import gevent.event
 import pytest
 
 from nutmegdeal.bridges import GreenletBridge
-from nutmegdeal.channel import Address, ChannelClient, ChannelServer
+from nutmegdeal.channel import (
+    Address,
+    ChannelClient,
+    ChannelServer,
+    probe_connections,
+)
 from nutmegdeal.errors import Failure, Reason
 from nutmegdeal.messages import AnswerFrame
 from nutmegdeal.settings import ChannelSettings
 
 CONNECT_WITHIN_MS = 20_000
+UNANSWERED_MAX_MS = 120_000
 SETTINGS = ChannelSettings(shared_secret="right")
 EAGER = ChannelSettings(shared_secret="right", heartbeat_every_ms=100)
 
@@ -113,6 +121,23 @@
     session.close()
 
 
+def test_accepted_connections_of_vanished_peers_are_probed():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        probe_connections(listener)
+        with socket.create_connection(listener.getsockname()):
+            accepted, _ = listener.accept()
+    with accepted:
+        assert accepted.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        limit_ms = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    assert 0 < limit_ms <= UNANSWERED_MAX_MS
+
+
+def test_the_server_has_its_connections_probed(server, address):
+    (listener,) = server._server._server.sockets
+    assert listener.getsockname()[1] == address.port
+    assert listener.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+
+
 def test_a_peer_that_does_not_read_closes_the_stream(bridge, address):
     small = ChannelSettings(shared_secret="right", outbox_bytes_max=65_536)
     session = connect(bridge, address, small)
