Send to both kinds of backend server by one function; drop unused code

Cause: the clients of model engines and of plain services wrote the same call and the same handling of its errors. http.send serves both now. settings.as_failure, fakes.server.error_body, EventRelay.passed_count and AnswerReader.has_frames were called by nothing, tests included. Ruled out: merging the constructors that duplicates lists as alike in shape only; they hold different parts. Behaviour and tests unchanged.

--- a/nutmegdeal/backends/engine.py
+++ b/nutmegdeal/backends/engine.py
@@ -42,16 +42,10 @@
 
     def call(self, submit):
         """Send a request; return a BackendAnswer or a Failure."""
-        try:
-            response = self._pool.request(
-                submit.method,
-                self._base_url + submit.path,
-                body=submit.body,
-                headers=self._request_headers(submit),
-                preload_content=False,
-            )
-        except (HTTPError, OSError) as error:
-            return http.transport_failure(error, Step.DISPATCH, self._base_url)
+        headers = self._request_headers(submit)
+        response = http.send(self._pool, self._base_url, submit, headers)
+        if isinstance(response, Failure):
+            return response
         if response.status < http.ERROR_STATUS:
             return http.HttpAnswer(response, self._base_url)
         return self._read_error(response)
--- a/nutmegdeal/backends/http.py
+++ b/nutmegdeal/backends/http.py
@@ -50,6 +50,26 @@
     )
 
 
+def send(pool, base_url, submit, headers):
+    """Send the request of a Submit.
+
+    Returns
+    -------
+    urllib3.BaseHTTPResponse or Failure
+        The answer's head; its body is still to be read.
+    """
+    try:
+        return pool.request(
+            submit.method,
+            base_url + submit.path,
+            body=submit.body,
+            headers=headers,
+            preload_content=False,
+        )
+    except (HTTPError, OSError) as error:
+        return transport_failure(error, Step.DISPATCH, base_url)
+
+
 def read_error_word(body):
     """Return the ``error`` word of an error body, "" if there is none."""
     try:
--- a/nutmegdeal/backends/plain.py
+++ b/nutmegdeal/backends/plain.py
@@ -1,7 +1,5 @@
 """HTTP client of a plain service."""
 
-from urllib3.exceptions import HTTPError
-
 from nutmegdeal.backends import http
 from nutmegdeal.backends.base import Backend
 from nutmegdeal.errors import Failure, Reason, Step
@@ -36,16 +34,9 @@
         }
         if submit.idempotency_key:
             headers["Idempotency-Key"] = submit.idempotency_key
-        try:
-            response = self._pool.request(
-                submit.method,
-                self._base_url + submit.path,
-                body=submit.body,
-                headers=headers,
-                preload_content=False,
-            )
-        except (HTTPError, OSError) as error:
-            return http.transport_failure(error, Step.DISPATCH, self._base_url)
+        response = http.send(self._pool, self._base_url, submit, headers)
+        if isinstance(response, Failure):
+            return response
         if response.status == UNAVAILABLE_STATUS:
             return self._read_refusal(response)
         return http.HttpAnswer(response, self._base_url)
--- a/nutmegdeal/entry/answers.py
+++ b/nutmegdeal/entry/answers.py
@@ -38,11 +38,6 @@
         self._digest = hashlib.sha256()
         self._is_ended = False
 
-    @property
-    def has_frames(self):
-        """True once a frame was accepted."""
-        return self._frame_count > 0
-
     def accept(self, message):
         """Take one message.
 
--- a/nutmegdeal/entry/streams.py
+++ b/nutmegdeal/entry/streams.py
@@ -30,11 +30,6 @@
         self._skip_count = 0
         self._skipped_digest = hashlib.sha256()
 
-    @property
-    def passed_count(self):
-        """Bytes that the caller was given."""
-        return self._passed_count
-
     def begin_attempt(self):
         """Expect an answer from its first byte again."""
         self._held = b""
--- a/nutmegdeal/fakes/server.py
+++ b/nutmegdeal/fakes/server.py
@@ -34,11 +34,6 @@
         return environ
 
 
-def error_body(word, detail=""):
-    """Return the JSON bytes of an error."""
-    return json.dumps({"error": word, "detail": detail}).encode()
-
-
 def error_answer(status_code, word, detail=""):
     """Return the answer of an error."""
     return json_answer({"error": word, "detail": detail}, status_code)
--- a/nutmegdeal/settings.py
+++ b/nutmegdeal/settings.py
@@ -9,8 +9,6 @@
 
 import attrs
 
-from nutmegdeal.errors import Failure, Reason, Step
-
 MAX_PORT = 65_535
 
 
@@ -313,8 +311,3 @@
     if mistakes:
         return InvalidFile(str(path), tuple(mistakes))
     return settings
-
-
-def as_failure(invalid):
-    """Return an InvalidFile as a Failure of the step CONFIGURE."""
-    return Failure(Reason.BAD_REQUEST, Step.CONFIGURE, invalid.path, str(invalid))
