Tell requests at once that their caller has left; test the platform path

Ruled out: late registration of the watcher; the traces in the logs name the call. Also: metrics of the placer, the longest pause of a stream in its log line.

--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -4,7 +4,6 @@
 
 import gevent
 import gevent.event
-from prometheus_client import generate_latest
 
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import ChannelClient
@@ -20,7 +19,7 @@
 from nutmegdeal.gateway.versions import VersionBook
 from nutmegdeal.gateway.watching import BackendsWatcher, OperatorWatcher
 from nutmegdeal.http_connections import ConnectionPool
-from nutmegdeal.http_listener import CallerListener
+from nutmegdeal.http_listener import CallerListener, MetricsApplication
 from nutmegdeal.log import get_logger
 from nutmegdeal.platform.store import StoreClient
 from nutmegdeal.retry_budget import RetryBudget
@@ -28,6 +27,7 @@
 
 logger = get_logger(__name__)
 
+# Where deploy/system.toml says that metrics are served.
 METRICS_PORT = 9464
 # Gateways of the largest installation, which share the burst of the retry budget
 # until the placers tell how many there are.
@@ -43,11 +43,6 @@
 CHANNEL_HEARTBEAT_EVERY_MS = 500
 
 
-def reply_text(responder, status_code, body=b"", content_type=b"text/plain"):
-    """Send a whole answer of our own."""
-    responder.reply(status_code, [(b"content-type", content_type)], body)
-
-
 class GatewayProcess:
     """One gateway.
 
@@ -92,7 +87,7 @@
             self._listen(settings.readiness_at, self._answer_readiness),
             CallerListener(
                 (settings.ip, METRICS_PORT),
-                self._answer_metrics,
+                MetricsApplication(self._telemetry.registry),
                 lambda: self._board.limits,
             ),
         ]
@@ -126,10 +121,7 @@
         self._links.drop(member)
 
     def _answer_readiness(self, _incoming, responder):
-        reply_text(responder, 200 if self._board.is_ready else 503)
-
-    def _answer_metrics(self, _incoming, responder):
-        reply_text(responder, 200, generate_latest(self._telemetry.registry))
+        responder.reply(200 if self._board.is_ready else 503, [], b"")
 
     def start(self):
         """Listen and start the controllers."""
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -109,6 +109,7 @@
             sent=request.sent_count,
             runs=request.run_count,
             first_ms=first_ms,
+            gap_ms=round(progress.longest_gap_ms, 1),
             whole_ms=round(now_ms - arrived_ms, 1),
             waited_ms=round(request.waited_ms, 1),
         )
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -33,11 +33,26 @@
     splitter : EventSplitter
     first_byte_ms : float
         When the first part was passed on, 0.0 for not yet.
+    last_byte_ms : float
+        When the last part was passed on.
+    longest_gap_ms : float
+        Longest pause between two parts.
     """
 
     responder: object
     splitter: EventSplitter = attrs.field(factory=EventSplitter)
     first_byte_ms: float = 0.0
+    last_byte_ms: float = 0.0
+    longest_gap_ms: float = 0.0
+
+    def note_passed(self, now_ms):
+        """Note that a part of the answer is passed on."""
+        if not self.first_byte_ms:
+            self.first_byte_ms = now_ms
+        else:
+            gap_ms = now_ms - self.last_byte_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self.last_byte_ms = now_ms
 
 
 class DirectTransport:
@@ -158,7 +173,7 @@
         if self._request.route.kind is RouteKind.STREAM:
             return self._pass_events(head)
         body = self._connection.read_body(self._whole_limit_ms(), ANSWER_BYTES_MAX)
-        self._progress.first_byte_ms = self._clock.monotonic_ms()
+        self._progress.note_passed(self._clock.monotonic_ms())
         self._progress.responder.reply(
             head.status_code, wire.pass_answer_headers(head.headers), body
         )
@@ -181,6 +196,7 @@
             whole = progress.splitter.feed(data)
             if whole:
                 self._start_answer(head)
+                progress.note_passed(self._clock.monotonic_ms())
                 responder.send(whole)
                 limit_ms = self._gap_limit_ms()
         if not progress.splitter.is_between_events:
@@ -193,7 +209,6 @@
         progress = self._progress
         if progress.responder.has_started:
             return
-        progress.first_byte_ms = self._clock.monotonic_ms()
         progress.responder.start(
             head.status_code, wire.pass_answer_headers(head.headers)
         )
--- a/nutmegdeal/http_listener.py
+++ b/nutmegdeal/http_listener.py
@@ -11,6 +11,7 @@
 import gevent.socket
 import h11
 from gevent.server import StreamServer
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from nutmegdeal.http_connections import RECEIVE_BYTES, probe_silence
 from nutmegdeal.log import get_logger
@@ -153,7 +154,7 @@
     def close_if_idle(self):
         """Close the connection unless a request has begun on it."""
         if self.is_idle and self._greenlet is not None:
-            gevent.kill(self._greenlet, CallerLeftError(), block=False)
+            self._greenlet.kill(CallerLeftError, block=False)
 
     def encode(self, event):
         """Return the bytes of an h11 event."""
@@ -291,7 +292,7 @@
             return
         self._has_left = True
         self._watcher.stop()
-        gevent.kill(self._greenlet, CallerLeftError(), block=False)
+        self._greenlet.kill(CallerLeftError, block=False)
 
 
 def _has_ambiguous_length(headers):
@@ -299,6 +300,23 @@
     return b"content-length" in names and b"transfer-encoding" in names
 
 
+class MetricsApplication:
+    """Answers with the metrics of a registry, in Prometheus' text format.
+
+    Parameters
+    ----------
+    registry : prometheus_client.CollectorRegistry
+    """
+
+    def __init__(self, registry):
+        self._registry = registry
+
+    def __call__(self, _request, responder):
+        """Answer any request."""
+        content_type = (b"content-type", CONTENT_TYPE_LATEST.encode())
+        responder.reply(200, [content_type], generate_latest(self._registry))
+
+
 class CallerListener:
     """Accepts callers' connections.
 
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -7,6 +7,7 @@
 from nutmegdeal.channel import Address, ChannelServer
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.http_connections import ConnectionPool
+from nutmegdeal.http_listener import CallerListener, MetricsApplication
 from nutmegdeal.log import get_logger
 from nutmegdeal.messages import (
     AdapterUnwanted,
@@ -17,10 +18,14 @@
 )
 from nutmegdeal.placer.engine import EngineClient, OrderResult
 from nutmegdeal.placer.planning import AdapterPlanner, Want
+from nutmegdeal.placer.telemetry import PlacerTelemetry
 from nutmegdeal.settings import ChannelSettings
+from nutmegdeal.site import DEFAULT_CALLER_LIMITS
 
 logger = get_logger(__name__)
 
+# Where deploy/system.toml says that metrics are served.
+METRICS_PORT = 9465
 # Pause between reports while adapters are on their way: a load takes 250 ms.
 BUSY_EVERY_MS = 20.0
 # Pause between reports otherwise; gateways use them to compare engines.
@@ -49,6 +54,12 @@
             settings.engine_at, settings.node_name, pool, self._clock
         )
         self._server = ChannelServer(GreenletBridge(), ChannelSettings(), self._accept)
+        self._telemetry = PlacerTelemetry()
+        self._metrics = CallerListener(
+            (settings.ip, METRICS_PORT),
+            MetricsApplication(self._telemetry.registry),
+            lambda: DEFAULT_CALLER_LIMITS,
+        )
         self._sessions = set()
         self._wake = gevent.event.Event()
         self._stop_asked = gevent.event.Event()
@@ -61,6 +72,7 @@
         """Listen and start to order."""
         address = Address(self._settings.ip, self._settings.internal_port_first)
         self._server.start(address)
+        self._metrics.start()
         gevent.spawn(self._keep_ordering)
         logger.info("started", node=self._settings.node_name)
 
@@ -138,6 +150,7 @@
         """Give an order; return whether another may follow at once."""
         expected_count = self._planner.report.order_count
         result = self._engine.give(order, expected_count)
+        self._telemetry.note_order(order, result)
         logger.info(
             "order_given",
             operation=order.operation.value,
@@ -175,5 +188,6 @@
             return
         self._said = key
         self._said_ms = now_ms
+        self._telemetry.note_state(state)
         for session in list(self._sessions):
             session.send(state)
--- /dev/null
+++ b/nutmegdeal/placer/telemetry.py
@@ -0,0 +1,41 @@
+"""Metrics of a placer."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+
+class PlacerTelemetry:
+    """Counts orders and shows what the engine holds.
+
+    Parameters
+    ----------
+    registry : prometheus_client.CollectorRegistry, optional
+    """
+
+    def __init__(self, registry=None):
+        self.registry = registry or CollectorRegistry()
+        self._orders = Counter(
+            "nutmegdeal_orders",
+            "Orders given to the model engine",
+            ("operation", "result"),
+            registry=self.registry,
+        )
+        self._resident = self._gauge("resident_adapters", "Adapters that it holds")
+        self._loading = self._gauge("loading_adapters", "Adapters on their way")
+        self._queued = self._gauge("queued_adapters", "Adapters that wait for a load")
+        self._running = self._gauge("engine_running", "Requests that it runs")
+        self._waiting = self._gauge("engine_waiting", "Requests that wait in it")
+
+    def _gauge(self, name, text):
+        return Gauge(f"nutmegdeal_{name}", text, registry=self.registry)
+
+    def note_order(self, order, result):
+        """Count an order."""
+        self._orders.labels(order.operation.value, result.value).inc()
+
+    def note_state(self, state):
+        """Show an EngineState."""
+        self._resident.set(len(state.resident))
+        self._loading.set(len(state.loading))
+        self._queued.set(state.queued_count)
+        self._running.set(state.running_count)
+        self._waiting.set(state.waiting_count)
--- /dev/null
+++ b/nutmegdeal/tests/platform_builders.py
@@ -0,0 +1,233 @@
+"""Builders of test data for the gateway, the placer and the platform's adapter."""
+
+import json
+
+from nutmegdeal.gateway.members import Member
+from nutmegdeal.gateway.requests import Request
+from nutmegdeal.http_listener import IncomingRequest
+from nutmegdeal.platform.engine import EngineReport
+from nutmegdeal.platform.settings import Bounds, Endpoint, NodeSettings
+from nutmegdeal.site import (
+    DEFAULT_CALLER_LIMITS,
+    Backend,
+    EngineTerms,
+    Route,
+    RouteKind,
+    Service,
+    SiteConfiguration,
+    WeightedService,
+)
+
+ENGINE_SERVICE = "assist-llm"
+PLAIN_SERVICE = "hire-core"
+
+
+def build_backend(**changes):
+    """Return a model engine's Backend."""
+    values = {
+        "backend_id": "i-1",
+        "service": ENGINE_SERVICE,
+        "zone": "a",
+        "host": "127.0.0.1",
+        "port": 8000,
+        "slots": 64,
+    }
+    return Backend(**{**values, **changes})
+
+
+def build_member(backend_id="i-1", resident=(), is_linked=True, **changes):
+    """Return the Member of a model engine that holds ``name@version`` adapters."""
+    member = Member(build_backend(backend_id=backend_id, **changes))
+    member.set_resident(resident)
+    member.is_linked = is_linked
+    return member
+
+
+def build_route(**changes):
+    """Return a Route of resumable streams."""
+    values = {
+        "name": "r-chat",
+        "host": "chat.example",
+        "prefix": "/chat/",
+        "kind": RouteKind.STREAM,
+        "targets": (WeightedService(ENGINE_SERVICE, 1.0),),
+        "attempts_max": 2,
+        "timeout_ms": 12_000.0,
+        "target_ms": 600.0,
+        "rank": 1,
+        "is_resumable": True,
+        "gap_target_ms": 250.0,
+    }
+    return Route(**{**values, **changes})
+
+
+def build_booking_route(**changes):
+    """Return a Route of requests that may run once only."""
+    values = {
+        "name": "r-book",
+        "prefix": "/book/",
+        "kind": RouteKind.UNSAFE,
+        "targets": (WeightedService(PLAIN_SERVICE, 1.0),),
+        "attempts_max": 1,
+        "timeout_ms": 1_500.0,
+        "target_ms": 300.0,
+        "is_resumable": False,
+    }
+    return build_route(**{**values, **changes})
+
+
+def build_lookup_route(**changes):
+    """Return a Route of requests that may be repeated."""
+    values = {
+        "name": "r-look",
+        "prefix": "/look/",
+        "kind": RouteKind.SAFE,
+        "attempts_max": 2,
+    }
+    return build_booking_route(**{**values, **changes})
+
+
+def build_services():
+    """Return the Services of a site, by name."""
+    terms = EngineTerms("model", 29, 64)
+    return {
+        ENGINE_SERVICE: Service(ENGINE_SERVICE, 370, terms),
+        PLAIN_SERVICE: Service(PLAIN_SERVICE, 110),
+    }
+
+
+def build_configuration(version=1, routes=None, limits=DEFAULT_CALLER_LIMITS):
+    """Return a SiteConfiguration of one route of each kind."""
+    if routes is None:
+        routes = (build_route(), build_booking_route(), build_lookup_route())
+    return SiteConfiguration(version, tuple(routes), build_services(), limits)
+
+
+def build_incoming(path=b"/chat/1", request_id=b"q-1", **changes):
+    """Return an IncomingRequest that names an adapter."""
+    values = {
+        "method": b"POST",
+        "target": path,
+        "headers": [
+            (b"host", b"chat.example"),
+            (b"x-request-id", request_id),
+            (b"x-model", b"model/a7"),
+            (b"x-deadline-ms", b"9000"),
+        ],
+        "body": b"prompt",
+        "arrived_ms": 0.0,
+    }
+    return IncomingRequest(**{**values, **changes})
+
+
+def build_request(route=None, deadline_ms=9_000.0, **changes):
+    """Return a Request of a resumable stream."""
+    route = route or build_route()
+    values = {
+        "incoming": build_incoming(),
+        "request_id": "q-1",
+        "route": route,
+        "service": build_services()[route.targets[0].service],
+        "deadline_ms": deadline_ms,
+        "adapter": "a7" if route.kind is RouteKind.STREAM else "",
+    }
+    return Request(**{**values, **changes})
+
+
+def build_report(**changes):
+    """Return the EngineReport of an engine that holds its model and no adapter."""
+    values = {
+        "started_unix_ms": 1,
+        "order_count": 0,
+        "models": frozenset({"model"}),
+        "resident": frozenset(),
+        "loading": frozenset(),
+        "running_count": 0,
+        "waiting_count": 0,
+        "memory_used": 0,
+        "memory_max": 100_000,
+        "is_changing_model": False,
+    }
+    return EngineReport(**{**values, **changes})
+
+
+def build_bounds(**changes):
+    """Return the Bounds of the Knusepool installation."""
+    values = {
+        "retry_ratio": 0.2,
+        "retry_burst": 58.0,
+        "retry_window_ms": 10_000.0,
+        "grace_ms": 8_000.0,
+        "drain_ms": 2_000.0,
+        "version_ms": 5_000.0,
+    }
+    return Bounds(**{**values, **changes})
+
+
+def build_node_settings(**changes):
+    """Return the NodeSettings of a gateway."""
+    endpoint = Endpoint("127.0.0.1", 0)
+    values = {
+        "node_name": "front-1",
+        "role": "gateway",
+        "zone": "a",
+        "ip": "127.0.0.1",
+        "callers_at": endpoint,
+        "readiness_at": endpoint,
+        "internal_port_first": 7380,
+        "internal_port_last": 7395,
+        "store_at": endpoint,
+        "engine_at": None,
+        "engine_service": "",
+        "bounds": build_bounds(),
+    }
+    return NodeSettings(**{**values, **changes})
+
+
+def build_stream_answer(request_id, events, is_ended=True):
+    """Return the bytes of a chunked answer with events (ids) of a stream."""
+    head = (
+        "HTTP/1.1 200 OK\r\n"
+        f"X-Request-Id: {request_id}\r\n"
+        "X-Response-Signature: s\r\n"
+        "Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+    chunks = b"".join(encode_chunk(build_event(number)) for number in events)
+    return head + chunks + (b"0\r\n\r\n" if is_ended else b"")
+
+
+def build_event(number):
+    """Return the bytes of one event."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def encode_chunk(data):
+    """Return the bytes of one chunk."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def build_plain_answer(request_id, body=b"done", status="200 OK", extra=""):
+    """Return the bytes of an answer with a length."""
+    head = (
+        f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Response-Signature: s\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def encode_registration(**changes):
+    """Return the row value with which a backend server registers itself."""
+    values = {
+        "service": ENGINE_SERVICE,
+        "address": "10.1.0.9:8080",
+        "zone": "a",
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "models": [{"name": "model", "version": 1, "adapters": ["a3@1"]}],
+        "sequence": 4,
+        "born": 1_700_000_000_000,
+    }
+    return json.dumps({**values, **changes}).encode()
--- /dev/null
+++ b/nutmegdeal/tests/scripted_server.py
@@ -0,0 +1,67 @@
+"""A backend server that answers connection by connection as a test says."""
+
+import gevent
+import gevent.socket
+import h11
+
+
+class ScriptedServer:
+    """Listens on loopback.
+
+    Parameters
+    ----------
+    answer : callable
+        Called as ``answer(sock, request)`` for each request, with the headers as a
+        dict of bytes in `request`; returns False to end the connection.
+    """
+
+    def __init__(self, answer):
+        self._answer = answer
+        self.requests = []
+        self.ended_count = 0
+        self._listener = gevent.socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(16)
+        self.address = self._listener.getsockname()
+        self._greenlets = [gevent.spawn(self._accept)]
+
+    def _accept(self):
+        while True:
+            sock, _ = self._listener.accept()
+            self._greenlets.append(gevent.spawn(self._serve, sock))
+
+    def _serve(self, sock):
+        protocol = h11.Connection(h11.SERVER)
+        while True:
+            request = self._read(sock, protocol)
+            if request is None:
+                self.ended_count += 1
+                sock.close()
+                return
+            self.requests.append(request)
+            if self._answer(sock, request) is False:
+                sock.close()
+                return
+            protocol = h11.Connection(h11.SERVER)
+
+    def _read(self, sock, protocol):
+        request = None
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    protocol.receive_data(sock.recv(65_536))
+                except OSError:
+                    return None
+            elif isinstance(event, h11.Request):
+                request = dict(event.headers)
+                request[b":target"] = event.target
+            elif isinstance(event, h11.EndOfMessage):
+                return request
+            elif isinstance(event, h11.ConnectionClosed):
+                return None
+
+    def close(self):
+        """Stop listening and end all connections."""
+        gevent.killall(self._greenlets)
+        self._listener.close()
--- /dev/null
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -0,0 +1,216 @@
+"""Tests of the gateway's decisions, without a network."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from nutmegdeal.gateway.choosing import AdapterChooser, LoadFirst, UseNow, choose_plain
+from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
+from nutmegdeal.gateway.members import LAPSE_GRACE_MS, Membership
+from nutmegdeal.gateway.outcomes import OutcomeHistory
+from nutmegdeal.gateway.requests import RunFate, RunOutcome
+from nutmegdeal.gateway.retries import OFFERS_MAX, RetryDecider, Verdict
+from nutmegdeal.gateway.versions import OLD_VERSION_SHARE, VersionBook
+from nutmegdeal.retry_budget import RetryBudget
+from nutmegdeal.site import AdapterVersion, BackendState
+from nutmegdeal.tests import platform_builders as build
+
+
+def decide(request, fate, tokens=10.0):
+    decider = RetryDecider(lambda service: RetryBudget(0.2, tokens))
+    return decider.decide(request, RunOutcome(fate), now_ms=0.0)
+
+
+class TestRetries:
+    """What may be sent again."""
+
+    @pytest.mark.parametrize(
+        "fate", [RunFate.MAYBE_RAN, RunFate.FAILED, RunFate.CUT, RunFate.TIMED_OUT]
+    )
+    def test_what_may_have_run_once_is_not_repeated(self, fate):
+        request = build.build_request(build.build_booking_route(), run_count=1)
+        assert decide(request, fate) is Verdict.GIVE_UP
+
+    @pytest.mark.parametrize("fate", [RunFate.NOT_SENT, RunFate.NOT_RUN])
+    def test_what_has_not_run_may_go_elsewhere(self, fate):
+        request = build.build_request(build.build_booking_route(), sent_count=1)
+        assert decide(request, fate) is Verdict.RETRY
+
+    @pytest.mark.parametrize("fate", [RunFate.MAYBE_RAN, RunFate.FAILED, RunFate.CUT])
+    def test_a_repeatable_request_runs_at_most_as_often_as_its_route_says(self, fate):
+        request = build.build_request(sent_count=1, run_count=1)
+        assert decide(request, fate) is Verdict.RETRY
+        request.run_count = 2
+        assert decide(request, fate) is Verdict.GIVE_UP
+
+    def test_an_empty_budget_ends_retries(self):
+        request = build.build_request(sent_count=1, run_count=1)
+        assert decide(request, RunFate.CUT, tokens=0.0) is Verdict.GIVE_UP
+
+    def test_a_failed_connect_costs_no_budget(self):
+        request = build.build_request()
+        assert decide(request, RunFate.NOT_SENT, tokens=0.0) is Verdict.RETRY
+
+    def test_offers_are_bounded(self):
+        request = build.build_request(sent_count=OFFERS_MAX)
+        assert decide(request, RunFate.NOT_RUN) is Verdict.GIVE_UP
+
+    def test_nothing_is_tried_again_at_the_deadline(self):
+        request = build.build_request(deadline_ms=10.0, sent_count=1, run_count=1)
+        assert decide(request, RunFate.CUT) is Verdict.GIVE_UP
+
+
+class TestMembership:
+    """Which backend servers are believed in."""
+
+    def test_an_entry_that_disappears_is_gone_at_once(self):
+        membership = Membership()
+        membership.put(build.build_backend(), 0.0)
+        membership.remove("i-1", 10_000.0)
+        assert not membership.usable(build.ENGINE_SERVICE, 10_000.0)
+
+    def test_an_entry_that_lapsed_with_the_store_is_believed_for_a_while(self):
+        membership = Membership()
+        membership.put(build.build_backend(), 0.0)
+        membership.note_store_regained(10_000.0)
+        membership.remove("i-1", 10_100.0)
+        assert membership.usable(build.ENGINE_SERVICE, 10_200.0)
+        gone_ms = 10_000.0 + LAPSE_GRACE_MS
+        assert not membership.usable(build.ENGINE_SERVICE, gone_ms)
+        membership.expire(gone_ms)
+        assert not membership.members
+
+    def test_an_entry_that_is_back_in_time_stays(self):
+        membership = Membership()
+        membership.put(build.build_backend(), 0.0)
+        membership.note_store_regained(10_000.0)
+        membership.remove("i-1", 10_100.0)
+        membership.put(build.build_backend(), 11_000.0)
+        membership.expire(20_000.0)
+        assert membership.usable(build.ENGINE_SERVICE, 20_000.0)
+
+    def test_a_draining_server_gets_nothing_new(self):
+        membership = Membership()
+        membership.put(build.build_backend(), 0.0)
+        membership.put(build.build_backend(state=BackendState.DRAINING), 1.0)
+        assert not membership.usable(build.ENGINE_SERVICE, 2.0)
+
+    def test_a_restart_under_the_same_id_forgets_what_was_held(self):
+        left = []
+        membership = Membership(on_left=left.append)
+        before = membership.put(build.build_backend(started_unix_ms=1), 0.0)
+        before.set_resident(["a1@1"])
+        after = membership.put(build.build_backend(started_unix_ms=2), 1.0)
+        assert left == [before]
+        assert not after.resident
+
+
+class TestChoosing:
+    """Where a request goes."""
+
+    def test_an_engine_that_holds_the_adapter_is_used(self):
+        members = [
+            build.build_member("i-1"),
+            build.build_member("i-2", resident=["a7@1"]),
+        ]
+        choice = AdapterChooser("a", random.Random(1)).choose("a7", None, members, 0.0)
+        assert choice == UseNow(members[1])
+
+    def test_one_engine_is_asked_to_load_what_none_holds(self):
+        members = [build.build_member(f"i-{n}") for n in range(6)]
+        chooser = AdapterChooser("a", random.Random(1))
+        homes = {chooser.choose("a7", None, members, 0.0).member.backend_id}
+        homes |= {
+            AdapterChooser("b", random.Random(n))
+            .choose("a7", None, members, 0.0)
+            .member.backend_id
+            for n in range(20)
+        }
+        assert len(homes) == 1
+
+    def test_an_engine_with_an_older_version_is_not_asked_to_replace_it(self):
+        members = [build.build_member(f"i-{n}") for n in range(3)]
+        chooser = AdapterChooser("a", random.Random(1))
+        home = chooser.choose("a7", 1, members, 0.0).member
+        home.set_resident(["a7@1"])
+        choice = chooser.choose("a7", 2, members, 0.0)
+        assert isinstance(choice, LoadFirst)
+        assert choice.member is not home
+
+    def test_a_popular_adapter_gets_more_copies(self):
+        chooser = AdapterChooser("a", random.Random(1))
+        for number in range(300):
+            chooser.note_request("hot" if number % 2 else f"cold-{number}", number)
+        assert chooser.copies("hot", 6, 300.0) > 3
+        assert chooser.copies("cold-2", 6, 300.0) == 1
+
+    def test_a_failing_server_gets_little(self):
+        members = [
+            build.build_member(f"i-{n}", service=build.PLAIN_SERVICE) for n in range(2)
+        ]
+        for number in range(20):
+            members[0].history.note(True, float(number))
+        assert choose_plain(members, "a", 20.0, random.Random(1)) is members[1]
+        members[1].in_flight_count = 30
+        assert choose_plain(members, "a", 20.0, random.Random(1)) is members[0]
+
+    def test_a_server_that_cannot_be_reached_is_avoided_and_tried_again(self):
+        history = OutcomeHistory()
+        history.note_unreachable(0.0)
+        assert history.is_blocked(100.0)
+        assert not history.is_blocked(5_000.0)
+
+
+class TestVersions:
+    """On which version a request may begin."""
+
+    def test_an_old_version_serves_for_a_part_of_the_bound(self):
+        book = VersionBook(5_000.0)
+        book.learn(AdapterVersion("m", "a7", 2), 1_000.0, is_new=True)
+        end_ms = 1_000.0 + 5_000.0 * OLD_VERSION_SHARE
+        assert book.allows_older("a7", end_ms - 1)
+        assert not book.allows_older("a7", end_ms)
+
+    def test_a_version_that_was_there_before_allows_no_older_one(self):
+        book = VersionBook(5_000.0)
+        book.learn(AdapterVersion("m", "a7", 2), 1_000.0, is_new=False)
+        assert not book.allows_older("a7", 1_000.0)
+
+    def test_a_version_never_steps_back(self):
+        book = VersionBook(5_000.0)
+        book.learn(AdapterVersion("m", "a7", 5), 0.0, is_new=True)
+        book.learn(AdapterVersion("m", "a7", 4), 1.0, is_new=True)
+        assert book.newest("a7") == 5
+
+
+@given(
+    count=st.integers(0, 12),
+    cuts=st.lists(st.integers(0, 400), max_size=8),
+    broken_at=st.integers(0, 400),
+)
+def test_two_runs_of_a_stream_join_without_a_gap(count, cuts, broken_at):
+    stream = b"".join(map(build.build_event, range(count)))
+    splitter = EventSplitter()
+    passed = b""
+    for part in split_at(stream[:broken_at], cuts):
+        passed += splitter.feed(part)
+    splitter.restart()
+    first = 0 if splitter.last_event_id is None else splitter.last_event_id + 1
+    rest = b"".join(map(build.build_event, range(first, count)))
+    for part in split_at(rest, cuts):
+        passed += splitter.feed(part)
+    assert passed == stream
+    assert splitter.is_between_events
+
+
+def split_at(data, cuts):
+    ends = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
+    return [data[start:end] for start, end in zip(ends, ends[1:], strict=False)]
+
+
+def test_an_event_that_goes_backwards_breaks_the_stream():
+    splitter = EventSplitter(last_event_id=4)
+    with pytest.raises(BrokenStreamError):
+        splitter.feed(build.build_event(4))
--- /dev/null
+++ b/nutmegdeal/tests/test_http_listener.py
@@ -0,0 +1,138 @@
+"""Tests of the connections that callers open."""
+
+import gevent
+import gevent.event
+import gevent.socket
+import pytest
+
+from nutmegdeal.http_listener import CallerLeftError, CallerListener
+from nutmegdeal.site import DEFAULT_CALLER_LIMITS
+
+WAIT_S = 20.0
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+@pytest.fixture
+def start():
+    listeners = []
+
+    def start_listener(application, limits=DEFAULT_CALLER_LIMITS):
+        listener = CallerListener(("127.0.0.1", 0), application, lambda: limits)
+        listener.start()
+        listeners.append(listener)
+        return listener
+
+    yield start_listener
+    for listener in listeners:
+        listener.stop_accepting()
+
+
+def connect(listener):
+    sock = gevent.socket.create_connection(("127.0.0.1", listener.port))
+    sock.settimeout(WAIT_S)
+    return sock
+
+
+def read_all(sock):
+    data = b""
+    while part := sock.recv(65_536):
+        data += part
+    return data
+
+
+def reply_ok(_request, responder):
+    responder.reply(200, [], b"ok")
+
+
+def test_application_is_told_at_once_when_its_caller_leaves(start):
+    seen = gevent.event.AsyncResult()
+
+    def wait_for_ever(_request, _responder):
+        try:
+            gevent.sleep(WAIT_S)
+        except CallerLeftError:
+            seen.set("left")
+            raise
+        seen.set("nobody left")
+
+    sock = connect(start(wait_for_ever))
+    sock.sendall(REQUEST)
+    gevent.sleep(0.05)
+    sock.close()
+    assert seen.get(timeout=WAIT_S) == "left"
+
+
+def test_idle_connections_are_closed_when_draining(start):
+    listener = start(reply_ok)
+    sock = connect(listener)
+    sock.sendall(REQUEST)
+    while b"ok" not in sock.recv(65_536):
+        pass
+    gevent.sleep(0.05)
+    listener.is_draining = True
+    listener.close_idle()
+    assert sock.recv(1) == b""
+
+
+def test_a_request_under_way_outlives_the_closing_of_idle_connections(start):
+    release = gevent.event.Event()
+
+    def answer_later(_request, responder):
+        release.wait(WAIT_S)
+        responder.reply(200, [], b"ok")
+
+    listener = start(answer_later)
+    sock = connect(listener)
+    sock.sendall(REQUEST)
+    while not listener.open_count:
+        gevent.sleep(0.01)
+    listener.is_draining = True
+    listener.close_idle()
+    release.set()
+    data = read_all(sock)
+    assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"ok")
+    assert b"connection: close" in data.lower()
+
+
+def test_requests_that_follow_at_once_are_answered_in_order(start):
+    def echo(request, responder):
+        gevent.sleep(0.01)
+        responder.reply(200, [], request.target)
+
+    sock = connect(start(echo))
+    sock.sendall(b"".join(REQUEST.replace(b"/a", b"/n%d" % n) for n in range(5)))
+    data = b""
+    while data.count(b"HTTP/1.1 200") < 5 or not data.endswith(b"/n4"):
+        data += sock.recv(65_536)
+    assert [data.index(b"/n%d" % n) for n in range(5)] == sorted(
+        data.index(b"/n%d" % n) for n in range(5)
+    )
+
+
+def test_both_a_length_and_chunks_are_refused(start):
+    served = []
+    sock = connect(start(lambda request, responder: served.append(request)))
+    sock.sendall(
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + REQUEST
+    )
+    assert read_all(sock).startswith(b"HTTP/1.1 400")
+    assert not served
+
+
+def test_an_answer_that_is_not_finished_does_not_look_whole(start):
+    def break_off(_request, responder):
+        responder.start(200, [])
+        responder.send(b"part")
+
+    sock = connect(start(break_off))
+    sock.sendall(REQUEST)
+    data = read_all(sock)
+    assert b"part" in data
+    assert not data.endswith(b"0\r\n\r\n")
+
+
+def test_large_headers_are_refused(start):
+    sock = connect(start(reply_ok))
+    sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 20_000)
+    assert read_all(sock).startswith(b"HTTP/1.1 431")
--- /dev/null
+++ b/nutmegdeal/tests/test_placer_planning.py
@@ -0,0 +1,145 @@
+"""State machine and tests of the orders to a model engine."""
+
+import hypothesis.strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from nutmegdeal.messages import AdapterUse, EngineLimits
+from nutmegdeal.placer.planning import (
+    IN_TRANSIT_MAX,
+    UNRESOLVED_MS,
+    AdapterPlanner,
+    Operation,
+    Want,
+)
+from nutmegdeal.tests.platform_builders import build_report
+
+SLOTS = 5
+ADAPTERS = [f"a{n}" for n in range(9)]
+
+
+def build_planner(report=None):
+    planner = AdapterPlanner()
+    planner.limits = EngineLimits("model", SLOTS)
+    planner.take_report(report or build_report(), 0.0)
+    return planner
+
+
+def want(planner, adapter, version=0, session="s", now_ms=0.0):
+    planner.want(session, adapter, Want(version, now_ms + 10_000.0, now_ms))
+
+
+def test_the_base_model_is_loaded_first():
+    planner = build_planner(build_report(models=frozenset()))
+    want(planner, "a1")
+    order = planner.next_order(0.0)
+    assert (order.operation, order.model, order.adapter) == (
+        Operation.LOAD,
+        "model",
+        "",
+    )
+    assert planner.next_order(1.0) is None
+
+
+def test_an_expired_want_is_not_loaded():
+    planner = build_planner()
+    want(planner, "a1")
+    assert planner.next_order(10_000.0) is None
+
+
+def test_what_is_in_use_is_not_evicted():
+    held = frozenset(f"{name}@1" for name in ADAPTERS[:SLOTS])
+    planner = build_planner(build_report(resident=held))
+    uses = tuple(AdapterUse(name, 1, 1) for name in ADAPTERS[: SLOTS - 1])
+    planner.take_uses("s", uses, 0.0)
+    want(planner, ADAPTERS[-1])
+    order = planner.next_order(5_000.0)
+    assert order.operation is Operation.UNLOAD
+    assert order.adapter == ADAPTERS[SLOTS - 1]
+
+
+def test_a_newer_version_replaces_the_older_one():
+    planner = build_planner(build_report(resident=frozenset({"a1@1"})))
+    want(planner, "a1", version=2)
+    order = planner.next_order(0.0)
+    assert (order.operation, order.adapter, order.version) == (Operation.LOAD, "a1", 2)
+
+
+class EngineMachine(RuleBasedStateMachine):
+    """An engine that may leave orders unanswered and carry them out late."""
+
+    @initialize()
+    def start(self):
+        self.now_ms = 0.0
+        self.order_count = 0
+        self.resident = set()
+        self.loading = set()
+        self.late = []
+        self.planner = build_planner()
+
+    def report(self):
+        self.planner.take_report(
+            build_report(
+                order_count=self.order_count,
+                resident=frozenset(self.resident),
+                loading=frozenset(self.loading),
+            ),
+            self.now_ms,
+        )
+
+    def carry_out(self, order, expected_count):
+        if expected_count != self.order_count:
+            return
+        self.order_count += 1
+        if order.operation is Operation.LOAD:
+            self.loading.add(f"{order.adapter}@1")
+        else:
+            self.resident.discard(f"{order.adapter}@1")
+
+    @rule(adapter=st.sampled_from(ADAPTERS))
+    def want_one(self, adapter):
+        want(self.planner, adapter, now_ms=self.now_ms)
+
+    @rule(is_answered=st.booleans(), is_late=st.booleans())
+    def order(self, is_answered, is_late):
+        self.report()
+        order = self.planner.next_order(self.now_ms)
+        if order is None:
+            return
+        expected = self.planner.report.order_count
+        if is_late:
+            self.late.append((order, expected, self.now_ms + UNRESOLVED_MS))
+        else:
+            self.carry_out(order, expected)
+        if is_late or not is_answered:
+            self.planner.note_unanswered(order, self.now_ms)
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def carry_out_late(self, data):
+        order, expected, until_ms = data.draw(st.sampled_from(self.late))
+        self.late.remove((order, expected, until_ms))
+        if self.now_ms < until_ms:
+            self.carry_out(order, expected)
+
+    @rule()
+    def finish_loads(self):
+        self.resident |= self.loading
+        self.loading = set()
+
+    @rule(step_ms=st.sampled_from([10.0, 500.0, 3_000.0]))
+    def pass_time(self, step_ms):
+        self.now_ms += step_ms
+
+    @invariant()
+    def keeps_the_engines_limits(self):
+        assert len(self.resident) + len(self.loading) <= SLOTS
+        assert len(self.loading) <= IN_TRANSIT_MAX
+
+
+TestEngineMachine = EngineMachine.TestCase
--- /dev/null
+++ b/nutmegdeal/tests/test_platform_rows.py
@@ -0,0 +1,180 @@
+"""Tests of the platform's formats."""
+
+import base64
+import json
+
+import pytest
+
+from nutmegdeal.errors import Failure
+from nutmegdeal.placer.planning import Operation, Order
+from nutmegdeal.platform import rows
+from nutmegdeal.platform.engine import decode_report, encode_order
+from nutmegdeal.platform.headers import decode_request_terms, decode_server_load
+from nutmegdeal.platform.settings import load_node_settings
+from nutmegdeal.site import BackendState, RouteKind
+from nutmegdeal.tests.platform_builders import encode_registration
+
+ROUTE = {
+    "name": "r-1",
+    "host": "Ficu95.example",
+    "prefix": "/pufi791/",
+    "kind": "streaming",
+    "timeout_ms": 15000,
+    "target_latency_ms": 1000,
+    "priority": 0,
+    "service": "huvo11a",
+    "max_attempts": 1,
+    "resumable": False,
+    "target_gap_ms": 250,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        ROUTE,
+        {
+            **ROUTE,
+            "prefix": "/pufi791/more/",
+            "kind": "safe",
+            "traffic_split": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "huvo11a",
+            "max_connections": 370,
+            "engine": {
+                "slots": 64,
+                "models": [{"name": "daka", "weights_mb": 16100.0, "adapter_mb": 14.0}],
+                "weights_mb": 16800.0,
+                "adapter_slots": 29,
+            },
+        },
+        {"name": "wuno96b", "max_connections": 110},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+
+def encode(data):
+    return json.dumps(data).encode()
+
+
+def test_a_configuration_is_decoded():
+    decoded = rows.decode_configuration(encode(CONFIGURATION))
+    assert decoded.version == 7
+    assert decoded.services["huvo11a"].engine.adapter_slots_max == 29
+    assert decoded.services["wuno96b"].engine is None
+    assert decoded.find_route("ficu95.example", "/pufi791/x").kind is RouteKind.STREAM
+    longer = decoded.find_route("ficu95.example", "/pufi791/more/x")
+    assert longer.kind is RouteKind.SAFE
+    assert [target.weight for target in longer.targets] == [90.0, 10.0]
+    assert decoded.find_route("ficu95.example", "/pufi791") is None
+    assert decoded.find_route("other.example", "/pufi791/x") is None
+
+
+def test_adapters_are_bounded_by_memory_too():
+    data = json.loads(encode(CONFIGURATION))
+    data["services"][0]["engine"]["weights_mb"] = 16100.0 + 14.0 * 3
+    decoded = rows.decode_configuration(encode(data))
+    assert decoded.services["huvo11a"].engine.adapter_slots_max == 3
+
+
+def test_a_registration_is_decoded():
+    backend = rows.decode_backend("i-1", encode_registration(state="draining"))
+    assert backend.address == ("10.1.0.9", 8080)
+    assert backend.state is BackendState.DRAINING
+    assert backend.adapters == {"a3@1"}
+    assert backend.started_unix_ms == 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b"{}",
+        b"null",
+        encode_registration(state="sleeping"),
+        encode_registration(service=7),
+        encode_registration(address=None),
+        encode_registration(address="8080"),
+        encode_registration(slots="many"),
+        encode_registration(models=[{"adapters": ["a3"]}]),
+        encode_registration(models=[{"adapters": [5]}]),
+        encode_registration(models=7),
+        encode_registration(born="yesterday"),
+    ],
+)
+def test_a_malformed_registration_is_told_apart(value):
+    with pytest.raises(rows.DECODE_ERRORS):
+        rows.decode_backend("i-1", value)
+
+
+def test_rows_are_decoded():
+    value = base64.b64encode(b"x").decode()
+    row = rows.decode_row({"key": "k", "value": value, "ver": 3})
+    assert (row.key, row.value, row.version) == ("k", b"x", 3)
+    assert rows.decode_row({"key": "k", "removed": True}).value is None
+
+
+def test_a_report_is_decoded():
+    report = decode_report(
+        b'{"stage":"colocated","models":[{"name":"daka","version":1,'
+        b'"adapters":["a1@2"]}],"busy":false,"sequence":2,"waiting":1,"running":12,'
+        b'"kv_used":41000,"kv_total":90000,"pending":["daka/a3@1"],"born":5}'
+    )
+    assert report.resident == {"a1@2"}
+    assert report.loading == {"a3@1"}
+    assert (report.order_count, report.started_unix_ms) == (2, 5)
+    assert decode_report(b'{"models":[]}') is None
+    assert decode_report(b"nothing") is None
+
+
+def test_an_order_names_what_it_expects():
+    order = Order(Operation.LOAD, "daka", "a3", 2)
+    data = json.loads(encode_order(order, "side-1", 4))
+    assert data["expected"] == 4
+    assert (data["operation"], data["model"]) == ("load", "daka")
+    assert (data["adapter"], data["version"], data["holder"]) == ("a3", 2, "side-1")
+
+
+def test_request_terms_are_decoded():
+    terms = decode_request_terms(
+        [
+            (b"host", b"Chat.Example:80"),
+            (b"x-request-id", b"q"),
+            (b"x-model", b"daka/a3"),
+            (b"x-deadline-ms", b"1200"),
+        ]
+    )
+    assert terms.host == "chat.example"
+    assert (terms.model, terms.adapter, terms.within_ms) == ("daka", "a3", 1200.0)
+    with pytest.raises(ValueError, match="soon"):
+        decode_request_terms([(b"x-deadline-ms", b"soon")])
+
+
+def test_a_load_that_cannot_be_read_is_none():
+    assert decode_server_load([(b"x-server-load", b"3,0,8")]).running_count == 3
+    assert decode_server_load([(b"x-server-load", b"3,0")]) is None
+    assert decode_server_load([]) is None
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"internal_ports": [1]}'])
+def test_invalid_settings_are_a_failure(tmp_path, text):
+    path = tmp_path / "node.json"
+    path.write_text(text)
+    failure = load_node_settings(str(path))
+    assert isinstance(failure, Failure)
+    assert failure.peer == str(path)
+
+
+def test_a_missing_settings_file_is_a_failure(tmp_path):
+    assert isinstance(load_node_settings(str(tmp_path / "none.json")), Failure)
