Pace prompts at each engine; close idle connections without a race

Cause of late streams: events hold 6 tokens, and an engine reads up to 2,048 prompt tokens (53 ms) between two tokens, so six such steps in a row open a pause of 350 ms in every stream it runs. Ruled out: our relay (cores at 0.1). The placer now lets prompts through by a sliding window. Cause of LOST at drains: the end of an idle connection was scheduled, and a request could begin before it came; and kept connections served on after SIGTERM.

--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -73,3 +73,13 @@
             return None
         service = self.configuration.services.get(service_name)
         return service.engine if service else None
+
+    def shortest_gap_ms(self, service_name):
+        """Return the shortest pause target of a service's streams, 0.0 for none."""
+        gaps_ms = [
+            route.gap_target_ms
+            for route in self.configuration.routes
+            if route.gap_target_ms > 0
+            and any(target.service == service_name for target in route.targets)
+        ]
+        return min(gaps_ms, default=0.0)
--- a/nutmegdeal/gateway/choosing.py
+++ b/nutmegdeal/gateway/choosing.py
@@ -20,6 +20,8 @@
 ZONE_BIAS_COUNT = 1.0
 # A server that waits for a pause after failed connects to end.
 BLOCKED_COUNT = 1_000.0
+# Prompt tokens that wait at an engine weigh as one request more for each so many.
+TOKENS_PER_REQUEST = 400.0
 # Copies of an adapter for each fair share of an engine's load that it draws.
 COPIES_PER_SHARE = 1.5
 # Time over which demand is averaged; popularity moves on within seconds.
@@ -54,7 +56,7 @@
 
 def cost(member, zone, now_ms):
     """Return how unattractive a member is to one more request (float)."""
-    load = member.load(now_ms) + 1.0
+    load = member.load(now_ms) + 1.0 + member.waiting_tokens / TOKENS_PER_REQUEST
     if member.backend.zone != zone:
         load += ZONE_BIAS_COUNT
     if member.history.is_blocked(now_ms) or not member.is_reachable:
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -17,6 +17,9 @@
 ANSWER_LEAD_MS = 25.0
 # A request that waits for an adapter looks for another engine after this time.
 LOOK_AGAIN_MS = 400.0
+# Latency objectives that a prompt waits for its turn at most: the engine's own queue
+# takes it then.
+TURN_OBJECTIVES = 1.5
 # When a caller that was refused may come back: about the time of an adapter load.
 RETRY_AFTER_MS = 300.0
 RETRY_SPREAD = 0.5
@@ -109,6 +112,7 @@
             service=service,
             deadline_ms=incoming.arrived_ms + within_ms - ANSWER_LEAD_MS,
             adapter=terms.adapter if service.engine else "",
+            prompt_tokens=terms.prompt_tokens if service.engine else 0,
         )
 
     def _pick_service(self, route):
@@ -199,10 +203,12 @@
                 zone = board.settings.zone
                 return choose_plain(members, zone, now_ms, self._random)
             choice = self._choose_engine(request.adapter, members, now_ms)
-            if not isinstance(choice, LoadFirst):
-                self._want_copy(choice, request.adapter, now_ms)
+            if isinstance(choice, LoadFirst):
+                self._wait_for_load(request, choice.member, now_ms)
+                continue
+            self._want_copy(choice, request.adapter, now_ms)
+            if self._wait_for_turn(request, choice.member, now_ms):
                 return choice.member
-            self._wait_for_load(request, choice.member, now_ms)
 
     def _choose_engine(self, adapter, members, now_ms):
         versions = self._board.versions
@@ -240,6 +246,21 @@
                 link.unwant(adapter)
         request.waited_ms += self._board.clock.monotonic_ms() - now_ms
 
+    def _wait_for_turn(self, request, member, now_ms):
+        """Wait until the engine may read the prompt; return whether it still can."""
+        link = self._links.link_of(member)
+        if link is None or not request.prompt_tokens:
+            return True
+        arrived_ms = request.incoming.arrived_ms
+        due_ms = arrived_ms + request.route.target_ms
+        patient_until_ms = arrived_ms + TURN_OBJECTIVES * request.route.target_ms
+        until_ms = min(patient_until_ms, request.deadline_ms)
+        link.wait_for_turn(request.prompt_tokens, due_ms, until_ms)
+        after_ms = self._board.clock.monotonic_ms()
+        request.paced_ms += after_ms - now_ms
+        is_held = member.holds(request.adapter, None) or not request.adapter
+        return is_held and member.is_usable(after_ms)
+
     def _give_up(self, request, progress, outcome, reason):
         """Send the final answer to a request that will not be tried again."""
         responder = progress.responder
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -52,6 +52,7 @@
     loading: frozenset = frozenset()
     queued_count: int = 0
     gateway_count: int = 0
+    waiting_tokens: int = 0
     running_count: int = 0
     waiting_count: int = 0
     reported_ms: float = float("-inf")
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -1,6 +1,7 @@
 """Streams to the placers, which order adapters at the model engines."""
 
 import gevent
+import gevent.event
 
 from nutmegdeal.channel import Address
 from nutmegdeal.errors import Failure
@@ -12,6 +13,9 @@
     AdapterWanted,
     EngineLimits,
     EngineState,
+    PromptAsked,
+    PromptCancelled,
+    PromptGranted,
 )
 
 logger = get_logger(__name__)
@@ -42,6 +46,8 @@
         self._running = {}
         self._started = {}
         self._had_uses = False
+        self._prompt_number = 0
+        self._prompts = {}
 
     def run(self):
         """Keep a stream open until killed."""
@@ -63,14 +69,19 @@
         self._session = session
         session.is_awaiting = True
         terms = self._board.engine_of(self.member.backend.service)
-        session.send(EngineLimits(terms.model, terms.adapter_slots_max))
+        gap_ms = self._board.shortest_gap_ms(self.member.backend.service)
+        session.send(EngineLimits(terms.model, terms.adapter_slots_max, gap_ms))
         logger.info("placer_connected", backend=self.member.backend_id)
         try:
             for message in session.messages():
                 if isinstance(message, EngineState):
                     self._take(message)
+                elif isinstance(message, PromptGranted):
+                    self._release_prompt(message.number)
         finally:
             self._session = None
+            for number in list(self._prompts):
+                self._release_prompt(number)
             self.member.is_linked = False
             self.member.loading = frozenset()
             reason = str(session.close_reason)
@@ -93,10 +104,34 @@
         member.loading = frozenset(state.loading)
         member.queued_count = state.queued_count
         member.gateway_count = state.gateway_count
+        member.waiting_tokens = state.waiting_tokens
         now_ms = self._board.clock.monotonic_ms()
         member.note_load(state.running_count, state.waiting_count, now_ms)
         self._board.waiters.wake(set(member.resident) - before)
 
+    def _release_prompt(self, number):
+        granted = self._prompts.pop(number, None)
+        if granted is not None:
+            granted.set()
+
+    def wait_for_turn(self, tokens, due_ms, until_ms):
+        """Wait until a prompt may be sent, at most until `until_ms`.
+
+        Without a placer nothing is waited for: the engine serves on without one.
+        """
+        if self._session is None:
+            return
+        now_ms = self._board.clock.monotonic_ms()
+        self._prompt_number += 1
+        number = self._prompt_number
+        granted = self._prompts[number] = gevent.event.Event()
+        self._session.send(PromptAsked(number, tokens, max(0, int(due_ms - now_ms))))
+        try:
+            granted.wait(max(until_ms - now_ms, 0.0) / 1000)
+        finally:
+            if self._prompts.pop(number, None) and self._session is not None:
+                self._session.send(PromptCancelled(number))
+
     def want(self, adapter, version, deadline_ms):
         """Ask for an adapter that a request waits for; call `unwant` afterwards."""
         count = self._waiting_counts.get(adapter, 0)
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -74,10 +74,14 @@
         Backend servers it was sent to.
     run_count : int
         Those that may have run it.
+    prompt_tokens : int
+        0 if it does not say.
     tried : set of str
-        Their ids.
+        Ids of the backend servers tried.
     waited_ms : float
         Time spent waiting for its adapter.
+    paced_ms : float
+        Time spent waiting for its turn to be read by the engine.
     """
 
     incoming: object
@@ -86,10 +90,12 @@
     service: object
     deadline_ms: float
     adapter: str = ""
+    prompt_tokens: int = 0
     sent_count: int = 0
     run_count: int = 0
     tried: set = attrs.field(factory=set)
     waited_ms: float = 0.0
+    paced_ms: float = 0.0
 
     @property
     def is_stream(self):
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -112,4 +112,6 @@
             gap_ms=round(progress.longest_gap_ms, 1),
             whole_ms=round(now_ms - arrived_ms, 1),
             waited_ms=round(request.waited_ms, 1),
+            paced_ms=round(request.paced_ms, 1),
+            tokens=request.prompt_tokens,
         )
--- a/nutmegdeal/http_listener.py
+++ b/nutmegdeal/http_listener.py
@@ -153,8 +153,12 @@
 
     def close_if_idle(self):
         """Close the connection unless a request has begun on it."""
-        if self.is_idle and self._greenlet is not None:
-            self._greenlet.kill(CallerLeftError, block=False)
+        gevent.get_hub().loop.run_callback(self._end_if_idle)
+
+    def _end_if_idle(self):
+        # Runs in the hub, so that no request can begin between the check and the end.
+        if self.is_idle and self._greenlet is not None and not self._greenlet.dead:
+            self._greenlet.throw(CallerLeftError)
 
     def encode(self, event):
         """Return the bytes of an h11 event."""
@@ -188,7 +192,7 @@
             self._listener.application(request, responder)
         finally:
             self._unwatch()
-        if self._has_left or not responder.is_whole:
+        if self._has_left or not responder.is_whole or self.is_closing:
             return False
         return self._start_next()
 
--- a/nutmegdeal/messages.py
+++ b/nutmegdeal/messages.py
@@ -263,10 +263,13 @@
         Base model.
     adapter_slots_max : int
         Adapters that the engine holds or loads at once.
+    gap_target_ms : float
+        Shortest of the service's longest pauses between events that are on time.
     """
 
     model: str
     adapter_slots_max: int
+    gap_target_ms: float = 0.0
 
 
 @attrs.frozen
@@ -319,6 +322,38 @@
     uses: tuple[AdapterUse, ...]
 
 
+@attrs.frozen
+class PromptAsked:
+    """A gateway wants to send a prompt to the engine.
+
+    Parameters
+    ----------
+    number : int
+        Names the prompt on this stream.
+    tokens : int
+    due_in_ms : int
+        Time until its first event should be there.
+    """
+
+    number: int
+    tokens: int
+    due_in_ms: int
+
+
+@attrs.frozen
+class PromptCancelled:
+    """The prompt will not be sent, or was sent without waiting any longer."""
+
+    number: int
+
+
+@attrs.frozen
+class PromptGranted:
+    """The prompt may be sent now."""
+
+    number: int
+
+
 @attrs.frozen
 class EngineState:
     """State of a model engine, as its placer sees it.
@@ -336,6 +371,8 @@
         Adapters that wait for their load to begin.
     gateway_count : int
         Gateways with an open stream to this placer.
+    waiting_tokens : int
+        Tokens of the prompts that wait to be sent.
     """
 
     backend_started_unix_ms: int
@@ -346,6 +383,7 @@
     waiting_count: int
     queued_count: int
     gateway_count: int
+    waiting_tokens: int = 0
 
 
 MESSAGE_TYPES = (
@@ -364,6 +402,9 @@
     AdapterUnwanted,
     AdapterUses,
     EngineState,
+    PromptAsked,
+    PromptCancelled,
+    PromptGranted,
 )
 _TAG_OF = {message_type: tag for tag, message_type in enumerate(MESSAGE_TYPES)}
 _converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -15,8 +15,12 @@
     AdapterWanted,
     EngineLimits,
     EngineState,
+    PromptAsked,
+    PromptCancelled,
+    PromptGranted,
 )
 from nutmegdeal.placer.engine import EngineClient, OrderResult
+from nutmegdeal.placer.pacing import PromptPacer
 from nutmegdeal.placer.planning import AdapterPlanner, Want
 from nutmegdeal.placer.telemetry import PlacerTelemetry
 from nutmegdeal.settings import ChannelSettings
@@ -32,6 +36,8 @@
 CALM_EVERY_MS = 100.0
 # Pause between messages to gateways that change only numbers.
 NUMBERS_EVERY_MS = 200.0
+# Least pause before prompts that wait are looked at again.
+GRANT_LEAST_MS = 2.0
 # Reports that may fail in a row before the engine counts as unreachable.
 FAILED_REPORTS_MAX = 2
 
@@ -49,6 +55,8 @@
         self._settings = settings
         self._clock = clock or SystemClock()
         self._planner = AdapterPlanner()
+        self._pacer = PromptPacer()
+        self._prompts_wake = gevent.event.Event()
         pool = ConnectionPool(self._clock)
         self._engine = EngineClient(
             settings.engine_at, settings.node_name, pool, self._clock
@@ -74,6 +82,7 @@
         self._server.start(address)
         self._metrics.start()
         gevent.spawn(self._keep_ordering)
+        gevent.spawn(self._keep_granting)
         logger.info("started", node=self._settings.node_name)
 
     def ask_to_stop(self):
@@ -97,10 +106,17 @@
         finally:
             self._sessions.discard(session)
             self._planner.forget(session)
+            self._pacer.forget(session)
 
     def _take(self, session, message):
         now_ms = self._clock.monotonic_ms()
-        if isinstance(message, AdapterWanted):
+        if isinstance(message, PromptAsked):
+            due_ms = now_ms + message.due_in_ms
+            self._pacer.ask((session, message.number), message.tokens, due_ms)
+            self._grant()
+        elif isinstance(message, PromptCancelled):
+            self._pacer.cancel((session, message.number))
+        elif isinstance(message, AdapterWanted):
             want = Want(message.version, now_ms + message.remaining_ms, now_ms)
             self._planner.want(session, message.adapter, want)
             self._wake.set()
@@ -110,10 +126,28 @@
             self._planner.take_uses(session, message.uses, now_ms)
         elif isinstance(message, EngineLimits):
             self._planner.limits = message
+            self._pacer.window_ms = message.gap_target_ms
             self._wake.set()
         else:
             logger.warning("unexpected_message", type=type(message).__name__)
 
+    def _grant(self):
+        for session, number in self._pacer.grant(self._clock.monotonic_ms()):
+            session.send(PromptGranted(number))
+        if self._pacer.next_ms() is not None:
+            self._prompts_wake.set()
+
+    def _keep_granting(self):
+        while True:
+            next_ms = self._pacer.next_ms()
+            if next_ms is None:
+                self._prompts_wake.wait()
+                self._prompts_wake.clear()
+                continue
+            pause_ms = max(next_ms - self._clock.monotonic_ms(), GRANT_LEAST_MS)
+            gevent.sleep(pause_ms / 1000)
+            self._grant()
+
     def _keep_ordering(self):
         while True:
             try:
@@ -176,6 +210,7 @@
             report.waiting_count,
             self._planner.queued_count,
             len(self._sessions),
+            self._pacer.waiting_tokens,
         )
 
     def _tell(self):
--- a/nutmegdeal/platform/headers.py
+++ b/nutmegdeal/platform/headers.py
@@ -40,6 +40,8 @@
 REQUEST_ID = b"x-request-id"
 DEADLINE = b"x-deadline-ms"
 MODEL = b"x-model"
+# "Usage" is announced: prompt tokens, then the most that may be generated.
+TOKEN_USAGE = b"x-token-usage"
 LAST_EVENT_ID = b"last-event-id"
 # A backend server's proof that the answer is its own ("receipt" on the platform).
 SIGNATURE = b"x-response-signature"
@@ -63,6 +65,8 @@
         How long the caller waits from the arrival of the request on.
     model, adapter : str
         ``""`` if the request names none.
+    prompt_tokens : int
+        0 if the request does not say.
     """
 
     request_id: str
@@ -70,6 +74,7 @@
     within_ms: float | None
     model: str = ""
     adapter: str = ""
+    prompt_tokens: int = 0
 
 
 def decode_request_terms(headers):
@@ -91,9 +96,15 @@
         within_ms=float(within_ms) if within_ms is not None else None,
         model=model,
         adapter=adapter,
+        prompt_tokens=_decode_prompt_tokens(headers),
     )
 
 
+def _decode_prompt_tokens(headers):
+    value = (find_header(headers, TOKEN_USAGE) or b"").partition(b",")[0].strip()
+    return int(value) if value.isdigit() else 0
+
+
 def build_backend_headers(
     headers, remaining_ms, backend_id, priority, version, last_event_id
 ):
--- /dev/null
+++ b/nutmegdeal/tests/test_placer_pacing.py
@@ -0,0 +1,104 @@
+"""Tests of the pacing of prompts, with the load of a burst played in simulated time."""
+
+import random
+
+import pytest
+
+from nutmegdeal.placer.pacing import PROMPT_TOKENS_PER_MS, PromptPacer
+
+GAP_TARGET_MS = 250.0
+STEP_MS = 4.73
+CHUNK_TOKENS = 2_048
+STEPS_PER_EVENT = 6
+ARRIVALS_PER_S = 14.0
+PLAY_MS = 60_000.0
+
+
+def build_arrivals(seed):
+    """Return (at_ms, tokens, due_ms) of chats and digests, most of them small."""
+    source = random.Random(seed)
+    arrivals, now_ms = [], 0.0
+    while now_ms < PLAY_MS:
+        now_ms += source.expovariate(ARRIVALS_PER_S) * 1_000
+        is_digest = source.random() < 0.14
+        mean, most = (2_368, 7_500) if is_digest else (826, 3_800)
+        tokens = int(min(most, source.lognormvariate(0.0, 0.8) * mean * 0.73))
+        arrivals.append((now_ms, tokens, now_ms + (1_000 if is_digest else 600)))
+    return arrivals
+
+
+def play(pacer, arrivals):
+    """Play an engine that reads prompts between its steps.
+
+    Returns
+    -------
+    tuple of list of float
+        Pauses between a stream's events, and how late each prompt was read.
+    """
+    now_ms, backlog, steps = 0.0, [], []
+    arrivals = list(arrivals)
+    lates_ms, known = [], {}
+    while now_ms < PLAY_MS:
+        while arrivals and arrivals[0][0] <= now_ms:
+            at_ms, tokens, due_ms = arrivals.pop(0)
+            key = ("s", len(known))
+            known[key] = (due_ms, tokens)
+            pacer.ask(key, tokens, due_ms)
+        backlog += [[known[key][1], known[key][0]] for key in pacer.grant(now_ms)]
+        room = CHUNK_TOKENS
+        while backlog and room:
+            taken = min(room, backlog[0][0])
+            backlog[0][0] -= taken
+            room -= taken
+            if not backlog[0][0]:
+                lates_ms.append(now_ms - backlog.pop(0)[1])
+        step_ms = STEP_MS + (CHUNK_TOKENS - room) / 38.4
+        now_ms += step_ms
+        steps.append(step_ms)
+    pauses = [
+        sum(steps[at : at + STEPS_PER_EVENT])
+        for at in range(len(steps) - STEPS_PER_EVENT)
+    ]
+    return pauses, lates_ms
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_burst_of_prompts_opens_no_late_pause(seed):
+    arrivals = build_arrivals(seed)
+    pauses, lates_ms = play(PromptPacer(GAP_TARGET_MS), arrivals)
+    unpaced, _ = play(PromptPacer(0.0), arrivals)
+    late = sum(pause > GAP_TARGET_MS for pause in pauses)
+    late_unpaced = sum(pause > GAP_TARGET_MS for pause in unpaced)
+    assert late_unpaced > 0
+    assert late * 5 < late_unpaced
+    assert sum(late_ms > 0 for late_ms in lates_ms) < 0.03 * len(lates_ms)
+
+
+def test_the_most_urgent_prompt_goes_first():
+    pacer = PromptPacer(GAP_TARGET_MS)
+    full = int(GAP_TARGET_MS * PROMPT_TOKENS_PER_MS)
+    pacer.ask(("s", 1), full, 100.0)
+    assert pacer.grant(0.0) == [("s", 1)]
+    pacer.ask(("s", 2), 500, 1_000.0)
+    pacer.ask(("s", 3), 500, 600.0)
+    assert pacer.grant(1.0) == []
+    assert pacer.next_ms() == GAP_TARGET_MS
+    assert pacer.grant(GAP_TARGET_MS) == [("s", 3), ("s", 2)]
+
+
+def test_a_prompt_larger_than_the_window_is_read_alone():
+    pacer = PromptPacer(GAP_TARGET_MS)
+    pacer.ask(("s", 1), 100, 1.0)
+    pacer.ask(("s", 2), 1_000_000, 2.0)
+    assert pacer.grant(0.0) == [("s", 1)]
+    assert pacer.grant(GAP_TARGET_MS) == [("s", 2)]
+
+
+def test_who_has_left_is_not_granted():
+    pacer = PromptPacer(GAP_TARGET_MS)
+    pacer.ask(("s", 1), 100, 1.0)
+    pacer.ask(("t", 1), 100, 1.0)
+    pacer.cancel(("s", 1))
+    pacer.forget("t")
+    assert pacer.grant(0.0) == []
+    assert pacer.next_ms() is None
