--- a/nutmegdeal/placer/pacing.py
+++ b/nutmegdeal/placer/pacing.py
@@ -13,8 +13,9 @@
 # Prompt tokens that an engine reads in a ms: 38.4 and 38.7 on the sheets of the
 # installations; the platform does not tell it to programs.
 PROMPT_TOKENS_PER_MS = 38.0
-# Share of a pause that may go to prompts; an event's own steps take 30 to 40 ms of it.
-PROMPT_SHARE = 0.78
+# Share of a pause that may go to prompts; an event's own steps take 30 to 40 ms
+# of it, and reading a long prompt costs more per token than a short one.
+PROMPT_SHARE = 0.7
 
 
 @attrs.frozen(order=True)
