--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -239,7 +239,8 @@
             self._board.waiters.wait(adapter, within_ms)
         else:
             newest = self._board.versions.newest(adapter)
-            link.want(adapter, newest, request.deadline_ms)
+            due_ms = request.incoming.arrived_ms + request.route.target_ms
+            link.want(adapter, newest, due_ms, request.deadline_ms)
             try:
                 self._board.waiters.wait(adapter, within_ms)
             finally:
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -38,8 +38,10 @@
         As last reported.
     reported_ms : float
         When; minus infinity for never.
-    is_linked : bool
-        The placer beside it is connected.
+    is_linked, has_been_linked : bool
+        The placer beside it is, or was once, connected.
+    is_registration_believed : bool
+        What it registered counts as what it holds.
     sent_ms : list of float
         Times of own requests that the last report may not show.
     """
@@ -57,6 +59,8 @@
     waiting_count: int = 0
     reported_ms: float = float("-inf")
     is_linked: bool = False
+    has_been_linked: bool = False
+    is_registration_believed: bool = False
     is_reachable: bool = True
     sent_ms: list = attrs.field(factory=list)
 
@@ -97,6 +101,11 @@
         held = self.resident.get(adapter)
         return held is not None and version in (None, held)
 
+    def believe_registration(self):
+        """Take what the server registered for what it holds."""
+        self.is_registration_believed = True
+        self.set_resident(self.backend.adapters)
+
     def set_resident(self, names):
         """Replace the adapters held, given as ``name@version``."""
         self.resident = dict(map(_split_version, names))
@@ -134,14 +143,13 @@
             member = None
         if member is None:
             member = Member(backend)
-            member.set_resident(backend.adapters)
             self.members[backend.backend_id] = member
             self._on_joined(member)
             return member
         member.backend = backend
         member.gone_at_ms = None
-        if not member.is_linked:
-            member.set_resident(backend.adapters)
+        if member.is_registration_believed and not member.is_linked:
+            member.believe_registration()
         return member
 
     def remove(self, backend_id, now_ms):
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -24,6 +24,9 @@
 # Pauses between tries to open a stream: a restarted placer listens within a second.
 RECONNECT_FIRST_MS = 100.0
 RECONNECT_MAX_MS = 1_000.0
+# A placer that cannot be reached for so long is away; what its engine registered may
+# be from before a restart, so it is believed only then.
+BELIEVE_AFTER_MS = 1_000.0
 # Pause between messages on what is in use; eviction looks back over seconds.
 USES_EVERY_MS = 250.0
 # A copy ordered for later requests is not asked for again within this time.
@@ -52,11 +55,15 @@
     def run(self):
         """Keep a stream open until killed."""
         pause_ms = RECONNECT_FIRST_MS
+        started_ms = self._board.clock.monotonic_ms()
         try:
             while True:
                 session = self._client.connect(self._address, CONNECT_WITHIN_MS)
                 if isinstance(session, Failure):
                     pause_ms = min(pause_ms * 2, RECONNECT_MAX_MS)
+                    waited_ms = self._board.clock.monotonic_ms() - started_ms
+                    if waited_ms >= BELIEVE_AFTER_MS:
+                        self._believe_registration()
                 else:
                     pause_ms = RECONNECT_FIRST_MS
                     self._serve(session)
@@ -65,6 +72,15 @@
             if self._session is not None:
                 self._session.close()
 
+    def _believe_registration(self):
+        """Go by the registration until a placer says what the engine holds."""
+        member = self.member
+        if member.is_registration_believed or member.has_been_linked:
+            return
+        member.believe_registration()
+        logger.info("registration_believed", backend=member.backend_id)
+        self._board.waiters.wake(set(member.resident))
+
     def _serve(self, session):
         self._session = session
         session.is_awaiting = True
@@ -97,6 +113,7 @@
             return
         if not member.is_linked:
             member.is_linked = True
+            member.has_been_linked = True
             for adapter in self._waiting_counts:
                 self._board.waiters.wake((adapter,))
         before = set(member.resident)
@@ -132,19 +149,22 @@
             if self._prompts.pop(number, None) and self._session is not None:
                 self._session.send(PromptCancelled(number))
 
-    def want(self, adapter, version, deadline_ms):
+    def want(self, adapter, version, due_ms, deadline_ms):
         """Ask for an adapter that a request waits for; call `unwant` afterwards."""
-        count = self._waiting_counts.get(adapter, 0)
-        self._waiting_counts[adapter] = count + 1
-        if not count:
-            self._send_wanted(adapter, version, deadline_ms)
+        count = self._waiting_counts.get(adapter, 0) + 1
+        self._waiting_counts[adapter] = count
+        self._send_wanted(adapter, version, due_ms, deadline_ms, count)
 
-    def _send_wanted(self, adapter, version, deadline_ms):
+    def _send_wanted(self, adapter, version, due_ms, deadline_ms, count):
         if self._session is None:
             return
-        remaining_ms = int(deadline_ms - self._board.clock.monotonic_ms())
+        now_ms = self._board.clock.monotonic_ms()
+        remaining_ms, due_in_ms = int(deadline_ms - now_ms), int(due_ms - now_ms)
         if remaining_ms > 0:
-            self._session.send(AdapterWanted(adapter, version or 0, remaining_ms))
+            wanted = AdapterWanted(
+                adapter, version or 0, remaining_ms, due_in_ms, count
+            )
+            self._session.send(wanted)
 
     def unwant(self, adapter):
         """Take one request's wish back."""
@@ -162,7 +182,8 @@
         if asked_ms is not None and now_ms - asked_ms < COPY_AGAIN_AFTER_MS:
             return
         self._copies_asked_ms[adapter] = now_ms
-        self._send_wanted(adapter, version, now_ms + COPY_WITHIN_MS)
+        until_ms = now_ms + COPY_WITHIN_MS
+        self._send_wanted(adapter, version, until_ms, until_ms, 0)
 
     def note_started(self, adapter):
         """Note that a request on an adapter is sent."""
--- a/nutmegdeal/messages.py
+++ b/nutmegdeal/messages.py
@@ -283,11 +283,17 @@
         0 for the newest.
     remaining_ms : int
         Time until nobody needs it any more. Clocks differ, so no point in time.
+    due_in_ms : int
+        Time in which the first of them should have its first event.
+    waiting_count : int
+        Requests of the gateway that wait, 0 for a copy that later ones will use.
     """
 
     adapter: str
     version: int
     remaining_ms: int
+    due_in_ms: int = 0
+    waiting_count: int = 1
 
 
 @attrs.frozen
--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -13,6 +13,8 @@
 
 # Adapters that an engine has on their way at once.
 IN_TRANSIT_MAX = 4
+# Time that a load takes while the weight store is not crowded, from the sheets.
+LOAD_MS = 250.0
 # An order that got no answer may be carried out for so long (the platform's pages say
 # seconds; its list of troubles says up to 12).
 UNRESOLVED_MS = 13_000.0
@@ -61,12 +63,16 @@
         0 for any.
     deadline_ms : float
         When nobody needs it any more, on the monotonic clock.
-    since_ms : float
+    due_ms : float
+        When the first of the requests should have its first event.
+    waiting_count : int
+        Requests that wait for it, 0 for a copy that later ones will use.
     """
 
     version: int
     deadline_ms: float
-    since_ms: float
+    due_ms: float
+    waiting_count: int = 1
 
 
 @attrs.frozen
@@ -184,7 +190,7 @@
         self._drop_settled(now_ms)
         if not self._wants or len(self.report.loading) >= IN_TRANSIT_MAX:
             return None
-        adapter, version = self._most_urgent()
+        adapter, version = self._most_urgent(now_ms)
         if self._places_taken() < self._places_max():
             return Order(Operation.LOAD, self.limits.model, adapter, version or None)
         victim = self._find_victim(now_ms)
@@ -209,12 +215,21 @@
                 if is_held or now_ms >= want.deadline_ms:
                     self.unwant(session, adapter)
 
-    def _most_urgent(self):
-        """Return the adapter that is waited for longest, and its version."""
-        adapter, by_session = min(
-            self._wants.items(),
-            key=lambda item: min(want.since_ms for want in item[1].values()),
-        )
+    def _most_urgent(self, now_ms):
+        """Return the adapter to load next, and its version.
+
+        When more is wanted than can be loaded, as after a cold start, first come those
+        that can still be in time, of them those that most requests wait for: each
+        load then serves the most.
+        """
+
+        def urgency(item):
+            wants = item[1].values()
+            due_ms = min(want.due_ms for want in wants)
+            count = sum(want.waiting_count for want in wants)
+            return now_ms + LOAD_MS > due_ms, -count, due_ms
+
+        adapter, by_session = min(self._wants.items(), key=urgency)
         return adapter, max(want.version for want in by_session.values())
 
     def _places_taken(self):
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -117,7 +117,12 @@
         elif isinstance(message, PromptCancelled):
             self._pacer.cancel((session, message.number))
         elif isinstance(message, AdapterWanted):
-            want = Want(message.version, now_ms + message.remaining_ms, now_ms)
+            want = Want(
+                version=message.version,
+                deadline_ms=now_ms + message.remaining_ms,
+                due_ms=now_ms + message.due_in_ms,
+                waiting_count=message.waiting_count,
+            )
             self._planner.want(session, message.adapter, want)
             self._wake.set()
         elif isinstance(message, AdapterUnwanted):
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -106,6 +106,14 @@
         assert left == [before]
         assert not after.resident
 
+    def test_what_was_registered_before_a_restart_is_not_believed_at_once(self):
+        membership = Membership()
+        backend = build.build_backend(adapters=frozenset({"a7@1"}))
+        member = membership.put(backend, 0.0)
+        assert not member.holds("a7", None)
+        member.believe_registration()
+        assert member.holds("a7", 1)
+
 
 class TestChoosing:
     """Where a request goes."""
--- a/nutmegdeal/tests/test_placer_planning.py
+++ b/nutmegdeal/tests/test_placer_planning.py
@@ -30,8 +30,9 @@
     return planner
 
 
-def want(planner, adapter, version=0, session="s", now_ms=0.0):
-    planner.want(session, adapter, Want(version, now_ms + 10_000.0, now_ms))
+def want(planner, adapter, version=0, session="s", now_ms=0.0, count=1, due_in=600):
+    wish = Want(version, now_ms + 10_000.0, now_ms + due_in, count)
+    planner.want(session, adapter, wish)
 
 
 def test_the_base_model_is_loaded_first():
@@ -70,6 +71,22 @@
     assert (order.operation, order.adapter, order.version) == (Operation.LOAD, "a1", 2)
 
 
+def test_after_a_cold_start_each_load_serves_the_most_requests_in_time():
+    planner = build_planner()
+    want(planner, "a1", now_ms=0.0, due_in=100)
+    want(planner, "a2", now_ms=0.0)
+    want(planner, "a3", now_ms=10.0, count=3)
+    want(planner, "a4", session="t", now_ms=10.0, count=2)
+    want(planner, "a4", session="s", now_ms=10.0, count=2)
+    order = []
+    held = set()
+    while (planned := planner.next_order(20.0)) is not None:
+        order.append(planned.adapter)
+        held.add(f"{planned.adapter}@1")
+        planner.take_report(build_report(resident=frozenset(held)), 20.0)
+    assert order == ["a4", "a3", "a2", "a1"]
+
+
 class EngineMachine(RuleBasedStateMachine):
     """An engine that may leave orders unanswered and carry them out late."""
 
