Test the whole platform path over loopback; copy no adapter on its first request

Cause (test_a_stream_runs_once_its_adapter_is_loaded): after a start the first request is all the demand there is, so its adapter looked popular and was loaded on every engine. Some demand for others is now assumed. The retry budget also grows when the number of gateways becomes known.

--- /dev/null
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -0,0 +1,203 @@
+"""Stand-ins of the platform's backend servers, which record what they ran."""
+
+import collections
+import json
+
+import gevent
+
+from nutmegdeal.http_connections import find_header
+from nutmegdeal.http_listener import CallerLeftError, CallerListener
+from nutmegdeal.site import DEFAULT_CALLER_LIMITS
+
+EVENT_EVERY_MS = 10.0
+LOAD_MS = 60.0
+PLAIN_WORK_MS = 20.0
+EVENT_COUNT = 8
+
+
+class PlatformBackend:
+    """A plain service.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+    backend_id, service, zone : str
+    """
+
+    def __init__(self, address, backend_id, service, zone="a"):
+        self.backend_id = backend_id
+        self.service = service
+        self.zone = zone
+        self.state = "ready"
+        self.runs = collections.Counter()
+        self.completed = collections.Counter()
+        self.cancelled = collections.Counter()
+        self.fails_next = 0
+        self.sheds_next = 0
+        self.born = 1
+        self.listener = CallerListener(
+            address, self._answer, lambda: DEFAULT_CALLER_LIMITS
+        )
+        self.listener.start()
+        self._address = (address[0], self.listener.port)
+
+    @property
+    def address(self):
+        """Return the pair of IP address and port in use."""
+        return self._address
+
+    def registration(self):
+        """Return the value of its row (bytes)."""
+        return json.dumps(self._describe()).encode()
+
+    def _describe(self):
+        return {
+            "service": self.service,
+            "address": f"{self._address[0]}:{self._address[1]}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 64,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "models": [],
+            "sequence": 0,
+            "born": self.born,
+        }
+
+    def _answer(self, request, responder):
+        named = find_header(request.headers, b"x-target-instance")
+        if named is not None and named.decode() != self.backend_id:
+            self._shed(request, responder, 421)
+            return
+        if self.sheds_next:
+            self.sheds_next -= 1
+            self._shed(request, responder, 503)
+            return
+        self._serve(request, responder)
+
+    def _shed(self, request, responder, status_code):
+        headers = [*self._own_headers(request), (b"x-not-executed", b"1")]
+        responder.reply(status_code, headers, b"")
+
+    def _own_headers(self, request):
+        headers = [(b"x-instance-id", self.backend_id.encode())]
+        request_id = find_header(request.headers, b"x-request-id")
+        if request_id is not None:
+            headers.append((b"x-request-id", request_id))
+        return headers
+
+    def _serve(self, request, responder):
+        request_id = find_header(request.headers, b"x-request-id").decode()
+        self.runs[request_id] += 1
+        try:
+            self._run(request, request_id, responder)
+        except CallerLeftError:
+            self.cancelled[request_id] += 1
+            raise
+        self.completed[request_id] += 1
+
+    def _run(self, request, request_id, responder):
+        gevent.sleep(PLAIN_WORK_MS / 1000)
+        headers = [*self._own_headers(request), (b"x-response-signature", b"s")]
+        if self.fails_next:
+            self.fails_next -= 1
+            responder.reply(500, headers, b"failed")
+            return
+        responder.reply(200, headers, f"answer to {request_id}".encode())
+
+
+class PlatformEngine(PlatformBackend):
+    """A model engine with adapters.
+
+    Parameters
+    ----------
+    address, backend_id, service, zone
+        As for `PlatformBackend`.
+    model : str
+    adapter_slots : int
+    """
+
+    def __init__(self, address, backend_id, service, zone, model, adapter_slots):
+        self.model = model
+        self.adapter_slots = adapter_slots
+        self.adapters = {}
+        self.pending = {}
+        self.order_count = 0
+        self.holders = set()
+        self.fell_over_count = 0
+        super().__init__(address, backend_id, service, zone)
+
+    def restart(self):
+        """Forget all that it holds and begin a new incarnation."""
+        self.born += 1
+        self.adapters, self.pending, self.order_count = {}, {}, 0
+
+    def _describe(self):
+        names = [f"{name}@{version}" for name, version in self.adapters.items()]
+        models = [{"name": self.model, "version": 1, "adapters": names}]
+        return {**super()._describe(), "models": models, "sequence": self.order_count}
+
+    def _answer(self, request, responder):
+        if request.path == "/report":
+            self._report(responder)
+        elif request.path == "/order":
+            self._order(request, responder)
+        else:
+            super()._answer(request, responder)
+
+    def _report(self, responder):
+        report = {
+            **self._describe(),
+            "busy": False,
+            "waiting": 0,
+            "running": sum(self.runs.values()) - sum(self.completed.values()),
+            "kv_used": 0,
+            "kv_total": 1_000,
+            "pending": [f"{self.model}/{n}@{v}" for n, v in self.pending.items()],
+        }
+        responder.reply(200, [], json.dumps(report).encode())
+
+    def _order(self, request, responder):
+        order = json.loads(request.body)
+        self.holders.add(order["holder"])
+        if order.get("expected") != self.order_count:
+            responder.reply(409, [], b"")
+            return
+        self.order_count += 1
+        adapter = order["adapter"]
+        if order["operation"] == "unload":
+            self.adapters.pop(adapter, None)
+            responder.reply(200, [], b"")
+            return
+        self.pending[adapter] = order.get("version") or 1
+        if len(self.adapters) + len(self.pending) > self.adapter_slots:
+            self.fell_over_count += 1
+        gevent.spawn_later(LOAD_MS / 1000, self._finish_load, adapter, self.born)
+        responder.reply(202, [], b"")
+
+    def _finish_load(self, adapter, born):
+        if born == self.born and adapter in self.pending:
+            self.adapters[adapter] = self.pending.pop(adapter)
+
+    def _serve(self, request, responder):
+        named = find_header(request.headers, b"x-model").decode()
+        adapter = named.partition("/")[2]
+        expected = find_header(request.headers, b"x-expected-version")
+        held = self.adapters.get(adapter)
+        if held is None or (expected is not None and int(expected) != held):
+            self._shed(request, responder, 421)
+            return
+        super()._serve(request, responder)
+
+    def _run(self, request, request_id, responder):
+        last = find_header(request.headers, b"last-event-id")
+        headers = [
+            *self._own_headers(request),
+            (b"x-response-signature", b"s"),
+            (b"content-type", b"text/event-stream"),
+        ]
+        responder.start(200, headers)
+        for number in range(int(last) + 1 if last else 0, EVENT_COUNT):
+            gevent.sleep(EVENT_EVERY_MS / 1000)
+            responder.send(f"id: {number}\ndata: {request_id}\n\n".encode())
+        responder.finish()
--- a/nutmegdeal/gateway/choosing.py
+++ b/nutmegdeal/gateway/choosing.py
@@ -24,6 +24,9 @@
 TOKENS_PER_REQUEST = 400.0
 # Copies of an adapter for each fair share of an engine's load that it draws.
 COPIES_PER_SHARE = 1.5
+# Demand for other adapters that is assumed besides what was seen, so that the first
+# requests after a start do not look like a popular adapter.
+OTHERS_PER_S = 5.0
 # Time over which demand is averaged; popularity moves on within seconds.
 DEMAND_DECAY_MS = 6_000.0
 # An engine is crowded when it has so many more requests than the least loaded one.
@@ -93,9 +96,7 @@
 
     def copies(self, adapter, engine_count, now_ms):
         """Return on how many engines an adapter should be."""
-        total = self._rates.rate_per_s(ALL_ADAPTERS, now_ms)
-        if total <= 0.0:
-            return 1
+        total = self._rates.rate_per_s(ALL_ADAPTERS, now_ms) + OTHERS_PER_S
         share = self._rates.rate_per_s(adapter, now_ms) / total
         wanted = math.ceil(share * engine_count * COPIES_PER_SHARE)
         return max(1, min(wanted, engine_count))
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -50,9 +50,11 @@
     ----------
     settings : NodeSettings
     clock : Clock, optional
+    bridge : Bridge, optional
+        A process has one at most.
     """
 
-    def __init__(self, settings, clock=None):
+    def __init__(self, settings, clock=None, bridge=None):
         clock = clock or SystemClock()
         randomness = random.Random()
         pool = ConnectionPool(clock)
@@ -63,8 +65,9 @@
         versions = VersionBook(settings.bounds.version_ms)
         self._board = Blackboard(settings, clock, membership, versions)
         channel = ChannelSettings(heartbeat_every_ms=CHANNEL_HEARTBEAT_EVERY_MS)
-        client = ChannelClient(GreenletBridge(), channel)
+        client = ChannelClient(bridge or GreenletBridge(), channel)
         self._links = PlacerLinks(self._board, client, settings.internal_port_first)
+        self._gateway_count = 0
         self._budgets = RetryBudgets(self._new_budget)
         self._telemetry = GatewayTelemetry()
         store = StoreClient(settings.store_at, ConnectionPool(clock), clock)
@@ -103,7 +106,9 @@
         )
 
     def _burst_tokens(self):
-        count = self._links.gateway_count or GATEWAYS_ASSUMED
+        # Never less than were seen: a lost stream must not look like a lost gateway.
+        self._gateway_count = max(self._gateway_count, self._links.gateway_count)
+        count = self._gateway_count or GATEWAYS_ASSUMED
         return self._settings.bounds.retry_burst * BUDGET_SHARE / count
 
     def _note_joined(self, member):
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -49,9 +49,11 @@
     ----------
     settings : NodeSettings
     clock : Clock, optional
+    bridge : Bridge, optional
+        A process has one at most.
     """
 
-    def __init__(self, settings, clock=None):
+    def __init__(self, settings, clock=None, bridge=None):
         self._settings = settings
         self._clock = clock or SystemClock()
         self._planner = AdapterPlanner()
@@ -61,7 +63,9 @@
         self._engine = EngineClient(
             settings.engine_at, settings.node_name, pool, self._clock
         )
-        self._server = ChannelServer(GreenletBridge(), ChannelSettings(), self._accept)
+        self._server = ChannelServer(
+            bridge or GreenletBridge(), ChannelSettings(), self._accept
+        )
         self._telemetry = PlacerTelemetry()
         self._metrics = CallerListener(
             (settings.ip, METRICS_PORT),
--- /dev/null
+++ b/nutmegdeal/tests/platform_site.py
@@ -0,0 +1,194 @@
+"""A gateway, placers and stand-ins of the users' platform in one process."""
+
+import json
+
+import gevent
+import gevent.socket
+import h11
+
+from nutmegdeal.fakes.platform_backend import PlatformBackend, PlatformEngine
+from nutmegdeal.fakes.platform_store import PlatformStore
+from nutmegdeal.gateway import process as gateway_process
+from nutmegdeal.placer import process as placer_process
+from nutmegdeal.platform.settings import Endpoint
+from nutmegdeal.tests import platform_builders as build
+
+WAIT_S = 30.0
+POLL_S = 0.02
+MODEL = "model"
+
+
+def wait_until(condition, within_s=WAIT_S):
+    """Return the first true value of `condition`; fail after `within_s`."""
+    with gevent.Timeout(within_s, AssertionError("the condition never held")):
+        while True:
+            value = condition()
+            if value:
+                return value
+            gevent.sleep(POLL_S)
+
+
+def free_port(host):
+    """Return a TCP port that is free at an address."""
+    with gevent.socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+def encode_operator_configuration(version=1):
+    """Return the operator's row of a site with one route of each kind."""
+    route = {
+        "host": "chat.example",
+        "timeout_ms": 20_000,
+        "target_latency_ms": 5_000,
+        "max_attempts": 2,
+        "priority": 1,
+    }
+    configuration = {
+        "version": version,
+        "routes": [
+            {
+                **route,
+                "name": "chat",
+                "prefix": "/chat/",
+                "kind": "streaming",
+                "resumable": True,
+                "target_gap_ms": 5_000,
+                "service": build.ENGINE_SERVICE,
+            },
+            {
+                **route,
+                "name": "book",
+                "prefix": "/book/",
+                "kind": "unsafe",
+                "service": build.PLAIN_SERVICE,
+            },
+            {
+                **route,
+                "name": "look",
+                "prefix": "/look/",
+                "kind": "safe",
+                "service": build.PLAIN_SERVICE,
+            },
+        ],
+        "services": [
+            {
+                "name": build.ENGINE_SERVICE,
+                "max_connections": 100,
+                "engine": {
+                    "slots": 64,
+                    "models": [{"name": MODEL, "weights_mb": 1, "adapter_mb": 0}],
+                    "weights_mb": 100,
+                    "adapter_slots": 3,
+                },
+            },
+            {"name": build.PLAIN_SERVICE, "max_connections": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 5_000,
+            "idle_timeout_ms": 20_000,
+        },
+    }
+    return json.dumps(configuration).encode()
+
+
+class PlatformSite:
+    """Two engines with placers, two plain servers, a store and a gateway.
+
+    Each machine has a loopback address of its own, as its ports are the same.
+    """
+
+    def __init__(self, monkeypatch, bridge):
+        self.bridge = bridge
+        self.port = free_port("127.0.0.1")
+        monkeypatch.setattr(gateway_process, "METRICS_PORT", 0)
+        monkeypatch.setattr(placer_process, "METRICS_PORT", 0)
+        self.store = PlatformStore(("127.0.0.1", 0))
+        self.engines = [self._start_engine(number) for number in (2, 3)]
+        self.servers = [
+            PlatformBackend(("127.0.0.1", 0), f"p-{number}", build.PLAIN_SERVICE)
+            for number in (1, 2)
+        ]
+        for backend in (*self.engines, *self.servers):
+            self.register(backend)
+        self.store.put("op", "config", encode_operator_configuration())
+        self.placers = [self.start_placer(engine) for engine in self.engines]
+        self.gateway = gateway_process.GatewayProcess(
+            self._settings("127.0.0.1"), bridge=bridge
+        )
+        self.gateway.start()
+        wait_until(lambda: self.gateway._board.is_ready)
+        wait_until(self._is_linked)
+
+    def _start_engine(self, number):
+        return PlatformEngine(
+            (f"127.0.0.{number}", 0), f"e-{number}", build.ENGINE_SERVICE, "a", MODEL, 3
+        )
+
+    def _settings(self, ip, engine=None):
+        return build.build_node_settings(
+            node_name=f"node-{ip}",
+            ip=ip,
+            internal_port_first=self.port,
+            callers_at=Endpoint(ip, 0),
+            readiness_at=Endpoint(ip, 0),
+            store_at=Endpoint("127.0.0.1", self.store.port),
+            engine_at=Endpoint(*engine.address) if engine else None,
+        )
+
+    def _is_linked(self):
+        members = self.gateway._board.membership.members.values()
+        return sum(member.is_linked for member in members) == len(self.engines)
+
+    def start_placer(self, engine):
+        """Start the placer beside an engine."""
+        settings = self._settings(engine.address[0], engine)
+        placer = placer_process.PlacerProcess(settings, bridge=self.bridge)
+        placer.start()
+        return placer
+
+    def register(self, backend):
+        """Write the registration of a backend server."""
+        self.store.put("servers", backend.backend_id, backend.registration())
+
+    def call(self, path, request_id, adapter="a1"):
+        """Send a request on a new connection; return (status, headers, body)."""
+        sock = gevent.socket.create_connection(
+            ("127.0.0.1", self.gateway._listener.port), WAIT_S
+        )
+        try:
+            return self.exchange(sock, path, request_id, adapter)
+        finally:
+            sock.close()
+
+    def exchange(self, sock, path, request_id, adapter="a1"):
+        """Send a request on a connection; the body is None if it was cut."""
+        protocol = h11.Connection(h11.CLIENT)
+        headers = [
+            ("host", "chat.example"),
+            ("x-request-id", request_id),
+            ("x-deadline-ms", "15000"),
+            ("x-model", f"{MODEL}/{adapter}"),
+            ("x-token-usage", "800,100"),
+            ("content-length", "0"),
+        ]
+        request = h11.Request(method="POST", target=path, headers=headers)
+        sock.sendall(protocol.send(request) + protocol.send(h11.EndOfMessage()))
+        head, body = None, b""
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    protocol.receive_data(sock.recv(65_536))
+                except OSError:
+                    return head.status_code if head else 0, {}, None
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return head.status_code, dict(head.headers), body
+            else:
+                return 0, {}, None
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -154,6 +154,11 @@
         assert chooser.copies("hot", 6, 300.0) > 3
         assert chooser.copies("cold-2", 6, 300.0) == 1
 
+    def test_the_first_request_of_a_process_makes_no_adapter_popular(self):
+        chooser = AdapterChooser("a", random.Random(1))
+        chooser.note_request("a7", 0.0)
+        assert chooser.copies("a7", 20, 0.0) == 1
+
     def test_a_failing_server_gets_little(self):
         members = [
             build.build_member(f"i-{n}", service=build.PLAIN_SERVICE) for n in range(2)
--- /dev/null
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -0,0 +1,186 @@
+"""Tests of the whole path on the users' platform, over loopback."""
+
+import gevent
+import gevent.socket
+import pytest
+
+from nutmegdeal.bridges import GreenletBridge
+from nutmegdeal.fakes.platform_backend import EVENT_COUNT
+from nutmegdeal.fakes.platform_store import StoreFault
+from nutmegdeal.tests.platform_site import (
+    PlatformSite,
+    encode_operator_configuration,
+    wait_until,
+)
+
+
+@pytest.fixture(scope="module")
+def bridge():
+    return GreenletBridge()
+
+
+@pytest.fixture
+def site(monkeypatch, bridge):
+    return PlatformSite(monkeypatch, bridge)
+
+
+def runs_of(backends, request_id):
+    return sum(backend.runs[request_id] for backend in backends)
+
+
+def test_a_stream_runs_once_its_adapter_is_loaded(site):
+    status, headers, body = site.call("/chat/1", "q-1")
+    assert status == 200
+    assert body.count(b"q-1") == EVENT_COUNT
+    assert headers[b"x-response-signature"] == b"s"
+    assert runs_of(site.engines, "q-1") == 1
+    assert sum("a1" in engine.adapters for engine in site.engines) == 1
+
+
+def test_more_adapters_than_places_never_overfill_an_engine(site):
+    calls = [
+        gevent.spawn(site.call, "/chat/1", f"q-{number}", f"a{number}")
+        for number in range(12)
+    ]
+    gevent.joinall(calls, timeout=60, raise_error=True)
+    assert [call.value[0] for call in calls] == [200] * 12
+    assert not any(engine.fell_over_count for engine in site.engines)
+    assert all(len(engine.holders) == 1 for engine in site.engines)
+
+
+def test_what_the_engine_holds_is_served_without_a_placer(site):
+    assert site.call("/chat/1", "q-1")[0] == 200
+    for placer in site.placers:
+        placer._server.stop()
+    assert site.call("/chat/1", "q-2")[0] == 200
+
+
+def test_a_booking_that_failed_is_not_sent_again(site):
+    for server in site.servers:
+        server.fails_next = 1
+    status, headers, body = site.call("/book/1", "q-1")
+    assert (status, body) == (500, b"failed")
+    assert headers[b"x-response-signature"] == b"s"
+    assert runs_of(site.servers, "q-1") == 1
+
+
+def test_a_booking_that_was_not_run_goes_elsewhere(site):
+    for server in site.servers:
+        server.sheds_next = 1
+    status, _, body = site.call("/book/1", "q-1")
+    assert (status, body) == (200, b"answer to q-1")
+    assert runs_of(site.servers, "q-1") == 1
+
+
+def test_a_lookup_that_failed_is_repeated_elsewhere(site):
+    for server in site.servers:
+        server.fails_next = 1
+    status, _, _ = site.call("/look/1", "q-1")
+    assert status == 500
+    assert runs_of(site.servers, "q-1") == 2
+
+
+def test_a_refusal_says_when_to_come_back_and_is_true(site):
+    for server in site.servers:
+        server.sheds_next = 10
+    status, headers, _ = site.call("/book/1", "q-1")
+    assert status == 503
+    assert 0 < float(headers[b"retry-after"]) < 2
+    assert runs_of(site.servers, "q-1") == 0
+
+
+def test_a_route_that_does_not_exist_is_404(site):
+    assert site.call("/nowhere/1", "q-1")[0] == 404
+
+
+def test_a_newer_configuration_is_in_force_and_an_older_one_is_not(site):
+    site.store.put("op", "config", encode_operator_configuration(version=5))
+    wait_until(lambda: site.gateway._board.configuration.version == 5)
+    site.store.put("op", "config", encode_operator_configuration(version=4))
+    site.store.put("op", "config", b"not JSON")
+    gevent.sleep(0.3)
+    assert site.gateway._board.configuration.version == 5
+
+
+def test_a_draining_server_gets_no_request(site):
+    first = site.servers[0]
+    first.state = "draining"
+    site.register(first)
+    members = site.gateway._board.membership
+    wait_until(lambda: len(members.usable(first.service, 0.0)) == 1)
+    for number in range(10):
+        assert site.call("/look/1", f"q-{number}")[0] == 200
+    assert not first.runs
+
+
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.RESET])
+def test_requests_are_served_while_the_store_is_away(site, fault):
+    site.store.fault = fault
+    gevent.sleep(0.3)
+    assert site.call("/book/1", "q-1")[0] == 200
+    site.store.fault = StoreFault.NONE
+    site.store.put("op", "config", encode_operator_configuration(version=9))
+    wait_until(lambda: site.gateway._board.configuration.version == 9)
+
+
+def test_forgotten_history_is_read_anew(site):
+    site.store.fault = StoreFault.RESET
+    gevent.sleep(0.2)
+    site.store.put("op", "config", encode_operator_configuration(version=9))
+    site.store.forget_history()
+    site.store.fault = StoreFault.NONE
+    wait_until(lambda: site.gateway._board.configuration.version == 9)
+
+
+def test_a_malformed_registration_names_no_server(site):
+    for number, value in enumerate((b"\xff", b"[]", b'{"service": 5}')):
+        site.store.put("servers", f"bad-{number}", value)
+    site.store.put("op", "config", encode_operator_configuration(version=9))
+    wait_until(lambda: site.gateway._board.configuration.version == 9)
+    gevent.sleep(0.5)
+    assert len(site.gateway._board.membership.members) == 4
+    assert site.call("/book/1", "q-1")[0] == 200
+
+
+def test_a_restarted_engine_is_loaded_again(site):
+    assert site.call("/chat/1", "q-1")[0] == 200
+    for engine in site.engines:
+        engine.restart()
+        site.register(engine)
+    status, _, body = site.call("/chat/1", "q-2")
+    assert status == 200
+    assert body.count(b"q-2") == EVENT_COUNT
+
+
+def test_a_newer_version_is_served_and_the_older_one_no_more(site):
+    assert site.call("/chat/1", "q-1")[0] == 200
+    site.store.put(
+        "op",
+        "version/model.a1",
+        b'{"model": "model", "adapter": "a1", "version": 2}',
+    )
+    wait_until(lambda: site.gateway._board.versions.newest("a1") == 2)
+    assert site.call("/chat/1", "q-2")[0] == 200
+    wait_until(lambda: any(e.adapters.get("a1") == 2 for e in site.engines))
+
+
+def test_a_caller_that_leaves_ends_its_run(site):
+    assert site.call("/chat/1", "q-0")[0] == 200
+    sock = gevent.socket.create_connection(("127.0.0.1", site.gateway._listener.port))
+    greenlet = gevent.spawn(site.exchange, sock, "/chat/1", "q-1")
+    wait_until(lambda: runs_of(site.engines, "q-1"))
+    greenlet.kill()
+    sock.close()
+    wait_until(lambda: sum(engine.cancelled["q-1"] for engine in site.engines))
+
+
+def test_a_drain_cuts_nothing_and_ends_kept_connections(site):
+    sock = gevent.socket.create_connection(("127.0.0.1", site.gateway._listener.port))
+    assert site.exchange(sock, "/book/1", "q-0")[0] == 200
+    running = gevent.spawn(site.call, "/chat/1", "q-1")
+    wait_until(lambda: site.gateway._listener.open_count)
+    site.gateway.ask_to_stop()
+    assert not site.gateway._board.is_ready
+    assert site.gateway.run()
+    assert running.get(timeout=30)[0] == 200
+    assert sock.recv(1) == b""
