--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -8,11 +8,9 @@
 from nutmegdeal.gateway.requests import Request, RunFate
 from nutmegdeal.gateway.retries import Verdict
 from nutmegdeal.gateway.transport import AnswerProgress
-from nutmegdeal.log import get_logger
+from nutmegdeal.http_connections import find_header
 from nutmegdeal.platform import headers as wire
 
-logger = get_logger(__name__)
-
 # Answers at a deadline leave so much earlier, so that they reach the caller in time.
 ANSWER_LEAD_MS = 25.0
 # A request that waits for an adapter looks for another engine after this time.
@@ -75,7 +73,10 @@
         admitted = self._admit(incoming)
         if isinstance(admitted, Refusal):
             self._refuse(responder, admitted)
-            self._telemetry.note_refused(incoming, admitted)
+            request_id = find_header(incoming.headers, wire.REQUEST_ID) or b""
+            self._telemetry.note_refused(
+                request_id.decode("latin-1"), incoming, admitted
+            )
             return
         progress = AnswerProgress(responder)
         end = "caller_left"
@@ -110,6 +111,7 @@
             request_id=terms.request_id,
             route=route,
             service=service,
+            configuration_version=configuration.version,
             deadline_ms=incoming.arrived_ms + within_ms - ANSWER_LEAD_MS,
             adapter=terms.adapter if service.engine else "",
             prompt_tokens=terms.prompt_tokens if service.engine else 0,
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -89,6 +89,7 @@
     route: Route
     service: object
     deadline_ms: float
+    configuration_version: int = 0
     adapter: str = ""
     prompt_tokens: int = 0
     sent_count: int = 0
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -60,11 +60,32 @@
             registry=self.registry,
         )
 
-    def note_refused(self, incoming, refusal):
+    def note_chosen(self, request, member, version, now_ms):
+        """Note the choice of a backend server, and what decided it."""
+        reported_age_ms = now_ms - member.reported_ms
+        logger.info(
+            "backend_chosen",
+            request=request.request_id,
+            backend=member.backend_id,
+            service=request.service.name,
+            adapter=request.adapter,
+            version=version,
+            load=round(member.load(now_ms), 1),
+            report_age_ms=round(reported_age_ms, 1) if reported_age_ms < 1e9 else None,
+            failure_rate=round(member.history.failure_rate(now_ms), 3),
+            is_linked=member.is_linked,
+            waited_ms=round(request.waited_ms, 1),
+            paced_ms=round(request.paced_ms, 1),
+            remaining_ms=round(request.deadline_ms - now_ms, 1),
+            configuration=request.configuration_version,
+        )
+
+    def note_refused(self, request_id, incoming, refusal):
         """Note a request that was refused on arrival."""
         self._refused.labels(refusal.reason).inc()
         logger.info(
             "request_refused",
+            request=request_id,
             path=incoming.path,
             status=refusal.status_code,
             reason=refusal.reason,
--- a/nutmegdeal/tools/ctl.py
+++ b/nutmegdeal/tools/ctl.py
@@ -16,6 +16,7 @@
     fleet,
     identifiers,
     ledger_sweep,
+    log_story,
     sentences,
 )
 from nutmegdeal import questionnaire as questionnaires
@@ -24,6 +25,7 @@
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.errors import Failure
 from nutmegdeal.exit_codes import ExitCode
+from nutmegdeal.platform.settings import load_node_settings
 from nutmegdeal.services.hosts import HttpHostList
 from nutmegdeal.services.objects import HttpObjectStore
 from nutmegdeal.services.table import HttpTableService
@@ -195,18 +197,32 @@
 
 
 @app.command
-def why(request_id: str, /, *, settings: str, as_json: JsonFlag = False):
-    """Explain what became of a request.
+def why(
+    request_id: str,
+    /,
+    *,
+    settings: str = "",
+    logs: Annotated[list[str], cyclopts.Parameter(consume_multiple=True)] = (),
+    as_json: JsonFlag = False,
+):
+    """Explain what became of a request, from stored accounts or from log files.
 
     Parameters
     ----------
     request_id
         From the answer's header X-Request-Id.
     settings
-        INI file with the section [platform].
+        INI file with the section [platform], to read accounts.
+    logs
+        Log files of gateways and placers, to read instead.
     as_json
         Print JSON.
     """
+    if logs:
+        _tell_from_logs(request_id, logs, as_json)
+        return
+    if not settings:
+        _fail(ExitCode.INVALID_INPUT, "name --settings or --logs")
     platform = _load_platform(settings)
     table = HttpTableService(platform.table_url, platform.call_within_ms)
     objects = HttpObjectStore(platform.objects_url, platform.call_within_ms)
@@ -225,6 +241,35 @@
         sys.exit(ExitCode.UNAVAILABLE if is_unread else ExitCode.NOT_FOUND)
 
 
+def _tell_from_logs(request_id, paths, as_json):
+    texts = []
+    for path in paths:
+        try:
+            text = pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            _fail(ExitCode.INVALID_INPUT, f"{path}: {error}")
+        texts += text.splitlines()
+    story = log_story.read_story(request_id, texts)
+    _print(story, log_story.describe, as_json)
+    if story.is_empty:
+        sys.exit(ExitCode.NOT_FOUND)
+
+
+@app.command(name="check-node")
+def check_node(file: str, /):
+    """Check the settings file that the users' platform gives to a process.
+
+    Parameters
+    ----------
+    file
+        The settings file, JSON.
+    """
+    settings = load_node_settings(file)
+    if isinstance(settings, Failure):
+        _fail(ExitCode.INVALID_INPUT, settings)
+    print(f"{file}: valid; {settings.role} on {settings.node_name}")
+
+
 @app.command
 def sweep(*, settings: str):
     """Delete the ledger rows of keys that expired long ago.
