--- /dev/null
+++ b/nutmegdeal/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: the real programs as processes, and faults from outside them."""
--- /dev/null
+++ b/nutmegdeal/soak/callers.py
@@ -0,0 +1,142 @@
+"""Callers of the soak, which keep their connections until the gateway is gone."""
+
+import random
+import time
+
+import attrs
+import gevent
+import gevent.socket
+
+from nutmegdeal.http_connections import (
+    BrokenAnswerError,
+    ClientConnection,
+    find_header,
+)
+from nutmegdeal.soak.configuration import HOST, MODEL, TIMEOUT_MS
+
+ANSWER_BYTES_MAX = 1_048_576
+PAUSE_S = 0.03
+ADAPTER_COUNT = 8
+# Beyond a route's timeout_ms a request must have its final answer within this time.
+OVERTIME_MS = 1_500.0
+KINDS = ("chat", "quote", "book", "look")
+
+
+@attrs.frozen
+class CallRecord:
+    """One request, as its caller saw it.
+
+    Parameters
+    ----------
+    request_id, kind : str
+    gateway : int
+    started_s, ended_s : float
+        On the monotonic clock.
+    status_code : int
+        0 if there was no head.
+    body : bytes or None
+        None if the answer was cut or there was none.
+    was_sent : bool
+    """
+
+    request_id: str
+    kind: str
+    gateway: int
+    started_s: float
+    ended_s: float
+    status_code: int
+    body: bytes | None
+    was_sent: bool
+
+
+class Caller:
+    """Sends one request after the other.
+
+    Parameters
+    ----------
+    number : int
+    site : SoakSite
+    seed : int
+    records : list of CallRecord
+    """
+
+    def __init__(self, number, site, seed, records):
+        self._number = number
+        self._site = site
+        self._random = random.Random(f"{seed}-{number}")
+        self._records = records
+        self._connection = None
+        self._gateway = 0
+        self._count = 0
+
+    def run(self):
+        """Send requests until killed."""
+        while True:
+            self.call(self._random.choice(KINDS))
+            gevent.sleep(PAUSE_S * self._random.random() * 2)
+
+    def call(self, kind, path=None):
+        """Send a request and record what comes back; return the CallRecord."""
+        self._count += 1
+        request_id = f"c{self._number}-{self._count}"
+        started_s = time.monotonic()
+        status_code, body, was_sent = self._exchange(kind, path, request_id)
+        record = CallRecord(
+            request_id,
+            kind,
+            self._gateway,
+            started_s,
+            time.monotonic(),
+            status_code,
+            body,
+            was_sent,
+        )
+        self._records.append(record)
+        return record
+
+    def forget_last(self):
+        """Take the last record back."""
+        self._records.pop()
+
+    def _exchange(self, kind, path, request_id):
+        try:
+            connection = self._connect()
+        except OSError:
+            return 0, None, False
+        deadline_ms = time.monotonic() * 1000 + TIMEOUT_MS + OVERTIME_MS
+        adapter = self._random.randrange(ADAPTER_COUNT)
+        headers = [
+            (b"host", HOST.encode()),
+            (b"x-request-id", request_id.encode()),
+            (b"x-model", f"{MODEL}/a{adapter}".encode()),
+            (b"x-token-usage", b"700,50"),
+            (b"x-deadline-ms", b"%d" % TIMEOUT_MS),
+        ]
+        status_code = 0
+        try:
+            target = (path or f"/{kind}/x").encode()
+            connection.send(b"POST", target, headers)
+            head = connection.read_head(deadline_ms)
+            status_code = head.status_code
+            body = connection.read_body(deadline_ms, ANSWER_BYTES_MAX)
+        except (OSError, BrokenAnswerError):
+            self._drop()
+            return status_code, None, True
+        if not connection.finish(head, 0.0):
+            self._drop()
+        if status_code == 503 and find_header(head.headers, b"retry-after") is None:
+            return status_code, None, True
+        return status_code, body, True
+
+    def _connect(self):
+        if self._connection is not None and self._connection.is_clean():
+            return self._connection
+        self._drop()
+        self._gateway = self._random.randrange(len(self._site.gateways))
+        self._connection = ClientConnection(self._site.gateway_address(self._gateway))
+        return self._connection
+
+    def _drop(self):
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
--- /dev/null
+++ b/nutmegdeal/soak/site.py
@@ -0,0 +1,229 @@
+"""A site for the soak: stand-ins and proxies here, programs as processes.
+
+Each machine has a loopback address of its own, as all use the same ports.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import attrs
+import gevent.socket
+
+from nutmegdeal.fakes.platform_backend import PlatformBackend, PlatformEngine
+from nutmegdeal.fakes.platform_store import PlatformStore
+from nutmegdeal.platform.settings import PATH_VARIABLE
+from nutmegdeal.soak.configuration import (
+    ADAPTER_SLOTS,
+    ENGINE_SERVICE,
+    MODEL,
+    PLAIN_SERVICE,
+    encode_configuration,
+)
+from nutmegdeal.soak.proxy import FaultyProxy
+
+GATEWAY_COUNT = 2
+ENGINE_COUNT = 2
+SERVER_COUNT = 2
+GRACE_S = 8
+BOUNDS = {
+    "retry_budget_ratio": 0.2,
+    "budget_slack": 58,
+    "budget_window_s": 10,
+    "grace_s": GRACE_S,
+    "drain_ms": 2000,
+    "version_ms": 5000,
+}
+
+
+@attrs.define
+class Program:
+    """One of our programs, which is started again when it ends.
+
+    Parameters
+    ----------
+    name, module : str
+    settings_path, log_path : pathlib.Path
+    """
+
+    name: str
+    module: str
+    settings_path: object
+    log_path: object
+    process: object = None
+
+    def start(self):
+        """Start the process."""
+        environment = {**os.environ, PATH_VARIABLE: str(self.settings_path)}
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", self.module],
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send(self, number):
+        """Send a signal if the process lives."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def start_if_ended(self):
+        """Start the process again if it has ended."""
+        if self.process.poll() is not None:
+            self.start()
+
+    def close(self):
+        """End the process for good."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self.process.wait()
+
+
+class SoakSite:
+    """Two gateways, two engines with placers, two plain servers, a store.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For settings and logs.
+    prefix : str
+        First two numbers of the machines' loopback addresses, such as ``127.20``.
+    """
+
+    def __init__(self, folder, prefix):
+        self._folder = folder
+        self._prefix = prefix
+        self.configuration_version = 1
+        self._versions = {}
+        self.store = PlatformStore((self._ip(1), 0))
+        self.store_proxy = FaultyProxy((self._ip(1), 0), (self._ip(1), self.store.port))
+        self.link_port, self.placer_port = _free_ports(self._ip(2), 2)
+        self.proxies = {}
+        self.engines = [self._make_engine(number) for number in range(ENGINE_COUNT)]
+        self.servers = [self._make_server(number) for number in range(SERVER_COUNT)]
+        self.link_proxies = [
+            FaultyProxy(
+                (engine.address[0], self.link_port),
+                (engine.address[0], self.placer_port),
+            )
+            for engine in self.engines
+        ]
+        for backend in self.backends:
+            self.register(backend)
+        self.put_configuration()
+        self.gateway_ports = _free_ports(self._ip(20), GATEWAY_COUNT * 2)
+        self.gateways = [self._make_gateway(number) for number in range(GATEWAY_COUNT)]
+        self.placers = [self._make_placer(engine) for engine in self.engines]
+        for program in self.programs:
+            program.start()
+
+    @property
+    def backends(self):
+        """Return all stand-ins of backend servers."""
+        return [*self.engines, *self.servers]
+
+    @property
+    def programs(self):
+        """Return all Programs."""
+        return [*self.gateways, *self.placers]
+
+    def gateway_address(self, number):
+        """Return where callers reach a gateway."""
+        return self._ip(20 + number), self.gateway_ports[number * 2]
+
+    def _ip(self, number):
+        return f"{self._prefix}.0.{number}"
+
+    def _make_engine(self, number):
+        address = (self._ip(2 + number), 0)
+        engine = PlatformEngine(
+            address, f"e-{number}", ENGINE_SERVICE, "a", MODEL, ADAPTER_SLOTS
+        )
+        self._add_proxy(engine)
+        return engine
+
+    def _make_server(self, number):
+        server = PlatformBackend(
+            (self._ip(10 + number), 0), f"p-{number}", PLAIN_SERVICE
+        )
+        self._add_proxy(server)
+        return server
+
+    def _add_proxy(self, backend):
+        proxy = FaultyProxy((backend.address[0], 0), backend.address)
+        self.proxies[backend.backend_id] = proxy
+
+    def register(self, backend):
+        """Write the registration of a backend server, at its proxy's address."""
+        row = json.loads(backend.registration())
+        host, port = self.proxies[backend.backend_id].address
+        row["address"] = f"{host}:{port}"
+        self.store.put("servers", backend.backend_id, json.dumps(row).encode())
+
+    def put_configuration(self):
+        """Write the operator's configuration under the next version."""
+        self.configuration_version += 1
+        body = encode_configuration(self.configuration_version)
+        self.store.put("op", "config", body)
+
+    def bump_version(self, adapter):
+        """Write the next version of an adapter."""
+        version = self._versions[adapter] = self._versions.get(adapter, 1) + 1
+        row = {"model": MODEL, "adapter": adapter, "version": version}
+        key = f"version/{MODEL}.{adapter}"
+        self.store.put("op", key, json.dumps(row).encode())
+
+    def _make_gateway(self, number):
+        ip = self._ip(20 + number)
+        listen = {
+            "front": f"{ip}:{self.gateway_ports[number * 2]}",
+            "ready": f"{ip}:{self.gateway_ports[number * 2 + 1]}",
+        }
+        name = f"gateway-{number}"
+        return self._make_program(name, ip, self.link_port, listen)
+
+    def _make_placer(self, engine):
+        host, port = engine.address
+        name = f"placer-{engine.backend_id}"
+        app = {"app": f"{host}:{port}", "service": ENGINE_SERVICE}
+        return self._make_program(name, host, self.placer_port, {}, app)
+
+    def _make_program(self, name, ip, internal_port, listen, more=None):
+        host, port = self.store_proxy.address
+        settings = {
+            "node_name": name,
+            "role": name.partition("-")[0],
+            "ip": ip,
+            "zone": "a",
+            "listen": listen,
+            "internal_ports": [internal_port, internal_port],
+            "bounds": BOUNDS,
+            "platform": {"address": f"{host}:{port}"},
+            **(more or {}),
+        }
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        module = f"nutmegdeal.tools.{settings['role']}"
+        return Program(name, module, path, self._folder / f"{name}.log")
+
+    def close(self):
+        """End the programs, by their ids, and all listeners."""
+        for program in self.programs:
+            program.close()
+        for proxy in (self.store_proxy, *self.proxies.values(), *self.link_proxies):
+            proxy.close()
+        for backend in (self.store, *self.backends):
+            backend.listener.stop_accepting()
+
+
+def _free_ports(host, count):
+    socks = [gevent.socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind((host, 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
--- /dev/null
+++ b/nutmegdeal/tests/test_soak.py
@@ -0,0 +1,28 @@
+"""A short seeded run of the soak, and one for each seed that ever failed.
+
+Seeds that failed, with their cause, are listed in REGRESSIONS.
+"""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+REGRESSIONS = ()
+SHORT_SEEDS = (1,)
+FAULTS_FOR_S = 6
+RUN_WITHIN_S = 300
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [*SHORT_SEEDS, *REGRESSIONS])
+def test_no_rule_is_broken_under_seeded_faults(seed, tmp_path):
+    command = [sys.executable, "-m", "nutmegdeal.tools.soak", "--seed", str(seed)]
+    command += ["--for-s", str(FAULTS_FOR_S), "--folder", str(tmp_path)]
+    done = subprocess.run(command, capture_output=True, timeout=RUN_WITHIN_S, text=True)
+    assert done.stdout, done.stderr
+    result = json.loads(done.stdout.splitlines()[-1])
+    assert result["violations"] == []
+    assert result["completed_count"] > 0
+    assert done.returncode == 0
--- /dev/null
+++ b/nutmegdeal/tools/soak.py
@@ -0,0 +1,55 @@
+"""``nutmegdeal-soak``: plays seeded faults against the real programs on loopback."""
+
+import json
+import pathlib
+import sys
+import tempfile
+
+import attrs
+import cyclopts
+
+from nutmegdeal import __version__
+from nutmegdeal.soak.runs import run_soak
+
+EXIT_VIOLATED = 1
+
+app = cyclopts.App(
+    name="nutmegdeal-soak",
+    help="Run gateways and placers as processes and break things around them.",
+    version=__version__,
+)
+
+
+@app.default
+def run(*, seed: int, count: int = 1, for_s: float = 15.0, folder: str = ""):
+    """Play one run for each of `count` seeds, from `seed` on.
+
+    Parameters
+    ----------
+    seed
+        First seed.
+    count
+        Number of runs.
+    for_s
+        Seconds of each run in which faults begin.
+    folder
+        Where settings and logs stay; a temporary one by default.
+    """
+    base = pathlib.Path(folder or tempfile.mkdtemp(prefix="nutmegdeal-soak-"))
+    is_violated = False
+    for number in range(seed, seed + count):
+        own = base / str(number)
+        own.mkdir(parents=True, exist_ok=True)
+        result = run_soak(number, for_s, own)
+        print(json.dumps(attrs.asdict(result)), flush=True)
+        is_violated = is_violated or bool(result.violations)
+    sys.exit(EXIT_VIOLATED if is_violated else 0)
+
+
+def main():
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
