--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN = $(VENV)/bin
 TEST_WORKERS ?= 4
 
-.PHONY: help setup format check lint test search demo pages measure-path
+.PHONY: help setup format check lint test search demo pages measure-path soak
 
 help:  ## List the tasks.
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -38,6 +38,9 @@
 	$(BIN)/python scripts/write_settings_page.py
 	$(BIN)/python scripts/write_proofs_page.py
 
+soak: setup  ## Play ten seeds of faults against the real programs.
+	$(BIN)/nutmegdeal-soak --seed $(or $(SEED),1) --count 10
+
 search: setup  ## Search long for failures with random seeds, which are printed.
 	NUTMEGDEAL_PROFILE=search $(BIN)/python -m pytest -n $(TEST_WORKERS) \
 		--timeout=3600 -m "not processes" nutmegdeal/tests
