--- a/nutmegdeal/tools/soak.py
+++ b/nutmegdeal/tools/soak.py
@@ -8,7 +8,7 @@
 import attrs
 import cyclopts
 
-from nutmegdeal import __version__
+from nutmegdeal import __version__, log
 from nutmegdeal.soak.runs import run_soak
 
 EXIT_VIOLATED = 1
@@ -35,6 +35,7 @@
     folder
         Where settings and logs stay; a temporary one by default.
     """
+    log.configure("warning", "soak")
     base = pathlib.Path(folder or tempfile.mkdtemp(prefix="nutmegdeal-soak-"))
     is_violated = False
     for number in range(seed, seed + count):
