--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -21,6 +21,9 @@
 # that can be resumed; callers give a stream up after eight.
 GAP_OBJECTIVES = 4.0
 GAP_LEAST_MS = 800.0
+# A request that may run once only goes on a connection that was in use so shortly
+# before: one that its server has dropped without notice would leave it in doubt.
+ONCE_IDLE_MOST_MS = 50.0
 
 
 @attrs.define
@@ -91,7 +94,9 @@
             return RunOutcome(RunFate.NOT_SENT, "the deadline passed")
         try:
             connection = self._pool.acquire(
-                member.backend.address, min(CONNECT_WITHIN_MS, remaining_ms)
+                member.backend.address,
+                min(CONNECT_WITHIN_MS, remaining_ms),
+                _idle_most_ms(request),
             )
         except ConnectError as error:
             return RunOutcome(RunFate.NOT_SENT, str(error), is_silent=True)
@@ -119,6 +124,11 @@
         return outcome
 
 
+def _idle_most_ms(request):
+    """Return how long a connection for a request may have been idle."""
+    return float("inf") if request.route.is_repeatable else ONCE_IDLE_MOST_MS
+
+
 class _Run:
     """One exchange on one connection."""
 
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -87,6 +87,7 @@
     def __init__(self, address, connect_within_ms=CONNECT_WITHIN_MS):
         self.address = address
         self.is_reused = False
+        self.idle_since_ms = 0.0
         self.idle_until_ms = 0.0
         self._has_answer_started = False
         try:
@@ -217,6 +218,7 @@
             self._protocol.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self.idle_since_ms = now_ms
         self.idle_until_ms = now_ms + _idle_ms(head.headers)
         self.is_reused = True
         return True
@@ -261,16 +263,29 @@
         self._idle_max = idle_max
         self._idle = {}
 
-    def acquire(self, address, connect_within_ms=CONNECT_WITHIN_MS):
+    def acquire(
+        self,
+        address,
+        connect_within_ms=CONNECT_WITHIN_MS,
+        idle_most_ms=float("inf"),
+    ):
         """Return a ClientConnection, an idle one if there is a sound one.
 
+        Parameters
+        ----------
+        address : tuple of str and int
+        connect_within_ms : float
+        idle_most_ms : float
+            One that has been idle for longer is not used: a server may have dropped
+            it without notice.
+
         Raises
         ------
         ConnectError
         """
         idle = self._idle.get(address, [])
         now_ms = self._clock.monotonic_ms()
-        while idle:
+        while idle and now_ms - idle[-1].idle_since_ms <= idle_most_ms:
             connection = idle.pop()
             if connection.idle_until_ms > now_ms and connection.is_clean():
                 return connection
--- a/nutmegdeal/tests/test_gateway_transport.py
+++ b/nutmegdeal/tests/test_gateway_transport.py
@@ -7,7 +7,11 @@
 
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.gateway.requests import RunFate
-from nutmegdeal.gateway.transport import AnswerProgress, DirectTransport
+from nutmegdeal.gateway.transport import (
+    ONCE_IDLE_MOST_MS,
+    AnswerProgress,
+    DirectTransport,
+)
 from nutmegdeal.http_connections import ConnectionPool
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.scripted_server import ScriptedServer
@@ -195,6 +199,19 @@
     assert outcome.fate is RunFate.TIMED_OUT
 
 
+def test_what_may_run_once_only_goes_on_no_old_connection(bench_of):
+    def answer(sock, request):
+        number = request[b"x-request-id"].decode()
+        sock.sendall(build.build_plain_answer(number))
+
+    bench = bench_of(answer)
+    bench.run(build.build_lookup_route())
+    (connection,) = bench.pool._idle[bench.server.address]
+    connection.idle_since_ms -= ONCE_IDLE_MOST_MS + 1
+    bench.run(build.build_booking_route())
+    assert connection in bench.pool._idle[bench.server.address]
+
+
 def test_the_server_is_told_the_remaining_time_and_its_own_id(bench_of):
     bench = bench_of(
         lambda sock, _: sock.sendall(build.build_stream_answer("q-1", [0]))
