--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from nutmegdeal.gateway.admission import first_event_deadline_ms, is_hopeless
 from nutmegdeal.gateway.choosing import LoadFirst, choose_plain
 from nutmegdeal.gateway.requests import Request, RunFate
 from nutmegdeal.gateway.retries import Verdict
@@ -132,7 +133,7 @@
             self._chooser.note_request(request.adapter, now_ms)
         outcome = None
         while True:
-            member = self._find_member(request)
+            member = self._find_member(request, progress.responder.has_started)
             if member is None:
                 return self._give_up(request, progress, outcome, "no_backend")
             outcome = self._run_once(request, member, progress)
@@ -190,22 +191,27 @@
         if fate is not RunFate.NOT_SENT:
             member.history.note(fate is not RunFate.COMPLETED, now_ms)
 
-    def _find_member(self, request):
+    def _find_member(self, request, has_started):
         """Return the Member to send to, None if there is none; wait for the adapter."""
         board = self._board
+        until_ms = request.deadline_ms
+        if not has_started:
+            until_ms = first_event_deadline_ms(request)
         while True:
             now_ms = board.clock.monotonic_ms()
             usable = board.membership.usable(request.service.name, now_ms)
             members = [
                 item for item in usable if item.backend_id not in request.tried
             ] or usable
-            if not members or now_ms >= request.deadline_ms:
+            if not members or now_ms >= until_ms:
                 return None
             if not request.adapter:
                 zone = board.settings.zone
                 return choose_plain(members, zone, now_ms, self._random)
             choice = self._choose_engine(request.adapter, members, now_ms)
             if isinstance(choice, LoadFirst):
+                if is_hopeless(request, choice.member, now_ms):
+                    return None
                 self._wait_for_load(request, choice.member, now_ms)
                 continue
             self._want_copy(choice, request.adapter, now_ms)
--- a/nutmegdeal/site.py
+++ b/nutmegdeal/site.py
@@ -7,6 +7,12 @@
 
 import attrs
 
+# Callers give a stream up that has no next event, nor a first one, for the longest of
+# these: a time, so many latency targets, so many pauses that are on time.
+PATIENCE_LEAST_MS = 2_000.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+
 
 class RouteKind(enum.Enum):
     """What may be repeated of a request."""
@@ -60,6 +66,15 @@
     is_resumable: bool = False
     gap_target_ms: float = 0.0
 
+    @property
+    def patience_ms(self):
+        """Return how long callers wait for the next event of a stream."""
+        return max(
+            PATIENCE_LEAST_MS,
+            PATIENCE_TARGETS * self.target_ms,
+            PATIENCE_GAPS * self.gap_target_ms,
+        )
+
     @property
     def is_repeatable(self):
         """Return whether a request may run more than once."""
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -6,6 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from nutmegdeal.gateway.admission import (
+    FIRST_EVENT_MS,
+    LOAD_MS,
+    LOADS_AT_ONCE,
+    first_event_deadline_ms,
+    is_hopeless,
+)
 from nutmegdeal.gateway.choosing import AdapterChooser, LoadFirst, UseNow, choose_plain
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.members import LAPSE_GRACE_MS, Membership
@@ -227,3 +234,50 @@
     splitter = EventSplitter(last_event_id=4)
     with pytest.raises(BrokenStreamError):
         splitter.feed(build.build_event(4))
+
+
+class TestAdmission:
+    """Which requests can still be of use."""
+
+    def test_a_stream_is_of_use_as_long_as_its_caller_waits(self):
+        request = build.build_request()
+        deadline_ms = first_event_deadline_ms(request)
+        assert deadline_ms == request.route.patience_ms - FIRST_EVENT_MS
+        short = build.build_request(deadline_ms=500.0)
+        assert first_event_deadline_ms(short) == 500.0
+
+    def test_a_booking_is_of_use_until_its_deadline(self):
+        request = build.build_request(build.build_booking_route(), deadline_ms=1_400.0)
+        assert first_event_deadline_ms(request) == 1_400.0
+
+    def test_a_cold_start_tells_at_once_who_cannot_be_served(self):
+        engine = build.build_member()
+        engine.queued_count = 8
+        assert not is_hopeless(build.build_request(), engine, 0.0)
+        engine.queued_count = 60
+        assert is_hopeless(build.build_request(), engine, 0.0)
+
+    def test_a_cold_start_serves_most_of_those_it_lets_wait(self):
+        """Play 200 callers of 200 adapters on an engine with four loads at once."""
+        engine = build.build_member()
+        served = refused = left = 0
+        queue, now_ms = [], 0.0
+        for number in range(200):
+            now_ms = number * 10.0
+            while queue and queue[0] <= now_ms:
+                queue.pop(0)
+            engine.queued_count = len(queue)
+            incoming = build.build_incoming(arrived_ms=now_ms)
+            request = build.build_request(
+                incoming=incoming, deadline_ms=now_ms + 9_000.0
+            )
+            if is_hopeless(request, engine, now_ms):
+                refused += 1
+                continue
+            loads_before = len(queue) // LOADS_AT_ONCE
+            queue.append(now_ms + (loads_before + 1) * LOAD_MS)
+            in_time = queue[-1] <= first_event_deadline_ms(request)
+            served += in_time
+            left += not in_time
+        assert left <= 0.05 * (served + left)
+        assert refused > 0
