Bound connects by count; forget connections to a silent server

Cause: with fewer servers than the bound on distinct ones, a refused connect was tried until the deadline; and a server gone dark kept idle connections in use, each of which cost a request 1.2 s.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -177,12 +177,15 @@
     def _note_outcome(self, request, member, outcome):
         now_ms = self._board.clock.monotonic_ms()
         fate = outcome.fate
-        if fate is not RunFate.NOT_SENT:
+        if fate is RunFate.NOT_SENT:
+            request.connect_count += 1
+        else:
             request.sent_count += 1
         if fate not in (RunFate.NOT_SENT, RunFate.NOT_RUN):
             request.run_count += 1
         if outcome.is_silent:
             member.history.note_unreachable(now_ms)
+            self._transport.forget(member)
         if fate is RunFate.NOT_RUN:
             is_misdirected = outcome.answer.status_code == wire.STATUS_MISDIRECTED
             if is_misdirected and request.adapter:
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -70,6 +70,8 @@
         On the monotonic clock.
     adapter : str
         ``""`` if it names none.
+    connect_count : int
+        Connections that could not be opened for it.
     sent_count : int
         Backend servers it was sent to.
     run_count : int
@@ -92,6 +94,7 @@
     configuration_version: int = 0
     adapter: str = ""
     prompt_tokens: int = 0
+    connect_count: int = 0
     sent_count: int = 0
     run_count: int = 0
     tried: set = attrs.field(factory=set)
--- a/nutmegdeal/gateway/retries.py
+++ b/nutmegdeal/gateway/retries.py
@@ -47,7 +47,7 @@
         if request.deadline_ms - now_ms < RETRY_NEEDS_MS:
             return Verdict.GIVE_UP
         if outcome.fate is RunFate.NOT_SENT:
-            may_connect = len(request.tried) < CONNECTS_MAX
+            may_connect = request.connect_count < CONNECTS_MAX
             return Verdict.RETRY if may_connect else Verdict.GIVE_UP
         if outcome.fate is RunFate.NOT_RUN:
             is_allowed = request.sent_count < OFFERS_MAX
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -5,7 +5,6 @@
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.requests import HeldAnswer, RunFate, RunOutcome
 from nutmegdeal.http_connections import (
-    CONNECT_WITHIN_MS,
     BrokenAnswerError,
     ConnectError,
     find_header,
@@ -14,6 +13,9 @@
 from nutmegdeal.site import RouteKind
 
 ANSWER_BYTES_MAX = 16_777_216
+# Longest wait for a connection to a backend server; it takes 1 to 3 ms, and another
+# server may be tried then, since nothing was sent.
+CONNECT_WITHIN_MS = 250.0
 # A first answer is awaited for so many latency objectives where another server may run
 # the request then; callers give a stream up after four.
 FIRST_OBJECTIVES = 2.0
@@ -111,6 +113,10 @@
         finally:
             member.in_flight_count -= 1
 
+    def forget(self, member):
+        """Close the idle connections to a member that has fallen silent."""
+        self._pool.drop(member.backend.address)
+
     def _exchange(self, connection, request, member, version, progress, may_repeat):
         run = _Run(self._clock, connection, request, member, progress, may_repeat)
         try:
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -18,7 +18,12 @@
 from nutmegdeal.gateway.members import LAPSE_GRACE_MS, Membership
 from nutmegdeal.gateway.outcomes import OutcomeHistory
 from nutmegdeal.gateway.requests import RunFate, RunOutcome
-from nutmegdeal.gateway.retries import OFFERS_MAX, RetryDecider, Verdict
+from nutmegdeal.gateway.retries import (
+    CONNECTS_MAX,
+    OFFERS_MAX,
+    RetryDecider,
+    Verdict,
+)
 from nutmegdeal.gateway.versions import OLD_VERSION_SHARE, VersionBook
 from nutmegdeal.retry_budget import RetryBudget
 from nutmegdeal.site import AdapterVersion, BackendState
@@ -60,6 +65,10 @@
         request = build.build_request()
         assert decide(request, RunFate.NOT_SENT, tokens=0.0) is Verdict.RETRY
 
+    def test_connects_are_bounded_on_few_servers_too(self):
+        request = build.build_request(connect_count=CONNECTS_MAX, tried={"i-1"})
+        assert decide(request, RunFate.NOT_SENT) is Verdict.GIVE_UP
+
     def test_offers_are_bounded(self):
         request = build.build_request(sent_count=OFFERS_MAX)
         assert decide(request, RunFate.NOT_RUN) is Verdict.GIVE_UP
