--- a/nutmegdeal/bounded_output.py
+++ b/nutmegdeal/bounded_output.py
@@ -13,7 +13,7 @@
 import gevent.os
 
 # Lines of one event a second: enough for each request of a busy process on a calm day.
-LINES_PER_EVENT_PER_S = 50
+LINES_PER_EVENT_PER_S = 100
 # Lines of events that are warnings or errors a second.
 WARNINGS_PER_EVENT_PER_S = 200
 BUFFER_BYTES_MAX = 1_048_576
--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -119,6 +119,7 @@
 
     def __init__(self, address, backend_id, service, zone, model, adapter_slots):
         self.model = model
+        self.has_model = True
         self.adapter_slots = adapter_slots
         self.adapters = {}
         self.pending = {}
@@ -131,10 +132,12 @@
         """Forget all that it holds and begin a new incarnation."""
         self.born += 1
         self.adapters, self.pending, self.order_count = {}, {}, 0
+        self.has_model = False
 
     def _describe(self):
         names = [f"{name}@{version}" for name, version in self.adapters.items()]
         models = [{"name": self.model, "version": 1, "adapters": names}]
+        models = models if self.has_model else []
         return {**super()._describe(), "models": models, "sequence": self.order_count}
 
     def _answer(self, request, responder):
@@ -164,7 +167,11 @@
             responder.reply(409, [], b"")
             return
         self.order_count += 1
-        adapter = order["adapter"]
+        adapter = order.get("adapter")
+        if adapter is None:
+            gevent.spawn_later(LOAD_MS / 1000, self._finish_model, self.born)
+            responder.reply(202, [], b"")
+            return
         if order["operation"] == "unload":
             self.adapters.pop(adapter, None)
             responder.reply(200, [], b"")
@@ -175,6 +182,9 @@
         gevent.spawn_later(LOAD_MS / 1000, self._finish_load, adapter, self.born)
         responder.reply(202, [], b"")
 
+    def _finish_model(self, born):
+        self.has_model = self.has_model or born == self.born
+
     def _finish_load(self, adapter, born):
         if born == self.born and adapter in self.pending:
             self.adapters[adapter] = self.pending.pop(adapter)
@@ -183,8 +193,12 @@
         named = find_header(request.headers, b"x-model").decode()
         adapter = named.partition("/")[2]
         expected = find_header(request.headers, b"x-expected-version")
-        held = self.adapters.get(adapter)
-        if held is None or (expected is not None and int(expected) != held):
+        held = self.adapters.get(adapter) if adapter else 0
+        if (
+            not self.has_model
+            or held is None
+            or (expected is not None and int(expected) != held)
+        ):
             self._shed(request, responder, 421)
             return
         super()._serve(request, responder)
--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -5,6 +5,9 @@
 
 from nutmegdeal.site import DEFAULT_CALLER_LIMITS
 
+# Under this name requests wait for an engine with the base model, without an adapter.
+BASE_MODEL = ""
+
 
 class AdapterWaiters:
     """Wakes requests that wait for an adapter."""
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -5,6 +5,7 @@
 import attrs
 
 from nutmegdeal.gateway.admission import first_event_deadline_ms, is_hopeless
+from nutmegdeal.gateway.blackboard import BASE_MODEL
 from nutmegdeal.gateway.choosing import LoadFirst, choose_plain
 from nutmegdeal.gateway.requests import Request, RunFate
 from nutmegdeal.gateway.retries import Verdict
@@ -155,13 +156,12 @@
             and request.run_count + 1 < request.route.attempts_max
         )
         request.tried.add(member.backend_id)
+        version = self._version_for(adapter, member)
+        now_ms = self._board.clock.monotonic_ms()
+        self._telemetry.note_chosen(request, member, version, now_ms)
         try:
             outcome = self._transport.run(
-                request,
-                member,
-                self._version_for(adapter, member),
-                progress,
-                may_repeat,
+                request, member, version, progress, may_repeat
             )
         finally:
             if link is not None:
@@ -209,8 +209,11 @@
             if not members or now_ms >= until_ms:
                 return None
             if not request.adapter:
-                zone = board.settings.zone
-                return choose_plain(members, zone, now_ms, self._random)
+                member = self._choose_any(request, members, now_ms)
+                if member is not None:
+                    return member
+                board.waiters.wait(BASE_MODEL, min(until_ms - now_ms, LOOK_AGAIN_MS))
+                continue
             choice = self._choose_engine(request.adapter, members, now_ms)
             if isinstance(choice, LoadFirst):
                 if is_hopeless(request, choice.member, now_ms):
@@ -221,6 +224,13 @@
             if self._wait_for_turn(request, choice.member, now_ms):
                 return choice.member
 
+    def _choose_any(self, request, members, now_ms):
+        """Return a Member for a request without an adapter, None if none is ready."""
+        if request.service.engine is not None:
+            members = [member for member in members if member.has_model]
+        zone = self._board.settings.zone
+        return choose_plain(members, zone, now_ms, self._random)
+
     def _choose_engine(self, adapter, members, now_ms):
         versions = self._board.versions
         newest = versions.newest(adapter)
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -42,6 +42,8 @@
         The placer beside it is, or was once, connected.
     is_registration_believed : bool
         What it registered counts as what it holds.
+    has_model : bool
+        A model engine holds its base model; it restarts without.
     sent_ms : list of float
         Times of own requests that the last report may not show.
     """
@@ -61,6 +63,7 @@
     is_linked: bool = False
     has_been_linked: bool = False
     is_registration_believed: bool = False
+    has_model: bool = False
     is_reachable: bool = True
     sent_ms: list = attrs.field(factory=list)
 
@@ -104,6 +107,7 @@
     def believe_registration(self):
         """Take what the server registered for what it holds."""
         self.is_registration_believed = True
+        self.has_model = True
         self.set_resident(self.backend.adapters)
 
     def set_resident(self, names):
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -5,6 +5,7 @@
 
 from nutmegdeal.channel import Address
 from nutmegdeal.errors import Failure
+from nutmegdeal.gateway.blackboard import BASE_MODEL
 from nutmegdeal.log import get_logger
 from nutmegdeal.messages import (
     AdapterUnwanted,
@@ -79,7 +80,7 @@
             return
         member.believe_registration()
         logger.info("registration_believed", backend=member.backend_id)
-        self._board.waiters.wake(set(member.resident))
+        self._board.waiters.wake({*member.resident, BASE_MODEL})
 
     def _serve(self, session):
         self._session = session
@@ -116,6 +117,9 @@
             member.has_been_linked = True
             for adapter in self._waiting_counts:
                 self._board.waiters.wake((adapter,))
+        if state.has_model and not member.has_model:
+            self._board.waiters.wake((BASE_MODEL,))
+        member.has_model = state.has_model
         before = set(member.resident)
         member.set_resident(state.resident)
         member.loading = frozenset(state.loading)
--- a/nutmegdeal/messages.py
+++ b/nutmegdeal/messages.py
@@ -379,6 +379,8 @@
         Gateways with an open stream to this placer.
     waiting_tokens : int
         Tokens of the prompts that wait to be sent.
+    has_model : bool
+        The engine holds its base model.
     """
 
     backend_started_unix_ms: int
@@ -390,6 +392,7 @@
     queued_count: int
     gateway_count: int
     waiting_tokens: int = 0
+    has_model: bool = True
 
 
 MESSAGE_TYPES = (
--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -176,6 +176,13 @@
         """Return how many adapters are wanted and not yet ordered."""
         return len(self._wants)
 
+    @property
+    def has_model(self):
+        """Return whether the engine holds its base model, as far as is known."""
+        if self.report is None:
+            return False
+        return self.limits is None or self.limits.model in self.report.models
+
     @property
     def is_active(self):
         """Return whether anything is wanted or on its way."""
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -220,13 +220,14 @@
             self._planner.queued_count,
             len(self._sessions),
             self._pacer.waiting_tokens,
+            self._planner.has_model,
         )
 
     def _tell(self):
         """Tell the gateways what has changed."""
         state = self._describe()
         now_ms = self._clock.monotonic_ms()
-        key = (state.is_reachable, state.resident, state.loading)
+        key = (state.is_reachable, state.has_model, state.resident, state.loading)
         is_due = now_ms - self._said_ms >= NUMBERS_EVERY_MS
         if key == self._said and not is_due:
             return
--- a/nutmegdeal/tests/test_platform_site.py
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -152,6 +152,23 @@
     assert body.count(b"q-2") == EVENT_COUNT
 
 
+def test_a_request_without_adapter_waits_for_the_base_model(site):
+    for engine in site.engines:
+        engine.restart()
+        site.register(engine)
+    members = site.gateway._board.membership.members.values()
+    wait_until(
+        lambda: all(
+            member.backend.started_unix_ms != 1
+            for member in members
+            if member.backend.service == "assist-llm"
+        )
+    )
+    status, _, body = site.call("/chat/1", "q-1", adapter="")
+    assert status == 200
+    assert body.count(b"q-1") == EVENT_COUNT
+
+
 def test_a_newer_version_is_served_and_the_older_one_no_more(site):
     assert site.call("/chat/1", "q-1")[0] == 200
     site.store.put(
