--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -5,8 +5,9 @@
 
 import gevent
 
+from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.http_connections import find_header
-from nutmegdeal.http_listener import CallerLeftError, CallerListener
+from nutmegdeal.http_listener import CallerListener
 from nutmegdeal.site import DEFAULT_CALLER_LIMITS
 
 EVENT_EVERY_MS = 10.0
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -2,12 +2,7 @@
 
 import math
 
-import attrs
-
-from nutmegdeal.gateway.admission import first_event_deadline_ms, is_hopeless
-from nutmegdeal.gateway.blackboard import BASE_MODEL
-from nutmegdeal.gateway.choosing import LoadFirst, choose_plain
-from nutmegdeal.gateway.requests import Request, RunFate
+from nutmegdeal.gateway.requests import Refusal, Request, RunFate
 from nutmegdeal.gateway.retries import Verdict
 from nutmegdeal.gateway.transport import AnswerProgress
 from nutmegdeal.http_connections import find_header
@@ -15,34 +10,12 @@
 
 # Answers at a deadline leave so much earlier, so that they reach the caller in time.
 ANSWER_LEAD_MS = 25.0
-# A request that waits for an adapter looks for another engine after this time.
-LOOK_AGAIN_MS = 400.0
-# Latency objectives that a prompt waits for its turn at most: the engine's own queue
-# takes it then.
-TURN_OBJECTIVES = 1.5
 # When a caller that was refused may come back: about the time of an adapter load.
 RETRY_AFTER_MS = 300.0
 RETRY_SPREAD = 0.5
 UNSAFE_REFUSALS = (408, 421, 429, 503)
 
 
-@attrs.frozen
-class Refusal:
-    """An answer of our own.
-
-    Parameters
-    ----------
-    status_code : int
-    reason : str
-    retry_after_ms : float or None
-        When the caller may come back; only if the request has not run.
-    """
-
-    status_code: int
-    reason: str
-    retry_after_ms: float | None = None
-
-
 class Dispatcher:
     """Serves requests.
 
@@ -51,6 +24,7 @@
     board : Blackboard
     transport : DirectTransport
     chooser : AdapterChooser
+    search : MemberSearch
     links : PlacerLinks
     retries : RetryDecider
     budgets : RetryBudgets
@@ -59,11 +33,21 @@
     """
 
     def __init__(
-        self, board, transport, chooser, links, retries, budgets, telemetry, random
+        self,
+        board,
+        transport,
+        chooser,
+        search,
+        links,
+        retries,
+        budgets,
+        telemetry,
+        random,
     ):
         self._board = board
         self._transport = transport
         self._chooser = chooser
+        self._search = search
         self._links = links
         self._retries = retries
         self._budgets = budgets
@@ -134,7 +118,7 @@
             self._chooser.note_request(request.adapter, now_ms)
         outcome = None
         while True:
-            member = self._find_member(request, progress.responder.has_started)
+            member = self._search.find(request, progress.responder.has_started)
             if member is None:
                 return self._give_up(request, progress, outcome, "no_backend")
             outcome = self._run_once(request, member, progress)
@@ -194,95 +178,6 @@
         if fate is not RunFate.NOT_SENT:
             member.history.note(fate is not RunFate.COMPLETED, now_ms)
 
-    def _find_member(self, request, has_started):
-        """Return the Member to send to, None if there is none; wait for the adapter."""
-        board = self._board
-        until_ms = request.deadline_ms
-        if not has_started:
-            until_ms = first_event_deadline_ms(request)
-        while True:
-            now_ms = board.clock.monotonic_ms()
-            usable = board.membership.usable(request.service.name, now_ms)
-            members = [
-                item for item in usable if item.backend_id not in request.tried
-            ] or usable
-            if not members or now_ms >= until_ms:
-                return None
-            if not request.adapter:
-                member = self._choose_any(request, members, now_ms)
-                if member is not None:
-                    return member
-                board.waiters.wait(BASE_MODEL, min(until_ms - now_ms, LOOK_AGAIN_MS))
-                continue
-            choice = self._choose_engine(request.adapter, members, now_ms)
-            if isinstance(choice, LoadFirst):
-                if is_hopeless(request, choice.member, now_ms):
-                    return None
-                self._wait_for_load(request, choice.member, now_ms)
-                continue
-            self._want_copy(choice, request.adapter, now_ms)
-            if self._wait_for_turn(request, choice.member, now_ms):
-                return choice.member
-
-    def _choose_any(self, request, members, now_ms):
-        """Return a Member for a request without an adapter, None if none is ready."""
-        if request.service.engine is not None:
-            members = [member for member in members if member.has_model]
-        zone = self._board.settings.zone
-        return choose_plain(members, zone, now_ms, self._random)
-
-    def _choose_engine(self, adapter, members, now_ms):
-        versions = self._board.versions
-        newest = versions.newest(adapter)
-        choice = self._chooser.choose(adapter, newest, members, now_ms)
-        if not isinstance(choice, LoadFirst):
-            return choice
-        if not versions.allows_older(adapter, now_ms):
-            return choice
-        older = self._chooser.choose(adapter, None, members, now_ms)
-        if isinstance(older, LoadFirst):
-            return choice
-        return attrs.evolve(older, also_load=choice.member)
-
-    def _want_copy(self, choice, adapter, now_ms):
-        if choice.also_load is None:
-            return
-        link = self._links.link_of(choice.also_load)
-        if link is not None:
-            newest = self._board.versions.newest(adapter)
-            link.want_copy(adapter, newest, now_ms)
-
-    def _wait_for_load(self, request, member, now_ms):
-        link = self._links.link_of(member)
-        within_ms = min(request.deadline_ms - now_ms, LOOK_AGAIN_MS)
-        adapter = request.adapter
-        if link is None:
-            self._board.waiters.wait(adapter, within_ms)
-        else:
-            newest = self._board.versions.newest(adapter)
-            due_ms = request.incoming.arrived_ms + request.route.target_ms
-            link.want(adapter, newest, due_ms, request.deadline_ms)
-            try:
-                self._board.waiters.wait(adapter, within_ms)
-            finally:
-                link.unwant(adapter)
-        request.waited_ms += self._board.clock.monotonic_ms() - now_ms
-
-    def _wait_for_turn(self, request, member, now_ms):
-        """Wait until the engine may read the prompt; return whether it still can."""
-        link = self._links.link_of(member)
-        if link is None or not request.prompt_tokens:
-            return True
-        arrived_ms = request.incoming.arrived_ms
-        due_ms = arrived_ms + request.route.target_ms
-        patient_until_ms = arrived_ms + TURN_OBJECTIVES * request.route.target_ms
-        until_ms = min(patient_until_ms, request.deadline_ms)
-        link.wait_for_turn(request.prompt_tokens, due_ms, until_ms)
-        after_ms = self._board.clock.monotonic_ms()
-        request.paced_ms += after_ms - now_ms
-        is_held = member.holds(request.adapter, None) or not request.adapter
-        return is_held and member.is_usable(after_ms)
-
     def _give_up(self, request, progress, outcome, reason):
         """Send the final answer to a request that will not be tried again."""
         responder = progress.responder
@@ -318,33 +213,3 @@
             seconds = math.ceil(refusal.retry_after_ms) / 1000
             headers.append((b"retry-after", b"%.3f" % seconds))
         responder.reply(refusal.status_code, headers, refusal.reason.encode())
-
-
-class RetryBudgets:
-    """The retry budget of each service, and this gateway's share of the burst.
-
-    Parameters
-    ----------
-    make_budget : callable
-        Returns a RetryBudget.
-    """
-
-    def __init__(self, make_budget):
-        self._make_budget = make_budget
-        self._budgets = {}
-
-    def of(self, service_name):
-        """Return the RetryBudget of a service."""
-        budget = self._budgets.get(service_name)
-        if budget is None:
-            budget = self._budgets[service_name] = self._make_budget()
-        return budget
-
-    def earn(self, service_name):
-        """Note a request for a service."""
-        self.of(service_name).earn()
-
-    def limit(self, burst_tokens):
-        """Change the burst of all budgets."""
-        for budget in self._budgets.values():
-            budget.limit(burst_tokens)
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -10,10 +10,11 @@
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.choosing import AdapterChooser
-from nutmegdeal.gateway.dispatch import Dispatcher, RetryBudgets
+from nutmegdeal.gateway.dispatch import Dispatcher
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.placers import PlacerLinks
-from nutmegdeal.gateway.retries import BUDGET_SHARE, RetryDecider
+from nutmegdeal.gateway.retries import BUDGET_SHARE, RetryBudgets, RetryDecider
+from nutmegdeal.gateway.search import MemberSearch
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
 from nutmegdeal.gateway.transport import DirectTransport
 from nutmegdeal.gateway.versions import VersionBook
@@ -75,10 +76,12 @@
             OperatorWatcher(store, self._board),
             BackendsWatcher(store, self._board),
         )
+        chooser = AdapterChooser(settings.zone, randomness)
         dispatcher = Dispatcher(
             self._board,
             DirectTransport(pool, clock),
-            AdapterChooser(settings.zone, randomness),
+            chooser,
+            MemberSearch(self._board, chooser, self._links, randomness),
             self._links,
             RetryDecider(self._budgets.of),
             self._budgets,
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -105,3 +105,20 @@
     def is_stream(self):
         """Return whether the answer is a stream of events."""
         return self.route.kind is RouteKind.STREAM
+
+
+@attrs.frozen
+class Refusal:
+    """An answer of our own.
+
+    Parameters
+    ----------
+    status_code : int
+    reason : str
+    retry_after_ms : float or None
+        When the caller may come back; only if the request has not run.
+    """
+
+    status_code: int
+    reason: str
+    retry_after_ms: float | None = None
--- a/nutmegdeal/gateway/retries.py
+++ b/nutmegdeal/gateway/retries.py
@@ -63,3 +63,33 @@
         if not request.route.is_repeatable:
             return False
         return request.run_count < request.route.attempts_max
+
+
+class RetryBudgets:
+    """The retry budget of each service, and this gateway's share of the burst.
+
+    Parameters
+    ----------
+    make_budget : callable
+        Returns a RetryBudget.
+    """
+
+    def __init__(self, make_budget):
+        self._make_budget = make_budget
+        self._budgets = {}
+
+    def of(self, service_name):
+        """Return the RetryBudget of a service."""
+        budget = self._budgets.get(service_name)
+        if budget is None:
+            budget = self._budgets[service_name] = self._make_budget()
+        return budget
+
+    def earn(self, service_name):
+        """Note a request for a service."""
+        self.of(service_name).earn()
+
+    def limit(self, burst_tokens):
+        """Change the burst of all budgets."""
+        for budget in self._budgets.values():
+            budget.limit(burst_tokens)
--- /dev/null
+++ b/nutmegdeal/gateway/search.py
@@ -0,0 +1,120 @@
+"""Finds the backend server for a request, and waits until it may be sent there."""
+
+import attrs
+
+from nutmegdeal.gateway.admission import first_event_deadline_ms, is_hopeless
+from nutmegdeal.gateway.blackboard import BASE_MODEL
+from nutmegdeal.gateway.choosing import LoadFirst, choose_plain
+
+# A request that waits for an adapter looks for another engine after this time.
+LOOK_AGAIN_MS = 400.0
+# Latency objectives that a prompt waits for its turn at most: the engine's own queue
+# takes it then.
+TURN_OBJECTIVES = 1.5
+
+
+class MemberSearch:
+    """Applies the decisions of `choosing` and `admission` to what is known now.
+
+    Parameters
+    ----------
+    board : Blackboard
+    chooser : AdapterChooser
+    links : PlacerLinks
+    random : random.Random
+    """
+
+    def __init__(self, board, chooser, links, random):
+        self._board = board
+        self._chooser = chooser
+        self._links = links
+        self._random = random
+
+    def find(self, request, has_started):
+        """Return the Member to send to, None if there is none; wait for the adapter."""
+        board = self._board
+        until_ms = request.deadline_ms
+        if not has_started:
+            until_ms = first_event_deadline_ms(request)
+        while True:
+            now_ms = board.clock.monotonic_ms()
+            usable = board.membership.usable(request.service.name, now_ms)
+            members = [
+                item for item in usable if item.backend_id not in request.tried
+            ] or usable
+            if not members or now_ms >= until_ms:
+                return None
+            if not request.adapter:
+                member = self._choose_any(request, members, now_ms)
+                if member is not None:
+                    return member
+                board.waiters.wait(BASE_MODEL, min(until_ms - now_ms, LOOK_AGAIN_MS))
+                continue
+            choice = self._choose_engine(request.adapter, members, now_ms)
+            if isinstance(choice, LoadFirst):
+                if is_hopeless(request, choice.member, now_ms):
+                    return None
+                self._wait_for_load(request, choice.member, now_ms)
+                continue
+            self._want_copy(choice, request.adapter, now_ms)
+            if self._wait_for_turn(request, choice.member, now_ms):
+                return choice.member
+
+    def _choose_any(self, request, members, now_ms):
+        """Return a Member for a request without an adapter, None if none is ready."""
+        if request.service.engine is not None:
+            members = [member for member in members if member.has_model]
+        zone = self._board.settings.zone
+        return choose_plain(members, zone, now_ms, self._random)
+
+    def _choose_engine(self, adapter, members, now_ms):
+        versions = self._board.versions
+        newest = versions.newest(adapter)
+        choice = self._chooser.choose(adapter, newest, members, now_ms)
+        if not isinstance(choice, LoadFirst):
+            return choice
+        if not versions.allows_older(adapter, now_ms):
+            return choice
+        older = self._chooser.choose(adapter, None, members, now_ms)
+        if isinstance(older, LoadFirst):
+            return choice
+        return attrs.evolve(older, also_load=choice.member)
+
+    def _want_copy(self, choice, adapter, now_ms):
+        if choice.also_load is None:
+            return
+        link = self._links.link_of(choice.also_load)
+        if link is not None:
+            newest = self._board.versions.newest(adapter)
+            link.want_copy(adapter, newest, now_ms)
+
+    def _wait_for_load(self, request, member, now_ms):
+        link = self._links.link_of(member)
+        within_ms = min(request.deadline_ms - now_ms, LOOK_AGAIN_MS)
+        adapter = request.adapter
+        if link is None:
+            self._board.waiters.wait(adapter, within_ms)
+        else:
+            newest = self._board.versions.newest(adapter)
+            due_ms = request.incoming.arrived_ms + request.route.target_ms
+            link.want(adapter, newest, due_ms, request.deadline_ms)
+            try:
+                self._board.waiters.wait(adapter, within_ms)
+            finally:
+                link.unwant(adapter)
+        request.waited_ms += self._board.clock.monotonic_ms() - now_ms
+
+    def _wait_for_turn(self, request, member, now_ms):
+        """Wait until the engine may read the prompt; return whether it still can."""
+        link = self._links.link_of(member)
+        if link is None or not request.prompt_tokens:
+            return True
+        arrived_ms = request.incoming.arrived_ms
+        due_ms = arrived_ms + request.route.target_ms
+        patient_until_ms = arrived_ms + TURN_OBJECTIVES * request.route.target_ms
+        until_ms = min(patient_until_ms, request.deadline_ms)
+        link.wait_for_turn(request.prompt_tokens, due_ms, until_ms)
+        after_ms = self._board.clock.monotonic_ms()
+        request.paced_ms += after_ms - now_ms
+        is_held = member.holds(request.adapter, None) or not request.adapter
+        return is_held and member.is_usable(after_ms)
--- a/nutmegdeal/tests/platform_builders.py
+++ b/nutmegdeal/tests/platform_builders.py
@@ -2,9 +2,9 @@
 
 import json
 
+from nutmegdeal.caller_connections import IncomingRequest
 from nutmegdeal.gateway.members import Member
 from nutmegdeal.gateway.requests import Request
-from nutmegdeal.http_listener import IncomingRequest
 from nutmegdeal.platform.engine import EngineReport
 from nutmegdeal.platform.settings import Bounds, Endpoint, NodeSettings
 from nutmegdeal.site import (
--- a/nutmegdeal/tests/test_http_listener.py
+++ b/nutmegdeal/tests/test_http_listener.py
@@ -5,7 +5,8 @@
 import gevent.socket
 import pytest
 
-from nutmegdeal.http_listener import CallerLeftError, CallerListener
+from nutmegdeal.caller_connections import CallerLeftError
+from nutmegdeal.http_listener import CallerListener
 from nutmegdeal.site import DEFAULT_CALLER_LIMITS
 
 WAIT_S = 20.0
