Copy an adapter off a crowded engine only where demand pays for the load

A load costs about a quarter of what a request is worth. Ruled out: races between gateways, which the adapters on their way already prevent.

--- a/nutmegdeal/gateway/choosing.py
+++ b/nutmegdeal/gateway/choosing.py
@@ -30,8 +30,11 @@
 # Time over which demand is averaged; popularity moves on within seconds.
 DEMAND_DECAY_MS = 6_000.0
 # An engine is crowded when it has so many more requests than the least loaded one.
-CROWDED_FACTOR = 1.5
-CROWDED_COUNT = 6.0
+CROWDED_FACTOR = 2.0
+CROWDED_COUNT = 10.0
+# Share of an engine's load that an adapter must draw for a copy because of crowding:
+# a load costs about a quarter of what a request is worth.
+CROWDED_SHARE = 0.3
 ALL_ADAPTERS = ""
 
 
@@ -96,10 +99,13 @@
 
     def copies(self, adapter, engine_count, now_ms):
         """Return on how many engines an adapter should be."""
+        share = self._engine_share(adapter, engine_count, now_ms)
+        return _copies(share, engine_count)
+
+    def _engine_share(self, adapter, engine_count, now_ms):
+        """Return an adapter's demand in fair shares of one engine's load."""
         total = self._rates.rate_per_s(ALL_ADAPTERS, now_ms) + OTHERS_PER_S
-        share = self._rates.rate_per_s(adapter, now_ms) / total
-        wanted = math.ceil(share * engine_count * COPIES_PER_SHARE)
-        return max(1, min(wanted, engine_count))
+        return engine_count * self._rates.rate_per_s(adapter, now_ms) / total
 
     def choose(self, adapter, version, members, now_ms):
         """Choose among the usable engines.
@@ -129,8 +135,9 @@
             return UseNow(best)
         least = min(costs[item.backend_id] for item in others)
         is_crowded = costs[best.backend_id] > CROWDED_FACTOR * least + CROWDED_COUNT
-        wanted = self.copies(adapter, len(members), now_ms)
-        if len(holders) >= wanted and not is_crowded:
+        share = self._engine_share(adapter, len(members), now_ms)
+        is_crowded = is_crowded and share >= CROWDED_SHARE
+        if len(holders) >= _copies(share, len(members)) and not is_crowded:
             return UseNow(best)
         return UseNow(best, self._pick_home(adapter, version, others, costs))
 
@@ -155,3 +162,7 @@
             if costs[first.backend_id] > limit:
                 return second
         return first
+
+
+def _copies(engine_share, engine_count):
+    return max(1, min(math.ceil(engine_share * COPIES_PER_SHARE), engine_count))
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -175,6 +175,17 @@
         chooser.note_request("a7", 0.0)
         assert chooser.copies("a7", 20, 0.0) == 1
 
+    def test_a_rare_adapter_is_not_copied_because_its_engine_is_crowded(self):
+        members = [build.build_member("i-1", resident=["rare@1", "hot@1"])]
+        members += [build.build_member(f"i-{n}") for n in range(2, 8)]
+        members[0].in_flight_count = 40
+        chooser = AdapterChooser("a", random.Random(1))
+        for number in range(200):
+            chooser.note_request("hot" if number % 8 == 0 else f"c{number}", number)
+        chooser.note_request("rare", 200.0)
+        assert chooser.choose("rare", None, members, 200.0) == UseNow(members[0])
+        assert chooser.choose("hot", None, members, 200.0).also_load is not None
+
     def test_a_failing_server_gets_little(self):
         members = [
             build.build_member(f"i-{n}", service=build.PLAIN_SERVICE) for n in range(2)
