--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -45,6 +45,8 @@
     has_members : bool
         The registrations were read at least once.
     is_draining : bool
+    informed : gevent.event.Event
+        Set once both the configuration and the registrations were read.
     """
 
     settings: object
@@ -54,8 +56,14 @@
     configuration: object = None
     has_members: bool = False
     is_draining: bool = False
+    informed: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     waiters: AdapterWaiters = attrs.field(factory=AdapterWaiters)
 
+    def note_read(self):
+        """Note that a table was read whole."""
+        if self.configuration is not None and self.has_members:
+            self.informed.set()
+
     @property
     def limits(self):
         """Return the CallerLimits in force."""
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -10,6 +10,9 @@
 
 # Answers at a deadline leave so much earlier, so that they reach the caller in time.
 ANSWER_LEAD_MS = 25.0
+# A gateway that has just started reads the store within some 50 ms; what comes before
+# waits so long at most.
+START_WAIT_MS = 250.0
 # When a caller that was refused may come back: about the time of an adapter load.
 RETRY_AFTER_MS = 300.0
 RETRY_SPREAD = 0.5
@@ -74,6 +77,7 @@
 
     def _admit(self, incoming):
         """Return a Request, or a Refusal."""
+        self._board.informed.wait(START_WAIT_MS / 1000)
         configuration = self._board.configuration
         if configuration is None:
             return self._not_run("no_configuration")
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -17,7 +17,7 @@
 WAIT_MS = 1_500.0
 # Pause after an answer with changes: one call then brings several of them.
 OPERATOR_PAUSE_MS = 100.0
-BACKENDS_PAUSE_MS = 350.0
+BACKENDS_PAUSE_MS = 500.0
 # Pause after a failed call; each is charged.
 RETRY_FIRST_MS = 100.0
 RETRY_MAX_MS = 800.0
@@ -164,6 +164,7 @@
         if known is not None and configuration.version <= known.version:
             return
         self._board.configuration = configuration
+        self._board.note_read()
         logger.info(
             "configuration_in_force",
             version=configuration.version,
@@ -195,6 +196,7 @@
         now_ms = self.clock.monotonic_ms()
         self._board.membership.replace_all(backends, now_ms)
         self._board.has_members = True
+        self._board.note_read()
 
     def take_changes(self, rows):
         """Take changed and removed rows, in order."""
--- a/nutmegdeal/tests/test_platform_site.py
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -89,6 +89,26 @@
     assert runs_of(site.servers, "q-1") == 0
 
 
+def test_what_comes_before_the_store_was_read_waits_for_it(site):
+    board = site.gateway._board
+    configuration, board.configuration = board.configuration, None
+    board.informed.clear()
+    call = gevent.spawn(site.call, "/book/1", "q-1")
+    wait_until(lambda: site.gateway._listener.open_count)
+    board.configuration = configuration
+    board.note_read()
+    assert call.get(timeout=30)[0] == 200
+
+
+def test_a_gateway_that_knows_no_configuration_says_so(site):
+    board = site.gateway._board
+    board.configuration = None
+    board.informed.clear()
+    status, headers, body = site.call("/book/1", "q-1")
+    assert (status, body) == (503, b"no_configuration")
+    assert b"retry-after" in headers
+
+
 def test_a_route_that_does_not_exist_is_404(site):
     assert site.call("/nowhere/1", "q-1")[0] == 404
 
