Give an adapter copies by whole shares of an engine's load

Cause: each of many gateways sees few requests, so an adapter that was asked for twice in 6 s looked popular. The test of a popular adapter asked for more than three copies for half of the demand on six engines, which came from the old factor; half of six is three.

--- a/nutmegdeal/gateway/choosing.py
+++ b/nutmegdeal/gateway/choosing.py
@@ -22,8 +22,9 @@
 BLOCKED_COUNT = 1_000.0
 # Prompt tokens that wait at an engine weigh as one request more for each so many.
 TOKENS_PER_REQUEST = 400.0
-# Copies of an adapter for each fair share of an engine's load that it draws.
-COPIES_PER_SHARE = 1.5
+# Fair shares of an engine's load that an adapter draws for each copy beyond the first:
+# engines have room to spare, so one copy carries about a whole share.
+SHARES_PER_COPY = 1.1
 # Demand for other adapters that is assumed besides what was seen, so that the first
 # requests after a start do not look like a popular adapter.
 OTHERS_PER_S = 5.0
@@ -165,4 +166,4 @@
 
 
 def _copies(engine_share, engine_count):
-    return max(1, min(math.ceil(engine_share * COPIES_PER_SHARE), engine_count))
+    return min(1 + math.floor(engine_share / SHARES_PER_COPY), engine_count)
