Let tests of the platform path share one loop, own addresses, and end what they start

Cause of 11 red tests in a run with two workers: test_platform_site kept an asyncio loop of its own running in the worker (test_channel then could not start another), and picked a port that was free on one loopback address only (Errno 98 on another). Both are traced by the errors in that run. Copies asked for are forgotten after their pause as well.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -123,11 +123,10 @@
             self._chooser.note_request(request.adapter, now_ms)
         outcome = None
         while True:
-            found = self._search.find(request, progress.last_byte_ms)
-            if isinstance(found, NotFound):
-                refusal = self._not_run(found.reason, found.excess_ms)
+            member = self._search.find(request, progress.last_byte_ms)
+            if isinstance(member, NotFound):
+                refusal = self._not_run(member.reason, member.excess_ms)
                 return self._give_up(request, progress, outcome, refusal)
-            member = found
             outcome = self._run_once(request, member, progress)
             if outcome.fate is RunFate.COMPLETED:
                 return "completed"
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -21,6 +21,7 @@
 
 logger = get_logger(__name__)
 
+# Longest wait for a stream; the connection takes some ms, a busy placer answers in 100.
 CONNECT_WITHIN_MS = 700
 # Pauses between tries to open a stream: a restarted placer listens within a second.
 RECONNECT_FIRST_MS = 100.0
@@ -37,7 +38,16 @@
 
 
 class PlacerLink:
-    """The stream to the placer of one member."""
+    """The stream to the placer of one member.
+
+    Parameters
+    ----------
+    member : Member
+    board : Blackboard
+    client : ChannelClient
+    port : int
+        TCP port of the placer.
+    """
 
     def __init__(self, member, board, client, port):
         self.member = member
@@ -115,8 +125,7 @@
         if not member.is_linked:
             member.is_linked = True
             member.has_been_linked = True
-            for adapter in self._waiting_counts:
-                self._board.waiters.wake((adapter,))
+            self._board.waiters.wake(self._waiting_counts)
         if state.has_model and not member.has_model:
             self._board.waiters.wake((BASE_MODEL,))
         member.has_model = state.has_model
@@ -185,6 +194,11 @@
         asked_ms = self._copies_asked_ms.get(adapter)
         if asked_ms is not None and now_ms - asked_ms < COPY_AGAIN_AFTER_MS:
             return
+        self._copies_asked_ms = {
+            name: at_ms
+            for name, at_ms in self._copies_asked_ms.items()
+            if now_ms - at_ms < COPY_AGAIN_AFTER_MS
+        }
         self._copies_asked_ms[adapter] = now_ms
         until_ms = now_ms + COPY_WITHIN_MS
         self._send_wanted(adapter, version, until_ms, until_ms, 0)
@@ -270,3 +284,7 @@
             return
         del self._links[member.backend_id]
         self._greenlets.pop(member.backend_id).kill(block=False)
+
+    def close(self):
+        """Close all streams."""
+        gevent.killall(list(self._greenlets.values()))
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -4,6 +4,7 @@
 
 import gevent
 import gevent.event
+import gevent.pool
 
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import ChannelClient
@@ -98,6 +99,7 @@
             ),
         ]
         self._stop_asked = gevent.event.Event()
+        self._greenlets = gevent.pool.Group()
 
     def _listen(self, endpoint, application):
         address = (endpoint.host, endpoint.port)
@@ -140,7 +142,7 @@
             self._links.run,
             self._keep_house,
         ):
-            gevent.spawn(self._keep_running, run)
+            self._greenlets.spawn(self._keep_running, run)
         logger.info("started", node=self._settings.node_name)
 
     def _keep_running(self, run):
@@ -185,3 +187,10 @@
         cut_off_count = self._listener.open_count
         logger.info("stopped", cut_off_count=cut_off_count)
         return cut_off_count == 0
+
+    def close(self):
+        """Stop listening and end the controllers, without a drain."""
+        self._greenlets.kill()
+        self._links.close()
+        for listener in (*self._helpers, self._listener):
+            listener.stop_accepting()
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -2,6 +2,7 @@
 
 import gevent
 import gevent.event
+import gevent.pool
 
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import Address, ChannelServer
@@ -75,6 +76,7 @@
         self._sessions = set()
         self._wake = gevent.event.Event()
         self._stop_asked = gevent.event.Event()
+        self._greenlets = gevent.pool.Group()
         self._failed_reports = 0
         self._said = None
         self._said_ms = float("-inf")
@@ -85,8 +87,8 @@
         address = Address(self._settings.ip, self._settings.internal_port_first)
         self._server.start(address)
         self._metrics.start()
-        gevent.spawn(self._keep_ordering)
-        gevent.spawn(self._keep_granting)
+        self._greenlets.spawn(self._keep_ordering)
+        self._greenlets.spawn(self._keep_granting)
         logger.info("started", node=self._settings.node_name)
 
     def ask_to_stop(self):
@@ -99,6 +101,12 @@
         logger.info("stopped")
         return True
 
+    def close(self):
+        """End all that `start` began."""
+        self._greenlets.kill()
+        self._server.stop()
+        self._metrics.stop_accepting()
+
     def _accept(self, session):
         """Serve the stream of one gateway."""
         self._sessions.add(session)
--- a/nutmegdeal/tests/conftest.py
+++ b/nutmegdeal/tests/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import settings
 
+from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.tests.processes import Site
 
 KNUSEPOOL = pathlib.Path(__file__).parents[2] / "examples/knusepool/questionnaire.ini"
@@ -15,6 +16,12 @@
 settings.load_profile(os.environ.get("NUTMEGDEAL_PROFILE", "ci"))
 
 
+@pytest.fixture(scope="session")
+def bridge():
+    """Return the one asyncio loop that a process can run in a greenlet."""
+    return GreenletBridge()
+
+
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
     """Return a running Site of two engines, two plain services and two entries."""
--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -1,6 +1,7 @@
 """A gateway, placers and stand-ins of the users' platform in one process."""
 
 import json
+import os
 
 import gevent
 import gevent.socket
@@ -28,6 +29,12 @@
             gevent.sleep(POLL_S)
 
 
+def own_address(number):
+    """Return a loopback address that no other process of the tests uses."""
+    high, low = divmod(os.getpid() % 62_500, 250)
+    return f"127.{1 + high}.{1 + low}.{number}"
+
+
 def free_port(host):
     """Return a TCP port that is free at an address."""
     with gevent.socket.socket() as sock:
@@ -102,13 +109,13 @@
 
     def __init__(self, monkeypatch, bridge):
         self.bridge = bridge
-        self.port = free_port("127.0.0.1")
+        self.port = free_port(own_address(1))
         monkeypatch.setattr(gateway_process, "METRICS_PORT", 0)
         monkeypatch.setattr(placer_process, "METRICS_PORT", 0)
-        self.store = PlatformStore(("127.0.0.1", 0))
+        self.store = PlatformStore((own_address(1), 0))
         self.engines = [self._start_engine(number) for number in (2, 3)]
         self.servers = [
-            PlatformBackend(("127.0.0.1", 0), f"p-{number}", build.PLAIN_SERVICE)
+            PlatformBackend((own_address(1), 0), f"p-{number}", build.PLAIN_SERVICE)
             for number in (1, 2)
         ]
         for backend in (*self.engines, *self.servers):
@@ -116,15 +123,23 @@
         self.store.put("op", "config", encode_operator_configuration())
         self.placers = [self.start_placer(engine) for engine in self.engines]
         self.gateway = gateway_process.GatewayProcess(
-            self._settings("127.0.0.1"), bridge=bridge
+            self._settings(own_address(1)), bridge=bridge
         )
         self.gateway.start()
         wait_until(lambda: self.gateway._board.is_ready)
         wait_until(self._is_linked)
 
+    def close(self):
+        """End the gateway, the placers and the stand-ins."""
+        self.gateway.close()
+        for placer in self.placers:
+            placer.close()
+        for backend in (self.store, *self.engines, *self.servers):
+            backend.listener.stop_accepting()
+
     def _start_engine(self, number):
         return PlatformEngine(
-            (f"127.0.0.{number}", 0), f"e-{number}", build.ENGINE_SERVICE, "a", MODEL, 3
+            (own_address(number), 0), f"e-{number}", build.ENGINE_SERVICE, "a", MODEL, 3
         )
 
     def _settings(self, ip, engine=None):
@@ -134,10 +149,15 @@
             internal_port_first=self.port,
             callers_at=Endpoint(ip, 0),
             readiness_at=Endpoint(ip, 0),
-            store_at=Endpoint("127.0.0.1", self.store.port),
+            store_at=Endpoint(own_address(1), self.store.port),
             engine_at=Endpoint(*engine.address) if engine else None,
         )
 
+    @property
+    def address(self):
+        """Return where callers reach the gateway."""
+        return own_address(1), self.gateway._listener.port
+
     def _is_linked(self):
         members = self.gateway._board.membership.members.values()
         return sum(member.is_linked for member in members) == len(self.engines)
@@ -155,9 +175,7 @@
 
     def call(self, path, request_id, adapter="a1"):
         """Send a request on a new connection; return (status, headers, body)."""
-        sock = gevent.socket.create_connection(
-            ("127.0.0.1", self.gateway._listener.port), WAIT_S
-        )
+        sock = gevent.socket.create_connection(self.address, WAIT_S)
         try:
             return self.exchange(sock, path, request_id, adapter)
         finally:
--- a/nutmegdeal/tests/test_channel.py
+++ b/nutmegdeal/tests/test_channel.py
@@ -6,7 +6,6 @@
 import gevent.event
 import pytest
 
-from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import (
     Address,
     ChannelClient,
@@ -28,11 +27,6 @@
         session.send(message)
 
 
-@pytest.fixture(scope="module")
-def bridge():
-    return GreenletBridge()
-
-
 @pytest.fixture
 def server(bridge):
     server = ChannelServer(bridge, SETTINGS, echo)
--- a/nutmegdeal/tests/test_platform_site.py
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -5,7 +5,6 @@
 import gevent.socket
 import pytest
 
-from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.fakes.platform_store import StoreFault
 from nutmegdeal.tests.platform_site import (
@@ -15,14 +14,11 @@
 )
 
 
-@pytest.fixture(scope="module")
-def bridge():
-    return GreenletBridge()
-
-
 @pytest.fixture
 def site(monkeypatch, bridge):
-    return PlatformSite(monkeypatch, bridge)
+    running = PlatformSite(monkeypatch, bridge)
+    yield running
+    running.close()
 
 
 def runs_of(backends, request_id):
@@ -52,7 +48,7 @@
 def test_what_the_engine_holds_is_served_without_a_placer(site):
     assert site.call("/chat/1", "q-1")[0] == 200
     for placer in site.placers:
-        placer._server.stop()
+        placer.close()
     assert site.call("/chat/1", "q-2")[0] == 200
 
 
@@ -204,7 +200,7 @@
 
 def test_a_caller_that_leaves_ends_its_run(site):
     assert site.call("/chat/1", "q-0")[0] == 200
-    sock = gevent.socket.create_connection(("127.0.0.1", site.gateway._listener.port))
+    sock = gevent.socket.create_connection(site.address)
     greenlet = gevent.spawn(site.exchange, sock, "/chat/1", "q-1")
     wait_until(lambda: runs_of(site.engines, "q-1"))
     greenlet.kill()
@@ -213,7 +209,7 @@
 
 
 def test_a_drain_cuts_nothing_and_ends_kept_connections(site):
-    sock = gevent.socket.create_connection(("127.0.0.1", site.gateway._listener.port))
+    sock = gevent.socket.create_connection(site.address)
     assert site.exchange(sock, "/book/1", "q-0")[0] == 200
     running = gevent.spawn(site.call, "/chat/1", "q-1")
     wait_until(lambda: site.gateway._listener.open_count)
