--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -143,6 +143,9 @@
                 pass
         except (CallerLeftError, OSError):
             logger.debug("caller_left")
+        except Exception:
+            # The connection ends, so that no part of an answer looks complete.
+            logger.exception("request_crashed")
         finally:
             self._unwatch()
             self._socket.close()
--- a/nutmegdeal/tests/test_http_listener.py
+++ b/nutmegdeal/tests/test_http_listener.py
@@ -137,3 +137,18 @@
     sock = connect(start(reply_ok))
     sock.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 20_000)
     assert read_all(sock).startswith(b"HTTP/1.1 431")
+
+
+def test_a_crash_ends_its_connection_and_no_other(start):
+    def crash_once(request, responder):
+        if request.target == b"/crash":
+            raise RuntimeError("as the test wants")
+        reply_ok(request, responder)
+
+    listener = start(crash_once)
+    sock = connect(listener)
+    sock.sendall(REQUEST.replace(b"/a", b"/crash"))
+    assert read_all(sock) == b""
+    other = connect(listener)
+    other.sendall(REQUEST)
+    assert b"200" in other.recv(65_536)
