--- a/nutmegdeal/bounded_output.py
+++ b/nutmegdeal/bounded_output.py
@@ -16,8 +16,11 @@
 LINES_PER_EVENT_PER_S = 100
 # Lines of events that are warnings or errors a second.
 WARNINGS_PER_EVENT_PER_S = 200
+# Some 3,000 lines: several seconds of a busy process.
 BUFFER_BYTES_MAX = 1_048_576
+# Pause between writes; a wake-up is charged, and nobody reads logs faster.
 WRITE_EVERY_MS = 200.0
+# What a pipe holds.
 WRITE_BYTES = 65_536
 IMPORTANT_LEVELS = ("warning", "error", "critical")
 
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -16,6 +16,7 @@
 START_WAIT_MS = 250.0
 # When a caller that was refused may come back: about the time of an adapter load.
 RETRY_AFTER_MS = 300.0
+# Part by which that time varies, so that those refused together come back apart.
 RETRY_SPREAD = 0.5
 UNSAFE_REFUSALS = (408, 421, 429, 503)
 
--- a/nutmegdeal/gateway/events.py
+++ b/nutmegdeal/gateway/events.py
@@ -5,6 +5,7 @@
 import attrs
 
 EVENT_END = b"\n\n"
+# An event holds a few tokens, under 1 KB; a longer one has no end.
 EVENT_BYTES_MAX = 1_048_576
 _EVENT_ID = re.compile(rb"(?m)^id: ?(\d+)\r?$")
 
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -34,14 +34,18 @@
 # Gateways of the largest installation, which share the burst of the retry budget
 # until the placers tell how many there are.
 GATEWAYS_ASSUMED = 30
+# Pause between looks at beliefs and idle connections that end; their bounds are in s.
 HOUSEKEEPING_EVERY_MS = 200.0
+# Pause before a controller that crashed is run again; short of all bounds in s.
 CRASH_PAUSE_MS = 200.0
 # After SIGTERM the platform sends new connections for two missed checks, a second
 # apart; a request taken later than 3 s after the signal may not be finished in time.
 ACCEPT_AFTER_TERM_MS = 2_600.0
 # Left of the time between SIGTERM and SIGKILL when unfinished requests are cut off.
 END_BEFORE_KILL_MS = 300.0
+# Pause between looks whether a drain has ended; a small part of its 8 s.
 DRAIN_CHECK_EVERY_MS = 20.0
+# Four missed ones end a stream: 2 s, under the 3 s in which the platform expects it.
 CHANNEL_HEARTBEAT_EVERY_MS = 500
 
 
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -12,6 +12,7 @@
 from nutmegdeal.platform import headers as wire
 from nutmegdeal.site import RouteKind
 
+# Four times the largest body that a caller may send; answers are some KB.
 ANSWER_BYTES_MAX = 16_777_216
 # Longest wait for a connection to a backend server; it takes 1 to 3 ms, and another
 # server may be tried then, since nothing was sent.
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -11,6 +11,7 @@
 import gevent.socket
 import h11
 
+# Bytes read at once; an answer is some KB.
 RECEIVE_BYTES = 65_536
 # Longest wait for a new connection: a round trip in a zone takes under 5 ms, and the
 # system sends a lost opening packet again after 1 s.
--- a/nutmegdeal/placer/engine.py
+++ b/nutmegdeal/placer/engine.py
@@ -10,6 +10,7 @@
 
 # Both ends are on one machine; an answer takes a few ms even of a busy engine.
 CALL_WITHIN_MS = 300.0
+# A report of some hundred runs takes under 100 KB.
 ANSWER_BYTES_MAX = 4_194_304
 
 
--- a/nutmegdeal/platform/store.py
+++ b/nutmegdeal/platform/store.py
@@ -12,10 +12,12 @@
 from nutmegdeal.http_connections import BrokenAnswerError
 from nutmegdeal.platform.rows import DECODE_ERRORS, decode_row
 
+# The store answers with at most 1 MB; base64 and JSON add a third.
 ANSWER_BYTES_MAX = 16_777_216
 # Beyond the time that the store may keep a call waiting; an answer takes 4 ms, and up
 # to 100 times that while the store is slow.
 CALL_WITHIN_MS = 1_500.0
+# Most rows that the store gives at once.
 PAGE_ROWS = 500
 
 
