Share the small site's configuration and its caller between soak and tests

The soak and the tests of the platform path each had a configuration of the same routes and services, and the tests an HTTP client beside ClientConnection. Assertions stay.

--- a/nutmegdeal/soak/callers.py
+++ b/nutmegdeal/soak/callers.py
@@ -7,12 +7,13 @@
 import gevent
 import gevent.socket
 
+from nutmegdeal.fakes.platform_configuration import MODEL
 from nutmegdeal.http_connections import (
     BrokenAnswerError,
     ClientConnection,
     find_header,
 )
-from nutmegdeal.soak.configuration import HOST, MODEL, TIMEOUT_MS
+from nutmegdeal.soak.site import HOST, TIMEOUT_MS
 
 ANSWER_BYTES_MAX = 1_048_576
 PAUSE_S = 0.03
--- a/nutmegdeal/soak/judge.py
+++ b/nutmegdeal/soak/judge.py
@@ -2,7 +2,7 @@
 
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.soak.callers import OVERTIME_MS
-from nutmegdeal.soak.configuration import TIMEOUT_MS
+from nutmegdeal.soak.site import TIMEOUT_MS
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # A fault may show for so long after its end: probes of silence take 3 s.
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -13,21 +13,25 @@
 import gevent.socket
 
 from nutmegdeal.fakes.platform_backend import PlatformBackend, PlatformEngine
-from nutmegdeal.fakes.platform_store import PlatformStore
-from nutmegdeal.platform.settings import PATH_VARIABLE
-from nutmegdeal.soak.configuration import (
+from nutmegdeal.fakes.platform_configuration import (
     ADAPTER_SLOTS,
     ENGINE_SERVICE,
     MODEL,
     PLAIN_SERVICE,
     encode_configuration,
 )
+from nutmegdeal.fakes.platform_store import PlatformStore
+from nutmegdeal.platform.settings import PATH_VARIABLE
 from nutmegdeal.soak.proxy import FaultyProxy
 
 GATEWAY_COUNT = 2
 ENGINE_COUNT = 2
 SERVER_COUNT = 2
 GRACE_S = 8
+HOST = "soak.example"
+# Of every route; a run of a stand-in takes under 0.2 s.
+TIMEOUT_MS = 6_000
+TARGET_MS = 1_000
 BOUNDS = {
     "retry_budget_ratio": 0.2,
     "budget_slack": 58,
@@ -166,7 +170,9 @@
     def put_configuration(self):
         """Write the operator's configuration under the next version."""
         self.configuration_version += 1
-        body = encode_configuration(self.configuration_version)
+        body = encode_configuration(
+            self.configuration_version, HOST, TIMEOUT_MS, TARGET_MS
+        )
         self.store.put("op", "config", body)
 
     def bump_version(self, adapter):
--- a/nutmegdeal/tests/platform_builders.py
+++ b/nutmegdeal/tests/platform_builders.py
@@ -4,6 +4,7 @@
 
 from nutmegdeal.addresses import Address
 from nutmegdeal.caller_connections import IncomingRequest
+from nutmegdeal.fakes.platform_configuration import ENGINE_SERVICE, PLAIN_SERVICE
 from nutmegdeal.gateway.members import Member
 from nutmegdeal.gateway.requests import Request
 from nutmegdeal.platform.engine import EngineReport
@@ -19,9 +20,6 @@
     WeightedService,
 )
 
-ENGINE_SERVICE = "assist-llm"
-PLAIN_SERVICE = "hire-core"
-
 
 def build_backend(**changes):
     """Return a model engine's Backend."""
--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -1,22 +1,28 @@
 """A gateway, placers and stand-ins of the users' platform in one process."""
 
-import json
 import os
+import time
 
 import gevent
 import gevent.socket
-import h11
 
 from nutmegdeal.addresses import Address
 from nutmegdeal.fakes.platform_backend import PlatformBackend, PlatformEngine
+from nutmegdeal.fakes.platform_configuration import (
+    ADAPTER_SLOTS,
+    MODEL,
+    encode_configuration,
+)
 from nutmegdeal.fakes.platform_store import PlatformStore
 from nutmegdeal.gateway import process as gateway_process
+from nutmegdeal.http_connections import BrokenAnswerError, ClientConnection
 from nutmegdeal.placer import process as placer_process
 from nutmegdeal.tests import platform_builders as build
 
 WAIT_S = 30.0
 POLL_S = 0.02
-MODEL = "model"
+HOST = "chat.example"
+ANSWER_BYTES_MAX = 1_048_576
 
 
 def wait_until(condition, within_s=WAIT_S):
@@ -44,61 +50,7 @@
 
 def encode_operator_configuration(version=1):
     """Return the operator's row of a site with one route of each kind."""
-    route = {
-        "host": "chat.example",
-        "timeout_ms": 20_000,
-        "target_latency_ms": 5_000,
-        "max_attempts": 2,
-        "priority": 1,
-    }
-    configuration = {
-        "version": version,
-        "routes": [
-            {
-                **route,
-                "name": "chat",
-                "prefix": "/chat/",
-                "kind": "streaming",
-                "resumable": True,
-                "target_gap_ms": 5_000,
-                "service": build.ENGINE_SERVICE,
-            },
-            {
-                **route,
-                "name": "book",
-                "prefix": "/book/",
-                "kind": "unsafe",
-                "service": build.PLAIN_SERVICE,
-            },
-            {
-                **route,
-                "name": "look",
-                "prefix": "/look/",
-                "kind": "safe",
-                "service": build.PLAIN_SERVICE,
-            },
-        ],
-        "services": [
-            {
-                "name": build.ENGINE_SERVICE,
-                "max_connections": 100,
-                "engine": {
-                    "slots": 64,
-                    "models": [{"name": MODEL, "weights_mb": 1, "adapter_mb": 0}],
-                    "weights_mb": 100,
-                    "adapter_slots": 3,
-                },
-            },
-            {"name": build.PLAIN_SERVICE, "max_connections": 100},
-        ],
-        "limits": {
-            "max_header_bytes": 16_384,
-            "max_body_bytes": 4_194_304,
-            "header_timeout_ms": 5_000,
-            "idle_timeout_ms": 20_000,
-        },
-    }
-    return json.dumps(configuration).encode()
+    return encode_configuration(version, HOST, timeout_ms=20_000, target_ms=5_000)
 
 
 class PlatformSite:
@@ -139,7 +91,12 @@
 
     def _start_engine(self, number):
         return PlatformEngine(
-            (own_address(number), 0), f"e-{number}", build.ENGINE_SERVICE, "a", MODEL, 3
+            (own_address(number), 0),
+            f"e-{number}",
+            build.ENGINE_SERVICE,
+            "a",
+            MODEL,
+            ADAPTER_SLOTS,
         )
 
     def _settings(self, ip, engine=None):
@@ -175,38 +132,27 @@
 
     def call(self, path, request_id, adapter="a1"):
         """Send a request on a new connection; return (status, headers, body)."""
-        sock = gevent.socket.create_connection(self.address, WAIT_S)
+        connection = ClientConnection(self.address)
         try:
-            return self.exchange(sock, path, request_id, adapter)
+            return self.exchange(connection, path, request_id, adapter)
         finally:
-            sock.close()
+            connection.close()
 
-    def exchange(self, sock, path, request_id, adapter="a1"):
+    def exchange(self, connection, path, request_id, adapter="a1"):
         """Send a request on a connection; the body is None if it was cut."""
-        protocol = h11.Connection(h11.CLIENT)
         headers = [
-            ("host", "chat.example"),
-            ("x-request-id", request_id),
-            ("x-deadline-ms", "15000"),
-            ("x-model", f"{MODEL}/{adapter}"),
-            ("x-token-usage", "800,100"),
-            ("content-length", "0"),
+            (b"host", HOST.encode()),
+            (b"x-request-id", request_id.encode()),
+            (b"x-deadline-ms", b"15000"),
+            (b"x-model", f"{MODEL}/{adapter}".encode()),
+            (b"x-token-usage", b"800,100"),
         ]
-        request = h11.Request(method="POST", target=path, headers=headers)
-        sock.sendall(protocol.send(request) + protocol.send(h11.EndOfMessage()))
-        head, body = None, b""
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                try:
-                    protocol.receive_data(sock.recv(65_536))
-                except OSError:
-                    return head.status_code if head else 0, {}, None
-            elif isinstance(event, h11.Response):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                return head.status_code, dict(head.headers), body
-            else:
-                return 0, {}, None
+        deadline_ms = time.monotonic() * 1000 + WAIT_S * 1000
+        head = None
+        try:
+            connection.send(b"POST", path.encode(), headers)
+            head = connection.read_head(deadline_ms)
+            body = connection.read_body(deadline_ms, ANSWER_BYTES_MAX)
+        except (OSError, BrokenAnswerError):
+            return head.status_code if head else 0, {}, None
+        return head.status_code, dict(head.headers), body
--- a/nutmegdeal/tests/test_platform_site.py
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -2,11 +2,11 @@
 
 import attrs
 import gevent
-import gevent.socket
 import pytest
 
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.fakes.platform_store import StoreFault
+from nutmegdeal.http_connections import ClientConnection
 from nutmegdeal.tests.platform_site import (
     PlatformSite,
     encode_operator_configuration,
@@ -200,24 +200,24 @@
 
 def test_a_caller_that_leaves_ends_its_run(site):
     assert site.call("/chat/1", "q-0")[0] == 200
-    sock = gevent.socket.create_connection(site.address)
-    greenlet = gevent.spawn(site.exchange, sock, "/chat/1", "q-1")
+    connection = ClientConnection(site.address)
+    greenlet = gevent.spawn(site.exchange, connection, "/chat/1", "q-1")
     wait_until(lambda: runs_of(site.engines, "q-1"))
     greenlet.kill()
-    sock.close()
+    connection.close()
     wait_until(lambda: sum(engine.cancelled["q-1"] for engine in site.engines))
 
 
 def test_a_drain_cuts_nothing_and_ends_kept_connections(site):
-    sock = gevent.socket.create_connection(site.address)
-    assert site.exchange(sock, "/book/1", "q-0")[0] == 200
+    connection = ClientConnection(site.address)
+    assert site.exchange(connection, "/book/1", "q-0")[0] == 200
     running = gevent.spawn(site.call, "/chat/1", "q-1")
     wait_until(lambda: site.gateway._listener.open_count)
     site.gateway.ask_to_stop()
     assert not site.gateway._board.is_ready
     assert site.gateway.run()
     assert running.get(timeout=30)[0] == 200
-    assert sock.recv(1) == b""
+    assert connection._socket.recv(1) == b""
 
 
 def test_a_broken_stream_goes_on_where_its_adapter_has_to_be_loaded_first(site):
