--- a/nutmegdeal/bounded_output.py
+++ b/nutmegdeal/bounded_output.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import datetime
 import json
 import os
 import time
@@ -62,11 +63,14 @@
     ----------
     descriptor : int
     budget : LineBudget
+    process_name : str
+        Told with the lines left out, with the time; ``""`` leaves both away.
     """
 
-    def __init__(self, descriptor=1, budget=None):
+    def __init__(self, descriptor=1, budget=None, process_name=""):
         self.budget = budget or LineBudget()
         self._descriptor = descriptor
+        self._process_name = process_name
         self._lines = collections.deque()
         self._bytes = 0
         self._unwritten = b""
@@ -83,12 +87,17 @@
 
     def msg(self, line):
         """Buffer a line, or count it as left out."""
+        if not self._buffer(line):
+            self.budget.left_out["buffer_full"] += 1
+
+    def _buffer(self, line):
+        """Buffer a line; return whether there was room."""
         data = line.encode("utf-8", "replace") + b"\n"
         if self._bytes + len(data) > BUFFER_BYTES_MAX:
-            self.budget.left_out["buffer_full"] += 1
-            return
+            return False
         self._lines.append(data)
         self._bytes += len(data)
+        return True
 
     debug = info = warning = error = critical = exception = msg
 
@@ -99,10 +108,8 @@
 
     def flush(self):
         """Write what the reader takes now; the rest stays buffered."""
-        if self.budget.left_out:
-            left_out = dict(self.budget.left_out)
+        if self.budget.left_out and self._buffer(self._describe_left_out()):
             self.budget.left_out.clear()
-            self.msg(json.dumps({"event": "log_lines_left_out", "counts": left_out}))
         while self._unwritten or self._lines:
             if not self._unwritten:
                 self._unwritten = self._take()
@@ -112,6 +119,14 @@
                 return
             self._unwritten = self._unwritten[written:]
 
+    def _describe_left_out(self):
+        line = {"event": "log_lines_left_out", "counts": self.budget.left_out}
+        if self._process_name:
+            now = datetime.datetime.now(datetime.UTC)
+            line["timestamp"] = now.isoformat().replace("+00:00", "Z")
+            line["process"] = self._process_name
+        return json.dumps(line)
+
     def _take(self):
         taken = []
         size = 0
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -83,7 +83,7 @@
     def note_refused(self, request_id, incoming, refusal):
         """Note a request that was refused on arrival."""
         self._refused.labels(refusal.reason).inc()
-        logger.info(
+        logger.warning(
             "request_refused",
             request=request_id,
             path=incoming.path,
--- a/nutmegdeal/log.py
+++ b/nutmegdeal/log.py
@@ -61,7 +61,7 @@
     -------
     BoundedOutput
     """
-    output = BoundedOutput()
+    output = BoundedOutput(process_name=process_name)
 
     def drop_excess(_logger, method, event_dict):
         if output.budget.allows(event_dict.get("event"), method):
--- a/nutmegdeal/tests/test_bounded_output.py
+++ b/nutmegdeal/tests/test_bounded_output.py
@@ -9,6 +9,7 @@
     BoundedOutput,
     LineBudget,
 )
+from nutmegdeal.log_story import read_story
 
 
 def read_lines(descriptor):
@@ -63,3 +64,33 @@
         output.flush()
     lines = [json.loads(item) for item in seen.splitlines()]
     assert any(item["event"] == "log_lines_left_out" for item in lines)
+
+
+def test_lines_left_out_are_told_in_a_requests_story():
+    reader, writer = make_pipe()
+    output = BoundedOutput(writer, LineBudget(lambda: 0.0), "front-1")
+    output.budget.left_out["request_ended"] = 4
+    output.flush()
+    chosen = {
+        "timestamp": "2026-12-04T10:00:01Z",
+        "process": "front-1",
+        "event": "backend_chosen",
+        "request": "q-1",
+    }
+    texts = [json.dumps(chosen), os.read(reader, 1 << 20).decode()]
+    assert any("request_ended" in text for text in read_story("q-1", texts).unknown)
+
+
+def test_counts_of_lines_left_out_outlive_a_full_buffer():
+    reader, writer = make_pipe()
+    output = BoundedOutput(writer, LineBudget(lambda: 0.0))
+    output.budget.left_out["request_ended"] = 4
+    while output.budget.left_out["buffer_full"] < 2:
+        is_nearly_full = output.budget.left_out["buffer_full"]
+        output.msg("x" * (1 if is_nearly_full else 1_000))
+    output.flush()
+    seen = b""
+    while b"request_ended" not in seen:
+        seen += os.read(reader, 1 << 20)
+        output.flush()
+    assert json.loads(seen.splitlines()[-1])["counts"]["request_ended"] == 4
