Tell gateways of an engine only what they need, and call the store less often

Each placer sent its whole state to each gateway every 200 ms and at each change, some 200 messages a second for each gateway; a gateway called the store 3.3 times a second, since beats change the table of registrations all the time and the calls waited 1.5 s at most.

Now a placer tells a gateway at once only what its requests wait for, and all others every 450 ms, as changes of what was said before (placer/telling). A wish stays until its adapter is there, so that the placer knows whom to tell. The pause between readings of the registrations is 0.4 of the time in which a leaving server must be known, and a call waits as long as a lost answer may go unnoticed.

Also: error texts of broken HTTP no longer quote the bytes, which may be of a body.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -11,7 +11,11 @@
 import gevent.socket
 import h11
 
-from nutmegdeal.http_connections import RECEIVE_BYTES, probe_silence
+from nutmegdeal.http_connections import (
+    RECEIVE_BYTES,
+    describe_protocol_error,
+    probe_silence,
+)
 from nutmegdeal.log import get_logger
 
 logger = get_logger(__name__)
@@ -175,7 +179,7 @@
         try:
             request = self._read_request()
         except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint, str(error))
+            self._refuse(error.error_status_hint, describe_protocol_error(error))
             return False
         if request is None:
             return False
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -2,7 +2,7 @@
 
 import math
 
-from nutmegdeal.gateway.requests import Refusal, Request, RunFate
+from nutmegdeal.gateway.requests import Ending, Refusal, Request, RunFate
 from nutmegdeal.gateway.retries import Verdict
 from nutmegdeal.gateway.search import NotFound
 from nutmegdeal.gateway.transport import AnswerProgress
@@ -70,12 +70,12 @@
             )
             return
         progress = AnswerProgress(responder)
-        end = "caller_left"
+        ending = Ending("caller_left")
         try:
-            end = self._serve(admitted, progress)
+            ending = self._serve(admitted, progress)
         finally:
             now_ms = self._board.clock.monotonic_ms()
-            self._telemetry.note_ended(admitted, progress, end, now_ms)
+            self._telemetry.note_ended(admitted, progress, ending, now_ms)
 
     def _admit(self, incoming):
         """Return a Request, or a Refusal."""
@@ -117,7 +117,7 @@
         return chosen.service
 
     def _serve(self, request, progress):
-        """Run a request until it has its final answer; return how it ended (str)."""
+        """Run a request until it has its final answer; return its Ending."""
         now_ms = self._board.clock.monotonic_ms()
         self._budgets.earn(request.service.name)
         if request.adapter:
@@ -130,7 +130,7 @@
                 return self._give_up(request, progress, outcome, refusal)
             outcome = self._run_once(request, member, progress)
             if outcome.fate is RunFate.COMPLETED:
-                return "completed"
+                return Ending("completed")
             now_ms = self._board.clock.monotonic_ms()
             verdict = self._retries.decide(request, outcome, now_ms)
             self._telemetry.note_run(request, member, outcome, verdict)
@@ -189,20 +189,23 @@
     def _give_up(self, request, progress, outcome, refusal):
         """Send the final answer to a request that will not be tried again."""
         responder = progress.responder
+        reason = refusal.reason
         if responder.has_started:
-            return "cut"
+            return Ending("cut", reason)
         if request.run_count == 0:
             self._refuse(responder, refusal)
-            return "not_run"
+            return Ending("not_run", reason)
         if outcome.fate is RunFate.FAILED:
-            return self._pass_failure(request, outcome.answer, responder)
+            name = self._pass_failure(request, outcome.answer, responder)
+            return Ending(name, reason)
         if outcome.fate is RunFate.TIMED_OUT:
             self._refuse(responder, Refusal(504, "deadline"))
-            return "timed_out"
+            return Ending("timed_out", reason)
         self._refuse(responder, Refusal(502, "in_doubt"))
-        return "in_doubt"
+        return Ending("in_doubt", reason)
 
     def _pass_failure(self, request, answer, responder):
+        """Pass a server's failure on; return how the request ended (str)."""
         is_promise = answer.status_code in UNSAFE_REFUSALS
         if is_promise and not request.route.is_repeatable:
             # The status would say that the request did not run, which is not known.
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -14,8 +14,10 @@
 LAPSE_GRACE_MS = 2_500.0
 # Own requests count as unseen by a report for the time that a report takes to us.
 REPORT_LAG_MS = 150.0
-# Age at which a load told with an answer says nothing any more: several service times.
+# A load told with an answer says nothing any more after several service times.
 LOAD_VALID_MS = 500.0
+# A placer tells the load of its engine every 450 ms; one message may be late.
+PLACER_LOAD_VALID_MS = 1_000.0
 
 
 @attrs.define
@@ -36,8 +38,8 @@
         Adapters on their way, as ``name@version``.
     running_count, waiting_count : int
         As last reported.
-    reported_ms : float
-        When; minus infinity for never.
+    reported_ms, reported_until_ms : float
+        When, and how long that says something; minus infinity for never.
     is_linked, has_been_linked : bool
         The placer beside it is, or was once, connected.
     is_registration_believed : bool
@@ -60,6 +62,7 @@
     running_count: int = 0
     waiting_count: int = 0
     reported_ms: float = float("-inf")
+    reported_until_ms: float = float("-inf")
     is_linked: bool = False
     has_been_linked: bool = False
     is_registration_believed: bool = False
@@ -81,18 +84,19 @@
     def note_sent(self, now_ms):
         """Note that a request is sent there."""
         self.in_flight_count += 1
-        self.sent_ms = [at for at in self.sent_ms if at > now_ms - LOAD_VALID_MS]
+        self.sent_ms = [at for at in self.sent_ms if at > now_ms - PLACER_LOAD_VALID_MS]
         self.sent_ms.append(now_ms)
 
-    def note_load(self, running_count, waiting_count, now_ms):
+    def note_load(self, running_count, waiting_count, now_ms, valid_ms=LOAD_VALID_MS):
         """Note the load that the server or its placer tells."""
         self.running_count = running_count
         self.waiting_count = waiting_count
         self.reported_ms = now_ms
+        self.reported_until_ms = max(self.reported_until_ms, now_ms + valid_ms)
 
     def load(self, now_ms):
         """Return the expected number of requests there (float)."""
-        if now_ms - self.reported_ms > LOAD_VALID_MS:
+        if now_ms > self.reported_until_ms:
             return float(self.in_flight_count)
         unseen_since_ms = self.reported_ms - REPORT_LAG_MS
         unseen = sum(at > unseen_since_ms for at in self.sent_ms)
@@ -114,6 +118,14 @@
         """Replace the adapters held, given as ``name@version``."""
         self.resident = dict(map(split_adapter, names))
 
+    def change_resident(self, arrived, left):
+        """Note adapters that are now held, or no longer, as ``name@version``."""
+        for name in left:
+            adapter, version = split_adapter(name)
+            if self.resident.get(adapter) == version:
+                del self.resident[adapter]
+        self.resident.update(map(split_adapter, arrived))
+
 
 class Membership:
     """The backend servers of an installation, by id.
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -6,18 +6,21 @@
 from nutmegdeal.addresses import Address
 from nutmegdeal.errors import Failure
 from nutmegdeal.gateway.blackboard import BASE_MODEL
+from nutmegdeal.gateway.members import PLACER_LOAD_VALID_MS
 from nutmegdeal.log import get_logger
 from nutmegdeal.messages import (
     AdapterUnwanted,
     AdapterUse,
     AdapterUses,
     AdapterWanted,
+    EngineChange,
     EngineLimits,
     EngineState,
     PromptAsked,
     PromptCancelled,
     PromptGranted,
 )
+from nutmegdeal.site import split_adapter
 
 logger = get_logger(__name__)
 
@@ -55,6 +58,7 @@
         self._client = client
         self._address = Address(member.backend.host, port)
         self._session = None
+        self._is_followed = False
         self._waiting_counts = {}
         self._copies_asked_ms = {}
         self._running = {}
@@ -94,6 +98,7 @@
 
     def _serve(self, session):
         self._session = session
+        self._is_followed = False
         session.is_awaiting = True
         terms = self._board.engine_of(self.member.backend.service)
         gap_ms = self._board.shortest_gap_ms(self.member.backend.service)
@@ -102,7 +107,9 @@
         try:
             for message in session.messages():
                 if isinstance(message, EngineState):
-                    self._take(message)
+                    self._take_state(message)
+                elif isinstance(message, EngineChange):
+                    self._take_change(message)
                 elif isinstance(message, PromptGranted):
                     self._release_prompt(message.number)
         finally:
@@ -115,12 +122,13 @@
             logger.info("placer_lost", backend=self.member.backend_id, reason=reason)
             session.close()
 
-    def _take(self, state):
+    def _take_state(self, state):
         member = self.member
         known = member.backend.started_unix_ms
         is_other = known and state.backend_started_unix_ms not in (0, known)
         member.is_reachable = state.is_reachable
-        if is_other or not state.is_reachable:
+        self._is_followed = state.is_reachable and not is_other
+        if not self._is_followed:
             return
         if not member.is_linked:
             member.is_linked = True
@@ -131,14 +139,30 @@
         member.has_model = state.has_model
         before = set(member.resident)
         member.set_resident(state.resident)
-        member.loading = frozenset(state.loading)
-        member.queued_count = state.queued_count
-        member.gateway_count = state.gateway_count
-        member.waiting_tokens = state.waiting_tokens
-        now_ms = self._board.clock.monotonic_ms()
-        member.note_load(state.running_count, state.waiting_count, now_ms)
+        self._take_numbers(state)
         self._board.waiters.wake(set(member.resident) - before)
 
+    def _take_change(self, change):
+        if not self._is_followed:
+            return
+        self.member.change_resident(change.arrived, change.left)
+        self._take_numbers(change)
+        self._board.waiters.wake(split_adapter(name)[0] for name in change.arrived)
+
+    def _take_numbers(self, message):
+        """Take what an EngineState and an EngineChange both tell."""
+        member, load = self.member, message.load
+        member.loading = frozenset(message.loading)
+        member.queued_count = load.queued_count
+        member.gateway_count = load.gateway_count
+        member.waiting_tokens = load.waiting_tokens
+        member.note_load(
+            load.running_count,
+            load.waiting_count,
+            self._board.clock.monotonic_ms(),
+            PLACER_LOAD_VALID_MS,
+        )
+
     def _release_prompt(self, number):
         granted = self._prompts.pop(number, None)
         if granted is not None:
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -79,8 +79,8 @@
         self._telemetry = GatewayTelemetry()
         store = StoreClient(settings.store_at, ConnectionPool(clock))
         self._watchers = (
-            OperatorWatcher(store, self._board),
-            BackendsWatcher(store, self._board),
+            OperatorWatcher(store, self._board, self._telemetry),
+            BackendsWatcher(store, self._board, self._telemetry),
         )
         chooser = AdapterChooser(settings.zone)
         dispatcher = Dispatcher(
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -56,6 +56,22 @@
     is_silent: bool = False
 
 
+@attrs.frozen
+class Ending:
+    """How a request ended for its caller.
+
+    Parameters
+    ----------
+    name : str
+        One of those in `nutmegdeal.log_story.END_TEXTS`.
+    reason : str
+        Why, if it was not served.
+    """
+
+    name: str
+    reason: str = ""
+
+
 @attrs.define
 class Request:
     """One request, with what has been tried for it.
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -9,6 +9,9 @@
 # Upper ends of the buckets in s; objectives lie between 0.1 and 1 s.
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0, 15.0)
 WAIT_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+# The store answers in 4 ms, in up to 400 ms while it is slow, and may keep a call
+# waiting for changes for some seconds.
+STORE_BUCKETS_S = (0.01, 0.05, 0.25, 0.5, 1.0, 2.0, 4.0)
 
 
 class GatewayTelemetry:
@@ -60,6 +63,24 @@
             registry=self.registry,
         )
 
+        self._turn_wait = Histogram(
+            "nutmegdeal_turn_wait_seconds",
+            "Wait until the engine may read the prompt",
+            buckets=WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._store_calls = Histogram(
+            "nutmegdeal_store_call_seconds",
+            "Calls to the store, with the time that they wait for changes",
+            ("table", "outcome"),
+            buckets=STORE_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def note_store_call(self, table, outcome, taken_ms):
+        """Note a call to the store."""
+        self._store_calls.labels(table, outcome).observe(taken_ms / 1000)
+
     def note_chosen(self, request, member, version, now_ms):
         """Note the choice of a backend server, and what decided it."""
         reported_age_ms = now_ms - member.reported_ms
@@ -86,7 +107,7 @@
         logger.warning(
             "request_refused",
             request=request_id,
-            path=incoming.path,
+            path=incoming.path.partition("?")[0],
             status=refusal.status_code,
             reason=refusal.reason,
         )
@@ -106,9 +127,10 @@
             failure_rate=round(member.history.failure_rate_at_update, 3),
         )
 
-    def note_ended(self, request, progress, end, now_ms):
-        """Note the end of a request."""
+    def note_ended(self, request, progress, ending, now_ms):
+        """Note the Ending of a request."""
         kind = request.route.kind.value
+        end = ending.name
         arrived_ms = request.incoming.arrived_ms
         self._ended.labels(kind, end).inc()
         self._whole.labels(kind).observe((now_ms - arrived_ms) / 1000)
@@ -118,6 +140,7 @@
             self._first.labels(kind).observe(first_ms / 1000)
         if request.adapter:
             self._load_wait.observe(request.waited_ms / 1000)
+            self._turn_wait.observe(request.paced_ms / 1000)
         log = logger.info if end == "completed" else logger.warning
         log(
             "request_ended",
@@ -125,12 +148,15 @@
             route=request.route.name,
             kind=kind,
             end=end,
+            reason=ending.reason,
             adapter=request.adapter,
             backends=sorted(request.tried),
             sent=request.sent_count,
             runs=request.run_count,
             first_ms=first_ms,
+            target_ms=request.route.target_ms,
             gap_ms=round(progress.longest_gap_ms, 1),
+            gap_target_ms=request.route.gap_target_ms,
             whole_ms=round(now_ms - arrived_ms, 1),
             waited_ms=round(request.waited_ms, 1),
             paced_ms=round(request.paced_ms, 1),
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -8,16 +8,19 @@
 from nutmegdeal.errors import Failure
 from nutmegdeal.log import get_logger
 from nutmegdeal.platform import rows as wire
-from nutmegdeal.platform.store import HistoryGoneError
+from nutmegdeal.platform.store import FEED_MARGIN_MS, HistoryGoneError
 
 logger = get_logger(__name__)
 
-# A call that waits for changes returns after this time at the latest, so that a
-# connection that fell silent is noticed before the bounds on configuration end.
-WAIT_MS = 1_500.0
+# An answer that was lost is noticed when its call times out, and the table is read anew
+# then: the call's margin of 1,000 ms, the first pause after a failed call, and 170 ms
+# for a connection and an answer of a busy store.
+NOTICE_MS = FEED_MARGIN_MS + 300.0
 # Pause after an answer with changes: one call then brings several of them.
 OPERATOR_PAUSE_MS = 100.0
-BACKENDS_PAUSE_MS = 500.0
+# The same as a share of the time in which a leaving server has to be known; beats of
+# the servers change their table all the time, and each call is charged.
+BACKENDS_PAUSE_SHARE = 0.4
 # Pause after a failed call; each is charged.
 RETRY_FIRST_MS = 100.0
 RETRY_MAX_MS = 800.0
@@ -34,20 +37,29 @@
     pause_ms : float
         Least time between two answers with changes.
     clock : Clock
+    contact_ms : float
+        Time in which a lost answer has to be made up for.
+    telemetry : GatewayTelemetry
     """
 
-    def __init__(self, store, table, pause_ms, clock):
+    def __init__(self, store, table, pause_ms, clock, contact_ms, telemetry):
         self._store = store
         self._table = table
         self._pause_ms = pause_ms
+        self._wait_ms = contact_ms - NOTICE_MS
         self.clock = clock
+        self._telemetry = telemetry
         self._store_version = None
         self._failure_count = 0
 
     def run(self):
         """Follow the table until killed."""
         while True:
+            started_ms = self.clock.monotonic_ms()
             result = self._step()
+            taken_ms = self.clock.monotonic_ms() - started_ms
+            outcome = _name_outcome(result)
+            self._telemetry.note_store_call(self._table, outcome, taken_ms)
             if isinstance(result, Failure):
                 self._note_failure(result)
                 gevent.sleep(self._retry_pause_ms() / 1000)
@@ -61,7 +73,9 @@
         if self._store_version is None:
             return self._read_all()
         try:
-            read = self._store.read_changes(self._table, self._store_version, WAIT_MS)
+            read = self._store.read_changes(
+                self._table, self._store_version, self._wait_ms
+            )
         except HistoryGoneError:
             logger.info("store_history_gone", table=self._table)
             return self._read_all()
@@ -117,6 +131,12 @@
         return pause_ms * (1 + RETRY_JITTER * (2 * random.random() - 1))
 
 
+def _name_outcome(result):
+    if isinstance(result, Failure):
+        return "failed"
+    return "rows" if result else "no_change"
+
+
 class OperatorWatcher(TableWatcher):
     """Follows the configuration and the adapters' versions.
 
@@ -124,10 +144,18 @@
     ----------
     store : StoreClient
     board : Blackboard
+    telemetry : GatewayTelemetry
     """
 
-    def __init__(self, store, board):
-        super().__init__(store, wire.OPERATOR_TABLE, OPERATOR_PAUSE_MS, board.clock)
+    def __init__(self, store, board, telemetry):
+        super().__init__(
+            store,
+            wire.OPERATOR_TABLE,
+            OPERATOR_PAUSE_MS,
+            board.clock,
+            board.settings.bounds.contact_ms,
+            telemetry,
+        )
         self._board = board
 
     def note_regained(self):
@@ -179,10 +207,19 @@
     ----------
     store : StoreClient
     board : Blackboard
+    telemetry : GatewayTelemetry
     """
 
-    def __init__(self, store, board):
-        super().__init__(store, wire.BACKENDS_TABLE, BACKENDS_PAUSE_MS, board.clock)
+    def __init__(self, store, board, telemetry):
+        bounds = board.settings.bounds
+        super().__init__(
+            store,
+            wire.BACKENDS_TABLE,
+            BACKENDS_PAUSE_SHARE * bounds.drain_ms,
+            board.clock,
+            bounds.contact_ms,
+            telemetry,
+        )
         self._board = board
 
     def note_regained(self):
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -198,7 +198,7 @@
                     return event
                 self._protocol.receive_data(self._receive(deadline_ms))
         except h11.RemoteProtocolError as error:
-            raise BrokenAnswerError(f"not valid HTTP: {error}") from error
+            raise BrokenAnswerError(describe_protocol_error(error)) from error
 
     def _receive(self, deadline_ms):
         remaining_s = deadline_ms / 1000 - time.monotonic()
@@ -240,6 +240,14 @@
         self._socket.close()
 
 
+def describe_protocol_error(error):
+    """Return what h11 complains of (str), without the bytes that it quotes.
+
+    They may be a part of a body, which does not belong in logs.
+    """
+    return f"not valid HTTP: {str(error).partition(':')[0]}"
+
+
 def _idle_ms(headers):
     value = find_header(headers, b"keep-alive") or b""
     for part in value.split(b","):
--- a/nutmegdeal/log_story.py
+++ b/nutmegdeal/log_story.py
@@ -190,6 +190,8 @@
         return f"refused with {fields.get('status')}: {fields.get('reason')}."
     if line.event == "request_ended":
         text = END_TEXTS.get(fields.get("end"), str(fields.get("end")))
+        if fields.get("reason"):
+            text = f"{text[:-1]}: {fields['reason']}."
         return (
             f"{text} It took {fields.get('whole_ms')} ms, the first part "
             f"{fields.get('first_ms')} ms, the longest pause {fields.get('gap_ms')} ms."
--- a/nutmegdeal/messages.py
+++ b/nutmegdeal/messages.py
@@ -361,38 +361,69 @@
 
 
 @attrs.frozen
-class EngineState:
-    """State of a model engine, as its placer sees it.
+class EngineLoad:
+    """How busy a model engine is.
 
     Parameters
     ----------
-    backend_started_unix_ms : int
-        Incarnation of the engine, 0 if it does not say.
-    is_reachable : bool
-        The engine answers its placer.
-    resident, loading : tuple of str
-        Adapters as ``name@version``.
     running_count, waiting_count : int
     queued_count : int
         Adapters that wait for their load to begin.
     gateway_count : int
-        Gateways with an open stream to this placer.
+        Gateways with an open stream to the placer.
     waiting_tokens : int
         Tokens of the prompts that wait to be sent.
+    """
+
+    running_count: int = 0
+    waiting_count: int = 0
+    queued_count: int = 0
+    gateway_count: int = 0
+    waiting_tokens: int = 0
+
+
+@attrs.frozen
+class EngineState:
+    """State of a model engine, as its placer sees it.
+
+    Parameters
+    ----------
+    backend_started_unix_ms : int
+        Incarnation of the engine, 0 if it does not say.
+    is_reachable : bool
+        The engine answers its placer.
     has_model : bool
         The engine holds its base model.
+    resident, loading : tuple of str
+        Adapters as ``name@version``.
+    load : EngineLoad
     """
 
     backend_started_unix_ms: int
     is_reachable: bool
+    has_model: bool
     resident: tuple[str, ...]
     loading: tuple[str, ...]
-    running_count: int
-    waiting_count: int
-    queued_count: int
-    gateway_count: int
-    waiting_tokens: int = 0
-    has_model: bool = True
+    load: EngineLoad
+
+
+@attrs.frozen
+class EngineChange:
+    """What is different from what a placer said before on the same stream.
+
+    Parameters
+    ----------
+    arrived, left : tuple of str
+        Adapters that the engine now holds, or no longer, as ``name@version``.
+    loading : tuple of str
+        All that are on their way.
+    load : EngineLoad
+    """
+
+    arrived: tuple[str, ...]
+    left: tuple[str, ...]
+    loading: tuple[str, ...]
+    load: EngineLoad
 
 
 MESSAGE_TYPES = (
@@ -414,6 +445,7 @@
     PromptAsked,
     PromptCancelled,
     PromptGranted,
+    EngineChange,
 )
 _TAG_OF = {message_type: tag for tag, message_type in enumerate(MESSAGE_TYPES)}
 _converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -21,6 +21,8 @@
 SETTLE_MS = 400.0
 # Pause between orders for the base model, which takes up to seconds to load.
 MODEL_AGAIN_AFTER_MS = 1_000.0
+# Below every version, and below the 0 that stands for any.
+NOT_HELD = -1
 
 
 class Operation(enum.Enum):
@@ -171,7 +173,7 @@
     @property
     def queued_count(self):
         """Return how many adapters are wanted and not yet ordered."""
-        return len(self._wants)
+        return len(self._wants.keys() - self._loading)
 
     @property
     def has_model(self):
@@ -191,10 +193,12 @@
             return None
         if self.limits.model not in self.report.models:
             return self._order_model(now_ms)
-        self._drop_settled(now_ms)
-        if not self._wants or len(self.report.loading) >= LOADS_AT_ONCE:
+        if len(self.report.loading) >= LOADS_AT_ONCE:
             return None
-        adapter, version = self._most_urgent(now_ms)
+        wanted = self._open_wants(now_ms)
+        if not wanted:
+            return None
+        adapter, version = self._most_urgent(wanted, now_ms)
         if self._places_taken() < self.limits.adapter_slots_max:
             return Order(Operation.LOAD, self.limits.model, adapter, version or None)
         victim = self._find_victim(now_ms)
@@ -208,18 +212,54 @@
         self._model_ordered_ms = now_ms
         return Order(Operation.LOAD, self.limits.model)
 
-    def _drop_settled(self, now_ms):
-        held = dict(map(split_adapter, self.report.resident))
-        for name in self.report.loading:
-            adapter, version = split_adapter(name)
-            held[adapter] = max(version, held.get(adapter, 0))
+    def settle(self, now_ms):
+        """Drop the wishes that are fulfilled or too late.
+
+        Returns
+        -------
+        dict of session to set of str
+            Adapters that requests of these sessions can now be sent on.
+        """
+        fulfilled = {}
+        held = self._held
         for adapter, by_session in list(self._wants.items()):
             for session, want in list(by_session.items()):
-                is_held = adapter in held and held[adapter] >= want.version
-                if is_held or now_ms >= want.deadline_ms:
+                if held.get(adapter, NOT_HELD) >= want.version:
+                    if want.waiting_count:
+                        fulfilled.setdefault(session, set()).add(adapter)
                     self.unwant(session, adapter)
+                elif now_ms >= want.deadline_ms:
+                    self.unwant(session, adapter)
+        return fulfilled
+
+    @property
+    def _held(self):
+        """Return the versions of the adapters that the engine holds."""
+        if self.report is None:
+            return {}
+        return dict(map(split_adapter, self.report.resident))
+
+    @property
+    def _loading(self):
+        """Return the adapters on their way, of any version."""
+        if self.report is None:
+            return set()
+        return {split_adapter(name)[0] for name in self.report.loading}
+
+    def _open_wants(self, now_ms):
+        """Return the wishes that an order could fulfil, by adapter and session."""
+        held, loading = self._held, self._loading
+        return {
+            adapter: by_session
+            for adapter, by_session in self._wants.items()
+            if adapter not in loading
+            and any(
+                now_ms < want.deadline_ms and held.get(adapter, NOT_HELD) < want.version
+                for want in by_session.values()
+            )
+        }
 
-    def _most_urgent(self, now_ms):
+    def _most_urgent(self, wanted, now_ms):
         """Return the adapter to load next, and its version.
 
         When more is wanted than can be loaded, as after a cold start, first come those
@@ -233,7 +273,7 @@
             count = sum(want.waiting_count for want in wants)
             return now_ms + LOAD_MS > due_ms, -count, due_ms
 
-        adapter, by_session = min(self._wants.items(), key=urgency)
+        adapter, by_session = min(wanted.items(), key=urgency)
         return adapter, max(want.version for want in by_session.values())
 
     def _places_taken(self):
@@ -246,7 +286,7 @@
     def _find_victim(self, now_ms):
         """Return the least used adapter that nobody uses or wants, or None."""
         in_use = set().union(*self._running.values()) if self._running else set()
-        loading = {split_adapter(name)[0] for name in self.report.loading}
+        loading = self._loading
         idle = [
             adapter
             for adapter, since_ms in self._resident_since_ms.items()
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -16,6 +16,7 @@
     AdapterUses,
     AdapterWanted,
     EngineLimits,
+    EngineLoad,
     EngineState,
     PromptAsked,
     PromptCancelled,
@@ -25,6 +26,7 @@
 from nutmegdeal.placer.pacing import PromptPacer
 from nutmegdeal.placer.planning import AdapterPlanner, Want
 from nutmegdeal.placer.telemetry import PlacerTelemetry
+from nutmegdeal.placer.telling import StateTeller
 from nutmegdeal.settings import ChannelSettings
 from nutmegdeal.site import DEFAULT_CALLER_LIMITS
 
@@ -36,8 +38,6 @@
 BUSY_EVERY_MS = 20.0
 # Pause between reports otherwise; gateways use them to compare engines.
 CALM_EVERY_MS = 100.0
-# Pause between messages to gateways that change only numbers.
-NUMBERS_EVERY_MS = 200.0
 # Least pause before prompts that wait are looked at again.
 GRANT_LEAST_MS = 2.0
 # Reports that may fail in a row before the engine counts as unreachable.
@@ -78,8 +78,7 @@
         self._stop_asked = gevent.event.Event()
         self._greenlets = gevent.pool.Group()
         self._failed_reports = 0
-        self._said = None
-        self._said_ms = float("-inf")
+        self._teller = StateTeller()
         self._is_reachable = True
 
     def start(self):
@@ -110,8 +109,8 @@
     def _accept(self, session):
         """Serve the stream of one gateway."""
         self._sessions.add(session)
-        if self._said is not None:
-            session.send(self._describe())
+        now_ms = self._clock.monotonic_ms()
+        session.send(self._teller.greet(session, self._describe(), now_ms))
         try:
             for message in session.messages():
                 self._take(session, message)
@@ -119,6 +118,7 @@
             self._sessions.discard(session)
             self._planner.forget(session)
             self._pacer.forget(session)
+            self._teller.forget(session)
 
     def _take(self, session, message):
         now_ms = self._clock.monotonic_ms()
@@ -175,8 +175,10 @@
 
     def _step(self):
         self._read_report()
-        order = self._planner.next_order(self._clock.monotonic_ms())
-        self._tell()
+        now_ms = self._clock.monotonic_ms()
+        fulfilled = self._planner.settle(now_ms)
+        order = self._planner.next_order(now_ms)
+        self._tell(fulfilled, now_ms)
         if order is not None and self._give(order):
             return
         pause_ms = BUSY_EVERY_MS if self._planner.is_active else CALM_EVERY_MS
@@ -217,30 +219,26 @@
     def _describe(self):
         report = self._planner.report
         if report is None:
-            return EngineState(0, False, (), (), 0, 0, 0, len(self._sessions))
+            load = EngineLoad(gateway_count=len(self._sessions))
+            return EngineState(0, False, False, (), (), load)
         return EngineState(
-            report.started_unix_ms,
-            self._is_reachable,
-            tuple(sorted(report.resident)),
-            tuple(sorted(report.loading)),
-            report.running_count,
-            report.waiting_count,
-            self._planner.queued_count,
-            len(self._sessions),
-            self._pacer.waiting_tokens,
-            self._planner.has_model,
+            backend_started_unix_ms=report.started_unix_ms,
+            is_reachable=self._is_reachable,
+            has_model=self._planner.has_model,
+            resident=tuple(sorted(report.resident)),
+            loading=tuple(sorted(report.loading)),
+            load=EngineLoad(
+                running_count=report.running_count,
+                waiting_count=report.waiting_count,
+                queued_count=self._planner.queued_count,
+                gateway_count=len(self._sessions),
+                waiting_tokens=self._pacer.waiting_tokens,
+            ),
         )
 
-    def _tell(self):
-        """Tell the gateways what has changed."""
+    def _tell(self, fulfilled, now_ms):
+        """Tell the gateways what they need to know now."""
         state = self._describe()
-        now_ms = self._clock.monotonic_ms()
-        key = (state.is_reachable, state.has_model, state.resident, state.loading)
-        is_due = now_ms - self._said_ms >= NUMBERS_EVERY_MS
-        if key == self._said and not is_due:
-            return
-        self._said = key
-        self._said_ms = now_ms
         self._telemetry.note_state(state)
-        for session in list(self._sessions):
-            session.send(state)
+        for session, message in self._teller.plan(state, fulfilled, now_ms):
+            session.send(message)
--- a/nutmegdeal/placer/telemetry.py
+++ b/nutmegdeal/placer/telemetry.py
@@ -36,6 +36,6 @@
         """Show an EngineState."""
         self._resident.set(len(state.resident))
         self._loading.set(len(state.loading))
-        self._queued.set(state.queued_count)
-        self._running.set(state.running_count)
-        self._waiting.set(state.waiting_count)
+        self._queued.set(state.load.queued_count)
+        self._running.set(state.load.running_count)
+        self._waiting.set(state.load.waiting_count)
--- /dev/null
+++ b/nutmegdeal/placer/telling.py
@@ -0,0 +1,97 @@
+"""What a placer tells each gateway about its engine, and when.
+
+Answers the load of many gateways beside many engines: each message costs processor time
+at both ends and bytes between availability zones, and most changes matter to one
+gateway only, the one with requests that wait for the adapter.
+"""
+
+import attrs
+
+from nutmegdeal.messages import EngineChange, EngineState
+from nutmegdeal.site import split_adapter
+
+# Pause between messages that nothing waits for, in ms; just below the 500 ms after
+# which a gateway sends a heartbeat on a silent stream.
+TELL_EVERY_MS = 450.0
+# Loads that begin or end of a queue before gateways hear of it at once: two rounds of
+# four, as they refuse requests by the length of the queue.
+QUEUE_STEP_COUNT = 8
+
+
+@attrs.define
+class _Told:
+    """What a session was told last, and when."""
+
+    state: EngineState
+    told_ms: float
+
+
+class StateTeller:
+    """Decides what each session has to be told."""
+
+    def __init__(self):
+        self._told = {}
+
+    def forget(self, session):
+        """Note the end of a session."""
+        self._told.pop(session, None)
+
+    def greet(self, session, state, now_ms):
+        """Return the EngineState for a session that has just begun."""
+        self._told[session] = _Told(state, now_ms)
+        return state
+
+    def plan(self, state, fulfilled, now_ms):
+        """Return what is due.
+
+        Parameters
+        ----------
+        state : EngineState
+            As of now.
+        fulfilled : dict of session to set of str
+            Adapters that sessions have waited for and that the engine holds.
+        now_ms : float
+
+        Returns
+        -------
+        list of tuple of (session, EngineState or EngineChange)
+        """
+        due = []
+        for session, told in self._told.items():
+            message = self._pick(told, state, fulfilled.get(session), now_ms)
+            if message is not None:
+                due.append((session, message))
+                told.state, told.told_ms = state, now_ms
+        return due
+
+    def _pick(self, told, state, awaited, now_ms):
+        known = told.state
+        if _engine_of(known) != _engine_of(state):
+            return state
+        queue_step = abs(state.load.queued_count - known.load.queued_count)
+        is_due = (
+            now_ms - told.told_ms >= TELL_EVERY_MS or queue_step >= QUEUE_STEP_COUNT
+        )
+        if not (is_due or awaited):
+            return None
+        change = _compare(known, state)
+        arrived = {split_adapter(name)[0] for name in change.arrived}
+        if awaited and not awaited <= arrived:
+            # The session was told of it before: it believes otherwise.
+            return state
+        return change
+
+
+def _engine_of(state):
+    """Return what is only told with a whole state."""
+    return state.backend_started_unix_ms, state.is_reachable, state.has_model
+
+
+def _compare(known, state):
+    before, now = set(known.resident), set(state.resident)
+    return EngineChange(
+        arrived=tuple(sorted(now - before)),
+        left=tuple(sorted(before - now)),
+        loading=state.loading,
+        load=state.load,
+    )
--- a/nutmegdeal/platform/settings.py
+++ b/nutmegdeal/platform/settings.py
@@ -28,6 +28,8 @@
         Time in which a leaving backend server has to stop receiving requests.
     version_ms : float
         Time in which requests have to begin on a new version of their adapter.
+    contact_ms : float
+        Time after a disturbance from which on the other bounds hold again.
     """
 
     retry_ratio: float
@@ -36,6 +38,7 @@
     grace_ms: float
     drain_ms: float
     version_ms: float
+    contact_ms: float
 
 
 @attrs.frozen
@@ -145,4 +148,5 @@
         grace_ms=float(data["grace_s"]) * 1000,
         drain_ms=float(data["drain_ms"]),
         version_ms=float(data["version_ms"]),
+        contact_ms=float(data["contact_ms"]),
     )
--- a/nutmegdeal/platform/store.py
+++ b/nutmegdeal/platform/store.py
@@ -14,9 +14,10 @@
 
 # The store answers with at most 1 MB; base64 and JSON add a third.
 ANSWER_BYTES_MAX = 16_777_216
-# Beyond the time that the store may keep a call waiting; an answer takes 4 ms, and up
-# to 100 times that while the store is slow.
+# An answer takes 4 ms, and up to 100 times that while the store is slow.
 CALL_WITHIN_MS = 1_500.0
+# The same beyond the time that the store may keep a call waiting.
+FEED_MARGIN_MS = 1_000.0
 # Most rows that the store gives at once.
 PAGE_ROWS = 500
 
@@ -91,7 +92,7 @@
         HistoryGoneError
         """
         query = {"table": table, "after": after, "wait_ms": int(wait_ms)}
-        data = self._get("/rows-feed", query, wait_ms + CALL_WITHIN_MS)
+        data = self._get("/rows-feed", query, wait_ms + FEED_MARGIN_MS)
         if isinstance(data, Failure):
             return data
         return self._decode_rows(data)
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -39,6 +39,7 @@
     "grace_s": GRACE_S,
     "drain_ms": 2000,
     "version_ms": 5000,
+    "contact_ms": 3000,
 }
 
 
--- a/nutmegdeal/tests/platform_builders.py
+++ b/nutmegdeal/tests/platform_builders.py
@@ -7,6 +7,7 @@
 from nutmegdeal.fakes.platform_configuration import ENGINE_SERVICE, PLAIN_SERVICE
 from nutmegdeal.gateway.members import Member
 from nutmegdeal.gateway.requests import Request
+from nutmegdeal.messages import EngineLoad, EngineState
 from nutmegdeal.platform.engine import EngineReport
 from nutmegdeal.platform.settings import Bounds, NodeSettings
 from nutmegdeal.site import (
@@ -42,6 +43,19 @@
     return member
 
 
+def build_engine_state(queued_count=0, **changes):
+    """Return the EngineState of an engine without adapters."""
+    values = {
+        "backend_started_unix_ms": 7,
+        "is_reachable": True,
+        "has_model": True,
+        "resident": (),
+        "loading": (),
+        "load": EngineLoad(queued_count=queued_count),
+    }
+    return EngineState(**{**values, **changes})
+
+
 def build_route(**changes):
     """Return a Route of resumable streams."""
     values = {
@@ -150,6 +164,30 @@
     return EngineReport(**{**values, **changes})
 
 
+def build_ended_fields(**changes):
+    """Return the fields of a ``request_ended`` line of a stream served in time."""
+    values = {
+        "request": "q-1",
+        "route": "r-chat",
+        "kind": "stream",
+        "end": "completed",
+        "reason": "",
+        "adapter": "a1",
+        "backends": ["i-1"],
+        "sent": 1,
+        "runs": 1,
+        "first_ms": 100.0,
+        "target_ms": 600.0,
+        "gap_ms": 40.0,
+        "gap_target_ms": 250.0,
+        "whole_ms": 900.0,
+        "waited_ms": 0.0,
+        "paced_ms": 0.0,
+        "tokens": 800,
+    }
+    return {**values, **changes}
+
+
 def build_bounds(**changes):
     """Return the Bounds of the Knusepool installation."""
     values = {
@@ -159,6 +197,7 @@
         "grace_ms": 8_000.0,
         "drain_ms": 2_000.0,
         "version_ms": 5_000.0,
+        "contact_ms": 3_000.0,
     }
     return Bounds(**{**values, **changes})
 
