--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 pages: setup  ## Rewrite the pages that are made from the sources.
 	$(BIN)/python scripts/write_settings_page.py
+	$(BIN)/python scripts/write_events_page.py
 	$(BIN)/python scripts/write_proofs_page.py
 
 soak: setup  ## Play ten seeds of faults against the real programs.
--- /dev/null
+++ b/nutmegdeal/log_losses.py
@@ -0,0 +1,156 @@
+"""Where callers are not served in time, counted from the log lines of gateways."""
+
+import collections
+import enum
+
+import attrs
+
+# Seconds and backend servers that a summary names.
+WORST_COUNT = 5
+
+
+class Cause(enum.Enum):
+    """Why a request was not served in time."""
+
+    REFUSED = "refused"
+    IN_DOUBT = "answer lost"
+    BROKEN_OFF = "broken off"
+    SERVER_FAILED = "server's own failure"
+    TIMED_OUT = "deadline passed"
+    CALLER_LEFT = "caller left"
+    FAILING_SERVER = "late: sent to a failing server first"
+    ADAPTER = "late: waited for the adapter"
+    TURN = "late: waited for its turn"
+    ENGINE = "late: at the server"
+    PAUSE = "late: pause between events"
+
+
+_CAUSE_OF_END = {
+    "not_run": Cause.REFUSED,
+    "in_doubt": Cause.IN_DOUBT,
+    "cut": Cause.BROKEN_OFF,
+    "failed": Cause.SERVER_FAILED,
+    "timed_out": Cause.TIMED_OUT,
+    "caller_left": Cause.CALLER_LEFT,
+}
+
+
+@attrs.frozen
+class Loss:
+    """A request that was not served in time.
+
+    Parameters
+    ----------
+    second : str
+        Start of the second in which it ended, ISO 8601.
+    route : str
+    cause : Cause
+    detail : str
+        Reason of a refusal, or the backend servers that were tried.
+    """
+
+    second: str
+    route: str
+    cause: Cause
+    detail: str
+
+
+@attrs.frozen
+class LossTable:
+    """All losses of some log files.
+
+    Parameters
+    ----------
+    request_counts : dict of str to int
+        Requests that ended, by route.
+    losses : tuple of Loss
+    """
+
+    request_counts: dict
+    losses: tuple[Loss, ...]
+
+    def count(self, *names):
+        """Return a Counter of the losses by attributes of Loss."""
+        return collections.Counter(
+            tuple(getattr(loss, name) for name in names) for loss in self.losses
+        )
+
+
+def find_cause(fields):
+    """Return the Cause in the fields of a ``request_ended`` line, None if in time."""
+    if fields["end"] != "completed":
+        return _CAUSE_OF_END[fields["end"]]
+    if (fields["first_ms"] or fields["whole_ms"]) > fields["target_ms"]:
+        return _find_cause_of_lateness(fields)
+    if fields["gap_target_ms"] and fields["gap_ms"] > fields["gap_target_ms"]:
+        return Cause.PAUSE
+    return None
+
+
+def _find_cause_of_lateness(fields):
+    if fields["sent"] > 1:
+        return Cause.FAILING_SERVER
+    parts = {
+        Cause.ADAPTER: fields["waited_ms"],
+        Cause.TURN: fields["paced_ms"],
+        Cause.ENGINE: fields["first_ms"] - fields["waited_ms"] - fields["paced_ms"],
+    }
+    return max(parts, key=parts.get)
+
+
+def read_losses(lines):
+    """Return the LossTable of LogLines."""
+    counts = collections.Counter()
+    losses = []
+    for line in lines:
+        loss = None
+        if line.event == "request_refused":
+            route = line.fields["path"]
+            loss = Loss(
+                _second_of(line), route, Cause.REFUSED, str(line.fields["reason"])
+            )
+        elif line.event == "request_ended":
+            route = line.fields["route"]
+            loss = _read_loss(line)
+        else:
+            continue
+        counts[route] += 1
+        if loss is not None:
+            losses.append(loss)
+    return LossTable(dict(counts), tuple(losses))
+
+
+def _read_loss(line):
+    cause = find_cause(line.fields)
+    if cause is None:
+        return None
+    detail = line.fields["reason"] or " ".join(line.fields["backends"])
+    return Loss(_second_of(line), line.fields["route"], cause, detail)
+
+
+def _second_of(line):
+    return line.timestamp.partition(".")[0]
+
+
+def describe(table):
+    """Return the lines of a summary as a tuple of str."""
+    return (
+        *_describe_routes(table),
+        *_describe_worst(table, "second"),
+        *_describe_worst(table, "detail"),
+    )
+
+
+def _describe_routes(table):
+    by_route = table.count("route", "cause")
+    for route, count in sorted(table.request_counts.items()):
+        yield f"{route}: {count} requests"
+        causes = [(n, cause) for (name, cause), n in by_route.items() if name == route]
+        for lost_count, cause in sorted(causes, key=lambda item: -item[0]):
+            yield f"  {lost_count} ({lost_count / count:.1%}) {cause.value}"
+
+
+def _describe_worst(table, name):
+    yield f"most by {name}:"
+    for (key, cause), count in table.count(name, "cause").most_common(WORST_COUNT):
+        yield f"  {key or '-'}: {count} {cause.value}"
--- a/nutmegdeal/tests/test_documents.py
+++ b/nutmegdeal/tests/test_documents.py
@@ -35,9 +35,11 @@
     assert sorted(named) == list(collect_proofs())
 
 
-def test_settings_page_matches_the_table():
-    script = str(ROOT / "scripts" / "write_settings_page.py")
-    assert subprocess.call([sys.executable, script, "--check"]) == 0
+@pytest.mark.parametrize("script", ["write_settings_page.py", "write_events_page.py"])
+def test_pages_match_their_tables(script):
+    """If this fails after a table was changed, run ``make pages``."""
+    path = str(ROOT / "scripts" / script)
+    assert subprocess.call([sys.executable, path, "--check"]) == 0
 
 
 def test_operators_page_names_every_exit_code():
--- a/nutmegdeal/tools/ctl.py
+++ b/nutmegdeal/tools/ctl.py
@@ -16,6 +16,7 @@
     fleet,
     identifiers,
     ledger_sweep,
+    log_losses,
     log_story,
     sentences,
 )
@@ -242,6 +243,14 @@
 
 
 def _tell_from_logs(request_id, paths, as_json):
+    story = log_story.read_story(request_id, _read_lines(paths))
+    _print(story, log_story.describe, as_json)
+    if story.is_empty:
+        sys.exit(ExitCode.NOT_FOUND)
+
+
+def _read_lines(paths):
+    """Return the lines of text files, or exit."""
     texts = []
     for path in paths:
         try:
@@ -249,10 +258,23 @@
         except OSError as error:
             _fail(ExitCode.INVALID_INPUT, f"{path}: {error}")
         texts += text.splitlines()
-    story = log_story.read_story(request_id, texts)
-    _print(story, log_story.describe, as_json)
-    if story.is_empty:
-        sys.exit(ExitCode.NOT_FOUND)
+    return texts
+
+
+@app.command
+def losses(*files: str, as_json: JsonFlag = False):
+    """Count the requests that were not served in time, by route and cause.
+
+    Parameters
+    ----------
+    files
+        Log files of gateways.
+    as_json
+        Print JSON.
+    """
+    lines = map(log_story.parse_line, _read_lines(files))
+    table = log_losses.read_losses(line for line in lines if line is not None)
+    _print(table, log_losses.describe, as_json)
 
 
 @app.command(name="check-node")
