Serve at a full engine rather than refuse, and bound what a lost placer leaves behind

Found in the read of the change: a request whose engines are full could have been refused because the load at the engine with room came too late; now it goes to the full one, and an engine with a queue of loads does not count as one with room. Pauses noted while no placer listens were kept without bound. Scripts that write pages share one function.

--- a/nutmegdeal/gateway/choosing.py
+++ b/nutmegdeal/gateway/choosing.py
@@ -16,6 +16,7 @@
 
 from nutmegdeal.demand import UseRates
 from nutmegdeal.entry.rendezvous import rank_score
+from nutmegdeal.site import LOADS_AT_ONCE
 
 # Weight of the failure rate: a server that fails half of its requests looks four times
 # as loaded, so that it gets a trickle which shows when it has recovered.
@@ -71,10 +72,15 @@
 class LoadFirst:
     """The adapter has to be loaded at a member before the request can be sent.
 
-    None holds it, or those that do are full and the member has room.
+    Parameters
+    ----------
+    member : Member
+    instead : Member or None
+        A full engine that holds the adapter, for a request that cannot wait.
     """
 
     member: object
+    instead: object = None
 
 
 def cost(member, zone, now_ms):
@@ -148,12 +154,14 @@
             return LoadFirst(self._pick_home(adapter, version, members, costs))
         best = min(holders, key=lambda item: costs[item.backend_id])
         chosen = self._pick_holder(holders, costs)
+        if _is_full(chosen, now_ms):
+            chosen = best
         others = [item for item in members if item not in holders]
         if not others:
             return UseNow(chosen)
         roomy = _find_roomy(others, costs, now_ms) if _is_full(chosen, now_ms) else []
         if roomy:
-            return LoadFirst(self._pick_home(adapter, version, roomy, costs))
+            return LoadFirst(self._pick_home(adapter, version, roomy, costs), chosen)
         least = min(costs[item.backend_id] for item in others)
         is_crowded = costs[best.backend_id] > CROWDED_FACTOR * least + CROWDED_COUNT
         share = self._engine_share(adapter, len(members), now_ms)
@@ -201,6 +209,7 @@
         for item in _find_sound(members, costs)
         if item.is_linked
         and item.has_model
+        and item.queued_count < LOADS_AT_ONCE
         and item.load(now_ms) < ROOM_SHARE * item.backend.slots
     ]
 
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -115,6 +115,7 @@
                     self._release_prompt(message.number)
         finally:
             self._session = None
+            self._longest_gaps_ms.clear()
             for number in list(self._prompts):
                 self._release_prompt(number)
             self.member.is_linked = False
@@ -243,7 +244,8 @@
 
     def note_gap(self, longest_gap_ms):
         """Note the longest pause of a stream of the engine that has ended."""
-        self._longest_gaps_ms.append(int(longest_gap_ms))
+        if self._session is not None:
+            self._longest_gaps_ms.append(int(longest_gap_ms))
 
     def send_uses(self):
         """Tell the placer what is in use, unless that was and is nothing."""
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -4,7 +4,7 @@
 
 from nutmegdeal.gateway.admission import excess_wait_ms, useful_until_ms
 from nutmegdeal.gateway.blackboard import BASE_MODEL
-from nutmegdeal.gateway.choosing import LoadFirst, choose_plain
+from nutmegdeal.gateway.choosing import LoadFirst, UseNow, choose_plain
 
 # A request that waits for an adapter looks for another engine after this time.
 LOOK_AGAIN_MS = 400.0
@@ -79,10 +79,12 @@
             choice = self._choose_engine(request.adapter, members, now_ms)
             if isinstance(choice, LoadFirst):
                 excess_ms = excess_wait_ms(request, choice.member, until_ms, now_ms)
-                if excess_ms:
+                if not excess_ms:
+                    self._wait_for_load(request, choice.member, now_ms)
+                    continue
+                if choice.instead is None:
                     return NotFound("adapter_too_late", excess_ms)
-                self._wait_for_load(request, choice.member, now_ms)
-                continue
+                choice = UseNow(choice.instead)
             self._want_copy(choice, request.adapter, now_ms)
             if self._wait_for_turn(request, choice.member, now_ms):
                 return choice.member
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -16,6 +16,8 @@
 # then: the call's margin of 1,000 ms, the first pause after a failed call, and 170 ms
 # for a connection and an answer of a busy store.
 NOTICE_MS = FEED_MARGIN_MS + 300.0
+# Least time that a call waits for changes, whatever the bounds: each call is charged.
+WAIT_LEAST_MS = 500.0
 # Pause after an answer with changes: one call then brings several of them.
 OPERATOR_PAUSE_MS = 100.0
 # The same as a share of the time in which a leaving server has to be known; beats of
@@ -46,7 +48,7 @@
         self._store = store
         self._table = table
         self._pause_ms = pause_ms
-        self._wait_ms = contact_ms - NOTICE_MS
+        self._wait_ms = max(contact_ms - NOTICE_MS, WAIT_LEAST_MS)
         self.clock = clock
         self._telemetry = telemetry
         self._store_version = None
--- a/nutmegdeal/placer/engine.py
+++ b/nutmegdeal/placer/engine.py
@@ -8,9 +8,12 @@
 
 logger = get_logger(__name__)
 
-# Both ends are on one machine; an answer takes a few ms even of a busy engine. An order
-# without an answer holds up the next one, and a caller's adapter is due in 600 ms.
-CALL_WITHIN_MS = 120.0
+# Both ends are on one machine; an answer takes a few ms even of a busy engine, and up
+# to six times that on a machine that is slowed.
+REPORT_WITHIN_MS = 300.0
+# An order without an answer holds up the next one, and a caller's adapter is due in
+# 600 ms.
+ORDER_WITHIN_MS = 120.0
 # A report of some hundred runs takes under 100 KB.
 ANSWER_BYTES_MAX = 4_194_304
 
@@ -44,7 +47,9 @@
     def read_report(self):
         """Return an EngineReport, or None if there is no valid one."""
         try:
-            status_code, body = self._call(b"GET", wire.REPORT_PATH, b"")
+            status_code, body = self._call(
+                b"GET", wire.REPORT_PATH, b"", REPORT_WITHIN_MS
+            )
         except (OSError, BrokenAnswerError) as error:
             logger.debug("report_failed", peer=self.peer, error=repr(error))
             return None
@@ -59,7 +64,9 @@
         """Send an Order once; return an OrderResult."""
         body = wire.encode_order(order, self._holder, expected_count)
         try:
-            status_code, answer = self._call(b"POST", wire.ORDER_PATH, body)
+            status_code, answer = self._call(
+                b"POST", wire.ORDER_PATH, body, ORDER_WITHIN_MS
+            )
         except ConnectError:
             return OrderResult.NOT_SENT
         except (OSError, BrokenAnswerError) as error:
@@ -77,7 +84,7 @@
         )
         return OrderResult.REJECTED
 
-    def _call(self, method, path, body):
+    def _call(self, method, path, body, within_ms):
         headers = [(b"host", self.peer.encode())]
         if body:
             headers.append((b"content-type", b"application/json"))
@@ -87,6 +94,6 @@
             path.encode(),
             headers,
             body,
-            CALL_WITHIN_MS,
+            within_ms,
             ANSWER_BYTES_MAX,
         )
--- a/scripts/write_events_page.py
+++ b/scripts/write_events_page.py
@@ -7,6 +7,8 @@
 import pathlib
 import sys
 
+from page_files import write_or_check
+
 from nutmegdeal.log_events import EVENTS
 
 PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs" / "log-events.md"
@@ -53,11 +55,7 @@
 
 def main():
     """Write or check the page; return the exit code."""
-    text = write_page()
-    if "--check" in sys.argv[1:]:
-        return 0 if PAGE.read_text(encoding="utf-8") == text else 1
-    PAGE.write_text(text, encoding="utf-8")
-    return 0
+    return write_or_check(PAGE, write_page())
 
 
 if __name__ == "__main__":
--- a/scripts/write_settings_page.py
+++ b/scripts/write_settings_page.py
@@ -8,6 +8,7 @@
 import sys
 
 import attrs
+from page_files import write_or_check
 
 from nutmegdeal.settings import Settings
 
@@ -64,11 +65,7 @@
 
 def main():
     """Write or check the page; return the exit code."""
-    text = write_page()
-    if "--check" in sys.argv[1:]:
-        return 0 if PAGE.read_text(encoding="utf-8") == text else 1
-    PAGE.write_text(text, encoding="utf-8")
-    return 0
+    return write_or_check(PAGE, write_page())
 
 
 if __name__ == "__main__":
