--- a/nutmegdeal/agent/orders.py
+++ b/nutmegdeal/agent/orders.py
@@ -3,9 +3,9 @@
 import gevent
 
 from nutmegdeal.accounts import Outcome
-from nutmegdeal.agent.slots import OrderKind
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.log import get_logger
+from nutmegdeal.order_kinds import OrderKind
 
 logger = get_logger(__name__)
 
--- a/nutmegdeal/agent/scheduling.py
+++ b/nutmegdeal/agent/scheduling.py
@@ -4,9 +4,10 @@
 
 from nutmegdeal import telemetry
 from nutmegdeal.agent.attempts import AttemptState
-from nutmegdeal.agent.slots import OrderKind, SlotState
+from nutmegdeal.agent.slots import SlotState
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.log import get_logger
+from nutmegdeal.order_kinds import OrderKind
 
 logger = get_logger(__name__)
 
--- a/nutmegdeal/agent/slots.py
+++ b/nutmegdeal/agent/slots.py
@@ -10,6 +10,7 @@
 import attrs
 
 from nutmegdeal.errors import Failure
+from nutmegdeal.order_kinds import OrderKind
 
 ENGINE_INCARNATIONS_MAX = 16
 
@@ -25,13 +26,6 @@
     UNKNOWN = "unknown"
 
 
-class OrderKind(enum.Enum):
-    """What an engine is ordered to do with an adapter."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
 @attrs.frozen
 class Order:
     """An order that the table has allowed.
--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -12,6 +12,7 @@
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import ChannelClient
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.draining import wait_until_idle
 from nutmegdeal.entry.admission import AdmissionGate
 from nutmegdeal.entry.agents import AgentLinks
 from nutmegdeal.entry.blackboard import Blackboard
@@ -38,7 +39,6 @@
 
 IDLE_CHECK_EVERY_MS = 1_000
 DUE_CHECK_EVERY_MS = 100
-DRAIN_CHECK_EVERY_MS = 20
 FLUSH_AT_EXIT_MS = 5_000
 
 
@@ -150,8 +150,9 @@
         """
         self._stop_asked.wait()
         logger.info("draining", open_count=self._application.open_count)
-        self._wait_until_idle()
-        cut_off_count = self._application.open_count
+        clock = self._board.clock
+        end_ms = clock.monotonic_ms() + self._settings.entry.drain_within_ms
+        cut_off_count = wait_until_idle(self._application, clock, end_ms)
         self._server.stop(timeout=0)
         self._links.close()
         self._greenlets.kill()
@@ -159,12 +160,6 @@
         logger.info("stopped", cut_off_count=cut_off_count)
         return cut_off_count == 0
 
-    def _wait_until_idle(self):
-        clock = self._board.clock
-        end_ms = clock.monotonic_ms() + self._settings.entry.drain_within_ms
-        while self._application.open_count and clock.monotonic_ms() < end_ms:
-            gevent.sleep(DRAIN_CHECK_EVERY_MS / 1000)
-
     def _flush(self):
         with gevent.Timeout(FLUSH_AT_EXIT_MS / 1000, False):
             self._recorder.mark(is_final=True)
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -36,6 +36,8 @@
         Adapters held, with their version.
     loading : frozenset of str
         Adapters on their way, as ``name@version``.
+    queued_count, gateway_count, waiting_tokens : int
+        As in an EngineLoad, which its placer tells.
     running_count, waiting_count : int
         As last reported.
     reported_ms, reported_until_ms : float
@@ -46,6 +48,8 @@
         What it registered counts as what it holds.
     has_model : bool
         A model engine holds its base model; it restarts without.
+    is_reachable : bool
+        The placer beside it gets answers from it.
     sent_ms : list of float
         Times of own requests that the last report may not show.
     """
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -4,11 +4,7 @@
 import gevent.event
 
 from nutmegdeal.addresses import Address
-from nutmegdeal.errors import Failure
-from nutmegdeal.gateway.blackboard import BASE_MODEL
-from nutmegdeal.gateway.members import PLACER_LOAD_VALID_MS
-from nutmegdeal.log import get_logger
-from nutmegdeal.messages import (
+from nutmegdeal.engine_messages import (
     AdapterUnwanted,
     AdapterUse,
     AdapterUses,
@@ -20,6 +16,10 @@
     PromptCancelled,
     PromptGranted,
 )
+from nutmegdeal.errors import Failure
+from nutmegdeal.gateway.blackboard import BASE_MODEL
+from nutmegdeal.gateway.members import PLACER_LOAD_VALID_MS
+from nutmegdeal.log import get_logger
 from nutmegdeal.site import split_adapter
 
 logger = get_logger(__name__)
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -10,6 +10,7 @@
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import ChannelClient
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.draining import wait_until_idle
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.choosing import AdapterChooser
 from nutmegdeal.gateway.dispatch import Dispatcher
@@ -44,8 +45,6 @@
 ACCEPT_AFTER_TERM_MS = 2_600.0
 # Left of the time between SIGTERM and SIGKILL when unfinished requests are cut off.
 END_BEFORE_KILL_MS = 300.0
-# Pause between looks whether a drain has ended; a small part of its 8 s.
-DRAIN_CHECK_EVERY_MS = 20.0
 # Four missed ones end a stream: 2 s, under the 3 s in which the platform expects it.
 CHANNEL_HEARTBEAT_EVERY_MS = 500
 
@@ -188,9 +187,7 @@
         gevent.sleep(ACCEPT_AFTER_TERM_MS / 1000)
         self._listener.stop_accepting()
         self._listener.close_idle()
-        while self._listener.open_count and self._clock.monotonic_ms() < end_ms:
-            gevent.sleep(DRAIN_CHECK_EVERY_MS / 1000)
-        cut_off_count = self._listener.open_count
+        cut_off_count = wait_until_idle(self._listener, self._clock, end_ms)
         logger.info("stopped", cut_off_count=cut_off_count)
         return cut_off_count == 0
 
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -70,24 +70,33 @@
                 return NotFound("no_backend")
             if now_ms >= until_ms:
                 return NotFound("too_late")
-            if not request.adapter:
-                member = self._choose_any(request, members, now_ms)
-                if member is not None:
-                    return member
-                board.waiters.wait(BASE_MODEL, min(until_ms - now_ms, LOOK_AGAIN_MS))
-                continue
-            choice = self._choose_engine(request.adapter, members, now_ms)
-            if isinstance(choice, LoadFirst):
-                excess_ms = excess_wait_ms(request, choice.member, until_ms, now_ms)
-                if not excess_ms:
-                    self._wait_for_load(request, choice.member, now_ms)
-                    continue
-                if choice.instead is None:
-                    return NotFound("adapter_too_late", excess_ms)
-                choice = UseNow(choice.instead)
-            self._want_copy(choice, request.adapter, now_ms)
-            if self._wait_for_turn(request, choice.member, now_ms):
-                return choice.member
+            take_step = self._try_engine if request.adapter else self._try_any
+            found = take_step(request, members, until_ms, now_ms)
+            if found is not None:
+                return found
+
+    def _try_any(self, request, members, until_ms, now_ms):
+        """Return a Member for a request without an adapter; None to look again."""
+        member = self._choose_any(request, members, now_ms)
+        if member is None:
+            within_ms = min(until_ms - now_ms, LOOK_AGAIN_MS)
+            self._board.waiters.wait(BASE_MODEL, within_ms)
+        return member
+
+    def _try_engine(self, request, members, until_ms, now_ms):
+        """Return a Member whose turn has come or a NotFound; None to look again."""
+        choice = self._choose_engine(request.adapter, members, now_ms)
+        if isinstance(choice, LoadFirst):
+            excess_ms = excess_wait_ms(request, choice.member, until_ms, now_ms)
+            if not excess_ms:
+                self._wait_for_load(request, choice.member, now_ms)
+                return None
+            if choice.instead is None:
+                return NotFound("adapter_too_late", excess_ms)
+            choice = UseNow(choice.instead)
+        self._want_copy(choice, request.adapter, now_ms)
+        is_due = self._wait_for_turn(request, choice.member, now_ms)
+        return choice.member if is_due else None
 
     def _choose_any(self, request, members, now_ms):
         """Return a Member for a request without an adapter, None if none is ready."""
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -1,5 +1,7 @@
 """Log lines and metrics of a gateway's decisions."""
 
+import math
+
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
 from nutmegdeal.log import get_logger
@@ -83,7 +85,7 @@
 
     def note_chosen(self, request, member, version, now_ms):
         """Note the choice of a backend server, and what decided it."""
-        reported_age_ms = now_ms - member.reported_ms
+        age_ms = now_ms - member.reported_ms
         logger.info(
             "backend_chosen",
             request=request.request_id,
@@ -92,7 +94,7 @@
             adapter=request.adapter,
             version=version,
             load=round(member.load(now_ms), 1),
-            report_age_ms=round(reported_age_ms, 1) if reported_age_ms < 1e9 else None,
+            report_age_ms=round(age_ms, 1) if math.isfinite(age_ms) else None,
             failure_rate=round(member.history.failure_rate(now_ms), 3),
             is_linked=member.is_linked,
             waited_ms=round(request.waited_ms, 1),
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -52,13 +52,21 @@
     longest_gap_ms: float = 0.0
 
     def note_passed(self, now_ms):
-        """Note that a part of the answer is passed on."""
+        """Note that a part of the answer is passed on.
+
+        Returns
+        -------
+        float
+            Pause since the part before, 0.0 for the first one.
+        """
+        gap_ms = 0.0
         if not self.first_byte_ms:
             self.first_byte_ms = now_ms
         else:
             gap_ms = now_ms - self.last_byte_ms
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self.last_byte_ms = now_ms
+        return gap_ms
 
 
 class DirectTransport:
@@ -209,22 +217,20 @@
         progress = self._progress
         responder = progress.responder
         limit_ms = self._first_limit_ms()
-        passed_ms, longest_gap_ms = None, 0.0
+        gaps_ms = []
         while (data := self._connection.read_data(limit_ms)) is not None:
             whole = progress.splitter.feed(data)
             if whole:
                 self._start_answer(head)
-                now_ms = self._clock.monotonic_ms()
-                progress.note_passed(now_ms)
-                if passed_ms is not None:
-                    longest_gap_ms = max(longest_gap_ms, now_ms - passed_ms)
-                passed_ms = now_ms
+                gaps_ms.append(progress.note_passed(self._clock.monotonic_ms()))
                 responder.send(whole)
                 limit_ms = self._gap_limit_ms()
         if not progress.splitter.is_between_events:
             raise BrokenStreamError("the stream ended inside an event")
         self._start_answer(head)
         responder.finish()
+        # The first is the way to this server, not a pause of its own.
+        longest_gap_ms = max(gaps_ms[1:], default=0.0)
         return RunOutcome(RunFate.COMPLETED, longest_gap_ms=longest_gap_ms)
 
     def _start_answer(self, head):
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -38,18 +38,18 @@
     table : str
     pause_ms : float
         Least time between two answers with changes.
-    clock : Clock
-    contact_ms : float
-        Time in which a lost answer has to be made up for.
+    board : Blackboard
     telemetry : GatewayTelemetry
     """
 
-    def __init__(self, store, table, pause_ms, clock, contact_ms, telemetry):
+    def __init__(self, store, table, pause_ms, board, telemetry):
         self._store = store
         self._table = table
         self._pause_ms = pause_ms
+        contact_ms = board.settings.bounds.contact_ms
         self._wait_ms = max(contact_ms - NOTICE_MS, WAIT_LEAST_MS)
-        self.clock = clock
+        self._board = board
+        self._clock = board.clock
         self._telemetry = telemetry
         self._store_version = None
         self._failure_count = 0
@@ -57,9 +57,9 @@
     def run(self):
         """Follow the table until killed."""
         while True:
-            started_ms = self.clock.monotonic_ms()
+            started_ms = self._clock.monotonic_ms()
             result = self._step()
-            taken_ms = self.clock.monotonic_ms() - started_ms
+            taken_ms = self._clock.monotonic_ms() - started_ms
             outcome = _name_outcome(result)
             self._telemetry.note_store_call(self._table, outcome, taken_ms)
             if isinstance(result, Failure):
@@ -151,14 +151,8 @@
 
     def __init__(self, store, board, telemetry):
         super().__init__(
-            store,
-            wire.OPERATOR_TABLE,
-            OPERATOR_PAUSE_MS,
-            board.clock,
-            board.settings.bounds.contact_ms,
-            telemetry,
+            store, wire.OPERATOR_TABLE, OPERATOR_PAUSE_MS, board, telemetry
         )
-        self._board = board
 
     def note_regained(self):
         """Do nothing: a configuration holds until a newer one is known."""
@@ -181,7 +175,7 @@
                 self._accept(wire.decode_configuration(row.value))
             elif row.key.startswith(wire.VERSION_KEY_PREFIX):
                 named = wire.decode_adapter_version(row.value)
-                now_ms = self.clock.monotonic_ms()
+                now_ms = self._clock.monotonic_ms()
                 self._board.versions.learn(named, now_ms, is_new)
                 logger.info(
                     "adapter_version", adapter=named.adapter, version=named.version
@@ -213,26 +207,18 @@
     """
 
     def __init__(self, store, board, telemetry):
-        bounds = board.settings.bounds
-        super().__init__(
-            store,
-            wire.BACKENDS_TABLE,
-            BACKENDS_PAUSE_SHARE * bounds.drain_ms,
-            board.clock,
-            bounds.contact_ms,
-            telemetry,
-        )
-        self._board = board
+        pause_ms = BACKENDS_PAUSE_SHARE * board.settings.bounds.drain_ms
+        super().__init__(store, wire.BACKENDS_TABLE, pause_ms, board, telemetry)
 
     def note_regained(self):
         """Believe entries a while longer that lapsed during the outage."""
-        self._board.membership.note_store_regained(self.clock.monotonic_ms())
+        self._board.membership.note_store_regained(self._clock.monotonic_ms())
 
     def take_all(self, rows):
         """Take the rows of the whole table."""
         decoded = [self._decode(row) for row in rows if row.value is not None]
         backends = [backend for backend in decoded if backend is not None]
-        now_ms = self.clock.monotonic_ms()
+        now_ms = self._clock.monotonic_ms()
         self._board.membership.replace_all(backends, now_ms)
         self._board.has_members = True
         self._board.note_read()
@@ -240,7 +226,7 @@
     def take_changes(self, rows):
         """Take changed and removed rows, in order."""
         membership = self._board.membership
-        now_ms = self.clock.monotonic_ms()
+        now_ms = self._clock.monotonic_ms()
         for row in rows:
             backend = self._decode(row) if row.value is not None else None
             if backend is None:
--- a/nutmegdeal/nodes.py
+++ b/nutmegdeal/nodes.py
@@ -14,6 +14,8 @@
 from nutmegdeal.errors import Failure
 from nutmegdeal.platform.settings import load_node_settings
 
+logger = log.get_logger(__name__)
+
 EXIT_CUT_OFF = 1
 EXIT_INVALID_SETTINGS = 2
 
@@ -44,4 +46,4 @@
 def _note_reload():
     """Nothing in the settings file changes while a process lives but its address."""
     settings = load_node_settings()
-    log.get_logger(__name__).info("reload", is_valid=not isinstance(settings, Failure))
+    logger.info("reload", is_valid=not isinstance(settings, Failure))
--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -5,11 +5,10 @@
 be carried out late.
 """
 
-import enum
-
 import attrs
 
 from nutmegdeal.demand import UseRates
+from nutmegdeal.order_kinds import OrderKind
 from nutmegdeal.site import LOAD_MS, LOADS_AT_ONCE, split_adapter
 
 # An order that got no answer may be carried out for so long (the platform's pages say
@@ -25,20 +24,13 @@
 NOT_HELD = -1
 
 
-class Operation(enum.Enum):
-    """What an order does."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
 @attrs.frozen
 class Order:
     """An order to an engine.
 
     Parameters
     ----------
-    operation : Operation
+    operation : OrderKind
     model : str
     adapter : str
         ``""`` for the base model itself.
@@ -46,7 +38,7 @@
         None for the newest.
     """
 
-    operation: Operation
+    operation: OrderKind
     model: str
     adapter: str = ""
     version: int | None = None
@@ -108,6 +100,8 @@
     def __init__(self):
         self.limits = None
         self.report = None
+        self._held = {}
+        self._loading = frozenset()
         self._wants = {}
         self._running = {}
         self._rates = UseRates(USE_DECAY_MS)
@@ -119,10 +113,12 @@
         """Note a report of the engine, None if it does not answer."""
         self.report = report
         if report is None:
+            self._held, self._loading = {}, frozenset()
             return
-        names = {split_adapter(name)[0] for name in report.resident}
+        self._held = dict(map(split_adapter, report.resident))
+        self._loading = frozenset(split_adapter(name)[0] for name in report.loading)
         self._resident_since_ms = {
-            name: self._resident_since_ms.get(name, now_ms) for name in names
+            name: self._resident_since_ms.get(name, now_ms) for name in self._held
         }
         self._unresolved = [
             item for item in self._unresolved if self._may_still_happen(item, now_ms)
@@ -200,17 +196,17 @@
             return None
         adapter, version = self._most_urgent(wanted, now_ms)
         if self._places_taken() < self.limits.adapter_slots_max:
-            return Order(Operation.LOAD, self.limits.model, adapter, version or None)
+            return Order(OrderKind.LOAD, self.limits.model, adapter, version or None)
         victim = self._find_victim(now_ms)
         if victim is None:
             return None
-        return Order(Operation.UNLOAD, self.limits.model, victim)
+        return Order(OrderKind.UNLOAD, self.limits.model, victim)
 
     def _order_model(self, now_ms):
         if now_ms - self._model_ordered_ms < MODEL_AGAIN_AFTER_MS:
             return None
         self._model_ordered_ms = now_ms
-        return Order(Operation.LOAD, self.limits.model)
+        return Order(OrderKind.LOAD, self.limits.model)
 
     def settle(self, now_ms):
         """Drop the wishes that are fulfilled or too late.
@@ -221,10 +217,9 @@
             Adapters that requests of these sessions can now be sent on.
         """
         fulfilled = {}
-        held = self._held
         for adapter, by_session in list(self._wants.items()):
             for session, want in list(by_session.items()):
-                if held.get(adapter, NOT_HELD) >= want.version:
+                if self._held.get(adapter, NOT_HELD) >= want.version:
                     if want.waiting_count:
                         fulfilled.setdefault(session, set()).add(adapter)
                     self.unwant(session, adapter)
@@ -232,29 +227,15 @@
                     self.unwant(session, adapter)
         return fulfilled
 
-    @property
-    def _held(self):
-        """Return the versions of the adapters that the engine holds."""
-        if self.report is None:
-            return {}
-        return dict(map(split_adapter, self.report.resident))
-
-    @property
-    def _loading(self):
-        """Return the adapters on their way, of any version."""
-        if self.report is None:
-            return set()
-        return {split_adapter(name)[0] for name in self.report.loading}
-
     def _open_wants(self, now_ms):
         """Return the wishes that an order could fulfil, by adapter and session."""
-        held, loading = self._held, self._loading
         return {
             adapter: by_session
             for adapter, by_session in self._wants.items()
-            if adapter not in loading
+            if adapter not in self._loading
             and any(
-                now_ms < want.deadline_ms and held.get(adapter, NOT_HELD) < want.version
+                now_ms < want.deadline_ms
+                and self._held.get(adapter, NOT_HELD) < want.version
                 for want in by_session.values()
             )
         }
@@ -278,7 +259,7 @@
 
     def _places_taken(self):
         unresolved = sum(
-            item.order.operation is Operation.LOAD and bool(item.order.adapter)
+            item.order.operation is OrderKind.LOAD and bool(item.order.adapter)
             for item in self._unresolved
         )
         return len(self.report.resident) + len(self.report.loading) + unresolved
@@ -286,13 +267,12 @@
     def _find_victim(self, now_ms):
         """Return the least used adapter that nobody uses or wants, or None."""
         in_use = set().union(*self._running.values()) if self._running else set()
-        loading = self._loading
         idle = [
             adapter
             for adapter, since_ms in self._resident_since_ms.items()
             if adapter not in in_use
             and adapter not in self._wants
-            and adapter not in loading
+            and adapter not in self._loading
             and now_ms - since_ms >= SETTLE_MS
         ]
         if not idle:
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -8,10 +8,7 @@
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import ChannelServer
 from nutmegdeal.clock import SystemClock
-from nutmegdeal.http_connections import ConnectionPool
-from nutmegdeal.http_listener import CallerListener, MetricsApplication
-from nutmegdeal.log import get_logger
-from nutmegdeal.messages import (
+from nutmegdeal.engine_messages import (
     AdapterUnwanted,
     AdapterUses,
     AdapterWanted,
@@ -22,6 +19,9 @@
     PromptCancelled,
     PromptGranted,
 )
+from nutmegdeal.http_connections import ConnectionPool
+from nutmegdeal.http_listener import CallerListener, MetricsApplication
+from nutmegdeal.log import get_logger
 from nutmegdeal.placer.engine import EngineClient, OrderResult
 from nutmegdeal.placer.pacing import PromptPacer
 from nutmegdeal.placer.planning import AdapterPlanner, Want
--- a/nutmegdeal/placer/telling.py
+++ b/nutmegdeal/placer/telling.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from nutmegdeal.messages import EngineChange, EngineState
+from nutmegdeal.engine_messages import EngineChange, EngineState
 from nutmegdeal.site import split_adapter
 
 # Pause between messages that nothing waits for, in ms; just below the 500 ms after
--- a/nutmegdeal/retry_budget.py
+++ b/nutmegdeal/retry_budget.py
@@ -33,12 +33,6 @@
         self._burst_tokens = burst_tokens
         self._tokens = burst_tokens
 
-    def limit(self, burst_tokens):
-        """Hold at most `burst_tokens` from now on; those that are new are there."""
-        gained = max(burst_tokens - self._burst_tokens, 0.0)
-        self._burst_tokens = burst_tokens
-        self._tokens = min(self._tokens + gained, burst_tokens)
-
     def earn(self):
         """Note a first attempt."""
         self._tokens = min(self._burst_tokens, self._tokens + self._ratio)
--- a/nutmegdeal/tests/platform_builders.py
+++ b/nutmegdeal/tests/platform_builders.py
@@ -4,10 +4,10 @@
 
 from nutmegdeal.addresses import Address
 from nutmegdeal.caller_connections import IncomingRequest
+from nutmegdeal.engine_messages import EngineLoad, EngineState
 from nutmegdeal.fakes.platform_configuration import ENGINE_SERVICE, PLAIN_SERVICE
 from nutmegdeal.gateway.members import Member
 from nutmegdeal.gateway.requests import Request
-from nutmegdeal.messages import EngineLoad, EngineState
 from nutmegdeal.platform.engine import EngineReport
 from nutmegdeal.platform.settings import Bounds, NodeSettings
 from nutmegdeal.site import (
--- a/nutmegdeal/tests/test_agent_evictions.py
+++ b/nutmegdeal/tests/test_agent_evictions.py
@@ -16,11 +16,12 @@
 from nutmegdeal.agent.eviction import WeightedEviction
 from nutmegdeal.agent.leasing import LeaseController
 from nutmegdeal.agent.policy import EvictionPolicy
-from nutmegdeal.agent.slots import OrderKind, SlotState, SlotTable
+from nutmegdeal.agent.slots import SlotState, SlotTable
 from nutmegdeal.agent.takeover import TakeoverGuard
 from nutmegdeal.clock import ManualClock
 from nutmegdeal.configuration import Fencing
 from nutmegdeal.fakes.memory import MemoryTable
+from nutmegdeal.order_kinds import OrderKind
 from nutmegdeal.tests.agent_parts import build_rig
 from nutmegdeal.tests.builders import build_configuration, build_submit
 from nutmegdeal.tests.shared_engine import SharedEngine
--- a/nutmegdeal/tests/test_placer_planning.py
+++ b/nutmegdeal/tests/test_placer_planning.py
@@ -9,11 +9,11 @@
     rule,
 )
 
-from nutmegdeal.messages import AdapterUse, EngineLimits
+from nutmegdeal.engine_messages import AdapterUse, EngineLimits
+from nutmegdeal.order_kinds import OrderKind
 from nutmegdeal.placer.planning import (
     UNRESOLVED_MS,
     AdapterPlanner,
-    Operation,
     Want,
 )
 from nutmegdeal.site import LOADS_AT_ONCE
@@ -40,7 +40,7 @@
     want(planner, "a1")
     order = planner.next_order(0.0)
     assert (order.operation, order.model, order.adapter) == (
-        Operation.LOAD,
+        OrderKind.LOAD,
         "model",
         "",
     )
@@ -60,7 +60,7 @@
     planner.take_uses("s", uses, 0.0)
     want(planner, ADAPTERS[-1])
     order = planner.next_order(5_000.0)
-    assert order.operation is Operation.UNLOAD
+    assert order.operation is OrderKind.UNLOAD
     assert order.adapter == ADAPTERS[SLOTS - 1]
 
 
@@ -68,7 +68,7 @@
     planner = build_planner(build_report(resident=frozenset({"a1@1"})))
     want(planner, "a1", version=2)
     order = planner.next_order(0.0)
-    assert (order.operation, order.adapter, order.version) == (Operation.LOAD, "a1", 2)
+    assert (order.operation, order.adapter, order.version) == (OrderKind.LOAD, "a1", 2)
 
 
 def test_after_a_cold_start_each_load_serves_the_most_requests_in_time():
@@ -113,7 +113,7 @@
         if expected_count != self.order_count:
             return
         self.order_count += 1
-        if order.operation is Operation.LOAD:
+        if order.operation is OrderKind.LOAD:
             self.loading.add(f"{order.adapter}@1")
         else:
             self.resident.discard(f"{order.adapter}@1")
--- a/nutmegdeal/tests/test_placer_telling.py
+++ b/nutmegdeal/tests/test_placer_telling.py
@@ -3,7 +3,7 @@
 import hypothesis.strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from nutmegdeal.messages import EngineChange, EngineState
+from nutmegdeal.engine_messages import EngineChange, EngineState
 from nutmegdeal.placer.telling import QUEUE_STEP_COUNT, TELL_EVERY_MS, StateTeller
 from nutmegdeal.tests import platform_builders as build
 
--- a/nutmegdeal/tests/test_platform_rows.py
+++ b/nutmegdeal/tests/test_platform_rows.py
@@ -6,7 +6,8 @@
 import pytest
 
 from nutmegdeal.errors import Failure
-from nutmegdeal.placer.planning import Operation, Order
+from nutmegdeal.order_kinds import OrderKind
+from nutmegdeal.placer.planning import Order
 from nutmegdeal.platform import rows
 from nutmegdeal.platform.engine import decode_report, encode_order
 from nutmegdeal.platform.headers import decode_request_terms, decode_server_load
@@ -139,7 +140,7 @@
 
 
 def test_an_order_names_what_it_expects():
-    order = Order(Operation.LOAD, "daka", "a3", 2)
+    order = Order(OrderKind.LOAD, "daka", "a3", 2)
     data = json.loads(encode_order(order, "side-1", 4))
     assert data["expected"] == 4
     assert (data["operation"], data["model"]) == ("load", "daka")
--- a/nutmegdeal/tests/test_slots.py
+++ b/nutmegdeal/tests/test_slots.py
@@ -13,9 +13,10 @@
     run_state_machine_as_test,
 )
 
-from nutmegdeal.agent.slots import OCCUPYING_STATES, OrderKind, SlotState, SlotTable
+from nutmegdeal.agent.slots import OCCUPYING_STATES, SlotState, SlotTable
 from nutmegdeal.backends.base import EngineReport
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.order_kinds import OrderKind
 
 SLOT_COUNT = 2
 ADAPTERS = ("a@1", "a@2", "b@1")
