Placer logs: every restart of the engine, and orders executed late

Cause: a restart was found by comparison with the planner's last report, which is dropped while the engine is unreachable; the order count was not compared at all. Now the process keeps start time and order count itself; order_given says for which incarnation the order is and how many slots were occupied; a new line orders_executed_late gives the jump of the count. The stand-in engine can leave orders unanswered and execute them later, restart under a new id and refuse reports; it refuses adapters without the base model.

--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -14,6 +14,9 @@
 LOAD_MS = 60.0
 PLAIN_WORK_MS = 20.0
 EVENT_COUNT = 8
+# For how long an order that gets no answer keeps its connection open; longer than any
+# sender waits.
+NO_ANSWER_MS = 1_000.0
 
 
 class PlatformBackend:
@@ -145,6 +148,12 @@
         Senders of orders (``holder``), over all incarnations.
     slot_overflow_count : int
         Load orders accepted beyond `adapter_slots`, over all incarnations.
+    unanswered_pending : int
+        Number of next orders that get no answer and wait in `delayed_orders`.
+    delayed_orders : list of (str or None, dict)
+        Target instance and body of the orders that have got no answer.
+    refuses_reports : bool
+        Reports get 503.
     """
 
     def __init__(self, address, backend_id, service, zone, model, adapter_slots):
@@ -156,14 +165,30 @@
         self.order_count = 0
         self.order_senders = set()
         self.slot_overflow_count = 0
+        self.unanswered_pending = 0
+        self.delayed_orders = []
+        self.refuses_reports = False
         super().__init__(address, backend_id, service, zone)
 
-    def restart(self):
-        """Lose the model, adapters and order count; begin a new incarnation."""
+    def restart(self, backend_id=None):
+        """Lose the model, adapters and order count; begin a new incarnation.
+
+        Parameters
+        ----------
+        backend_id : str, optional
+            By default the engine keeps its id.
+        """
         self.incarnation += 1
+        self.backend_id = backend_id or self.backend_id
         self.adapters, self.pending, self.order_count = {}, {}, 0
         self.has_model = False
 
+    def execute_delayed_orders(self):
+        """Execute the orders that got no answer, if they are still valid."""
+        delayed, self.delayed_orders = self.delayed_orders, []
+        for target_id, order in delayed:
+            self._execute_order(target_id, order)
+
     def _registration_fields(self):
         names = [f"{name}@{version}" for name, version in self.adapters.items()]
         models = [{"name": self.model, "version": 1, "adapters": names}]
@@ -183,6 +208,9 @@
             super()._respond(request, responder)
 
     def _send_report(self, responder):
+        if self.refuses_reports:
+            responder.reply(503, [], b"")
+            return
         report = {
             **self._registration_fields(),
             "busy": False,
@@ -197,24 +225,36 @@
     def _apply_order(self, request, responder):
         order = json.loads(request.body)
         self.order_senders.add(order["holder"])
-        if order.get("expected") != self.order_count:
-            responder.reply(409, [], b"")
+        target_id = find_header(request.headers, b"x-target-instance")
+        target_id = target_id.decode() if target_id is not None else None
+        if self.unanswered_pending:
+            self.unanswered_pending -= 1
+            self.delayed_orders.append((target_id, order))
+            gevent.sleep(NO_ANSWER_MS / 1000)
             return
-        self.order_count += 1
+        responder.reply(self._execute_order(target_id, order), [], b"")
+
+    def _execute_order(self, target_id, order):
+        """Execute an order; return the status of its answer."""
         adapter = order.get("adapter")
+        if target_id not in (None, self.backend_id):
+            return 421
+        if order.get("expected") != self.order_count:
+            return 409
+        if adapter is not None and not self.has_model:
+            return 400
+        self.order_count += 1
         if adapter is None:
             gevent.spawn_later(LOAD_MS / 1000, self._finish_model, self.incarnation)
-            responder.reply(202, [], b"")
-            return
+            return 202
         if order["operation"] == "unload":
             self.adapters.pop(adapter, None)
-            responder.reply(200, [], b"")
-            return
+            return 200
         self.pending[adapter] = order.get("version") or 1
         if len(self.adapters) + len(self.pending) > self.adapter_slots:
             self.slot_overflow_count += 1
         gevent.spawn_later(LOAD_MS / 1000, self._finish_load, adapter, self.incarnation)
-        responder.reply(202, [], b"")
+        return 202
 
     def _finish_model(self, incarnation):
         self.has_model = self.has_model or incarnation == self.incarnation
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -86,6 +86,8 @@
 _ADAPTER = _text("name of the adapter, empty for none")
 _TABLE = _text("table of the store")
 _PEER = _text("address")
+_STARTED = _count("start time by the engine's clock, in ms since 1970")
+_OCCUPIED = _count("slots of the engine with a loaded or loading adapter")
 _ERROR = _text("description of the failure")
 
 _EVENTS = (
@@ -262,6 +264,8 @@
             "adapter": _text("adapter, empty for the base model"),
             "version": _version("version, null for the newest"),
             "expected": _count("orders that the engine had accepted before"),
+            "started": _STARTED,
+            "occupied": _OCCUPIED,
             "result": _text("result of the order"),
         },
     ),
@@ -305,7 +309,21 @@
         "engine_restarted",
         Process.PLACER,
         "restart of the engine, which then has nothing loaded",
-        {"started": _count("start time by the engine's clock, in ms since 1970")},
+        {
+            "started": _STARTED,
+            "unanswered": _count("unanswered orders that may still be executed"),
+        },
+    ),
+    LogEvent(
+        "orders_executed_late",
+        Process.PLACER,
+        "unanswered orders that the engine has now executed",
+        {
+            "started": _STARTED,
+            "order_count": _count("orders that the engine has accepted"),
+            "known_count": _count("orders that this placer knows to be accepted"),
+            "occupied": _OCCUPIED,
+        },
     ),
     LogEvent(
         "unexpected_message",
--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -190,6 +190,11 @@
         """Return how many adapters are in demand and not being loaded (int)."""
         return len(self._demands.keys() - self._loading)
 
+    @property
+    def unanswered_count(self):
+        """Return how many unanswered orders may still be executed (int)."""
+        return len(self._unanswered)
+
     @property
     def has_model(self):
         """Return whether the engine holds its base model.
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -80,6 +80,8 @@
         self._failed_reports = 0
         self._updates = StateUpdates()
         self._is_reachable = True
+        self._started_unix_ms = None
+        self._known_order_count = 0
 
     def start(self):
         """Start the listeners and the loops that send orders and grant prompts."""
@@ -197,15 +199,40 @@
         self._is_reachable = self._failed_reports <= FAILED_REPORTS_MAX
         if was_reachable != self._is_reachable:
             logger.warning("engine_reachable", is_reachable=self._is_reachable)
-        previous = self._planner.report
-        if report and previous and report.started_unix_ms != previous.started_unix_ms:
-            logger.warning("engine_restarted", started=report.started_unix_ms)
+        if report:
+            self._log_changes(report)
         if report or not self._is_reachable:
             self._planner.apply_report(report, now_ms)
 
+    def _log_changes(self, report):
+        """Log a restart of the engine, and orders that it has executed late."""
+        started = report.started_unix_ms
+        if started != self._started_unix_ms:
+            if self._started_unix_ms is not None:
+                logger.warning(
+                    "engine_restarted",
+                    started=started,
+                    unanswered=self._planner.unanswered_count,
+                )
+            # A restarted engine counts from 0. What an engine had accepted before
+            # this process started is not known.
+            is_known = self._started_unix_ms is not None
+            self._known_order_count = 0 if is_known else report.order_count
+            self._started_unix_ms = started
+        if report.order_count > self._known_order_count:
+            logger.warning(
+                "orders_executed_late",
+                started=started,
+                order_count=report.order_count,
+                known_count=self._known_order_count,
+                occupied=len(report.resident) + len(report.loading),
+            )
+        self._known_order_count = report.order_count
+
     def _send_order(self, order):
         """Send an order; return whether another may follow at once."""
-        expected_count = self._planner.report.order_count
+        report = self._planner.report
+        expected_count = report.order_count
         result = self._engine.send_order(order, expected_count)
         self._telemetry.record_order(order, result)
         logger.info(
@@ -214,10 +241,14 @@
             adapter=order.adapter,
             version=order.version,
             expected=expected_count,
+            started=report.started_unix_ms,
+            occupied=len(report.resident) + len(report.loading),
             result=result.value,
         )
         if result is OrderResult.UNANSWERED:
             self._planner.record_unanswered(order, self._clock.monotonic_ms())
+        if result is OrderResult.ACCEPTED:
+            self._known_order_count = expected_count + 1
         return result is OrderResult.ACCEPTED
 
     def _build_state(self):
--- a/nutmegdeal/tests/test_log_events.py
+++ b/nutmegdeal/tests/test_log_events.py
@@ -135,6 +135,21 @@
     assert summary.lines[0].fields["reason"] == "no_route"
 
 
+def test_restart_while_unreachable_and_late_order_are_logged(site, lines):
+    engine, placer = site.engines[0], site.placers[0]
+    late = {"operation": "load", "adapter": "a1", "expected": engine.order_count}
+    engine.delayed_orders.append((None, late))
+    engine.execute_delayed_orders()
+    wait_until(lambda: any('"orders_executed_late"' in text for text in lines))
+    engine.refuses_reports = True
+    wait_until(lambda: placer._planner.report is None)
+    engine.restart("e-9")
+    engine.refuses_reports = False
+    wait_until(lambda: any('"engine_restarted"' in text for text in lines))
+    decoded = [json.loads(text) for text in lines]
+    assert [mistake for line in decoded for mistake in find_mistakes(line)] == []
+
+
 def send_secrets(site):
     """Send a request with secrets in body and header, then bytes that are not HTTP."""
     connection = ClientConnection(site.address)
