--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -149,7 +149,8 @@
     slot_overflow_count : int
         Load orders accepted beyond `adapter_slots`, over all incarnations.
     unanswered_pending : int
-        Number of next orders that get no answer and wait in `delayed_orders`.
+        Number of next loads of adapters that get no answer and wait in
+        `delayed_orders`.
     delayed_orders : list of (str or None, dict)
         Target instance and body of the orders that have got no answer.
     refuses_reports : bool
@@ -227,7 +228,8 @@
         self.order_senders.add(order["holder"])
         target_id = find_header(request.headers, b"x-target-instance")
         target_id = target_id.decode() if target_id is not None else None
-        if self.unanswered_pending:
+        is_adapter_load = order["operation"] == "load" and "adapter" in order
+        if self.unanswered_pending and is_adapter_load:
             self.unanswered_pending -= 1
             self.delayed_orders.append((target_id, order))
             gevent.sleep(NO_ANSWER_MS / 1000)
--- a/nutmegdeal/tests/test_platform_site.py
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -3,6 +3,8 @@
 Stand-ins take the place of the users' platform.
 """
 
+import time
+
 import attrs
 import gevent
 import pytest
@@ -10,7 +12,9 @@
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.fakes.platform_store import StoreFault
 from nutmegdeal.http_connections import ClientConnection
+from nutmegdeal.placer.planning import AdapterDemand
 from nutmegdeal.tests.platform_site import (
+    WAIT_S,
     PlatformSite,
     encode_operator_configuration,
     wait_until,
@@ -181,6 +185,59 @@
     assert body.count(b"q-2") == EVENT_COUNT
 
 
+def load_adapters(placer, names):
+    """Make a placer load adapters for later requests, and wait until it has."""
+    until_ms = (time.monotonic() + WAIT_S) * 1000
+    for name in names:
+        demand = AdapterDemand(0, until_ms, until_ms, waiting_count=0)
+        placer._planner.add_demand("test", name, demand)
+    placer._order_wake.set()
+    wait_until(lambda: not placer._planner.has_work)
+
+
+def leave_order_unanswered(engine, placer):
+    """Make a placer send an order that gets no answer.
+
+    It is valid with the order count at which the next incarnation is full: that one has
+    to load its base model too.
+    """
+    slots = engine.adapter_slots
+    load_adapters(placer, [f"a{number}" for number in range(slots)])
+    engine.unanswered_pending = 1
+    load_adapters(placer, ["b"])
+    assert [order["expected"] for _, order in engine.delayed_orders] == [slots + 1]
+
+
+def fill_restarted_engine(site, engine, placer):
+    """Wait for the base model, then load as many adapters as the engine has slots."""
+    site.register(engine)
+    wait_until(lambda: engine.has_model)
+    load_adapters(placer, [f"c{number}" for number in range(engine.adapter_slots)])
+
+
+@pytest.mark.parametrize("next_id", [None, "e-9"], ids=["same_id", "new_id"])
+def test_late_order_to_an_earlier_incarnation_does_not_overfill_the_engine(
+    site, next_id
+):
+    engine, placer = site.engines[0], site.placers[0]
+    leave_order_unanswered(engine, placer)
+    engine.restart(next_id)
+    fill_restarted_engine(site, engine, placer)
+    engine.execute_delayed_orders()
+    assert engine.slot_overflow_count == 0
+
+
+def test_late_order_of_an_earlier_placer_does_not_overfill_a_restarted_engine(site):
+    engine = site.engines[0]
+    leave_order_unanswered(engine, site.placers[0])
+    site.placers[0].close()
+    site.placers[0] = site.start_placer(engine)
+    engine.restart("e-9")
+    fill_restarted_engine(site, engine, site.placers[0])
+    engine.execute_delayed_orders()
+    assert engine.slot_overflow_count == 0
+
+
 def test_request_without_adapter_waits_for_the_base_model(site):
     for engine in site.engines:
         engine.restart()
