Placer: name the instance in each order, and keep unanswered orders over restarts

Cause: an order says at which order count it is valid, and the planner took an unanswered order for void once the count had passed. But the count begins at 0 again when the engine restarts, the order named no instance, and so it was executed in the next incarnation when the count came to the same number. No slot was kept for it: the planner had dropped it, or the placer had restarted and never knew it. The first restart also shifts the count by one, because the base model has to be loaded with an order, so a load that was valid with one free slot meets a full engine.

Why this works: each order names the instance by its id, which gateways send with the limits, so an instance with another id answers 421, whoever sent it. If an engine restarts under its old id, the planner still knows its unanswered orders for 13 s and loads nothing that could, with the late loads valid at the next counts, exceed the slots. Within one incarnation the count alone suffices, so an unanswered load no longer takes a slot from the next order.

Gateways of the release before send no id; their placers order as before. An order for an adapter waits for the id if a gateway of this release is connected: requests come from gateways that know it.

Ruled out by reading: wrong counts within one incarnation (a replacement takes two slots here until it is done).

--- a/nutmegdeal/engine_messages.py
+++ b/nutmegdeal/engine_messages.py
@@ -9,7 +9,7 @@
 
 @attrs.frozen
 class EngineLimits:
-    """Limits of a model engine in the configuration; first message of a gateway.
+    """Limits of a model engine, and its id; first message of a gateway.
 
     Parameters
     ----------
@@ -20,11 +20,17 @@
     gap_target_ms : float
         Smallest target for the longest pause between events of a stream, over all
         streams of the service; 0 if there is none.
+    backend_id : str
+        Id of the instance for which the gateway opened the stream.
+    backend_started_unix_ms : int
+        Start time of that instance, 0 if it does not report it.
     """
 
     model: str
     adapter_slots_max: int
     gap_target_ms: float = 0.0
+    backend_id: str = ""
+    backend_started_unix_ms: int = 0
 
 
 @attrs.frozen
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -104,7 +104,14 @@
         session.heartbeats_enabled = True
         capacity = self._board.engine_capacity_for(self.member.backend.service)
         gap_ms = self._board.shortest_gap_target_ms(self.member.backend.service)
-        session.send(EngineLimits(capacity.model, capacity.adapter_slots_max, gap_ms))
+        limits = EngineLimits(
+            model=capacity.model,
+            adapter_slots_max=capacity.adapter_slots_max,
+            gap_target_ms=gap_ms,
+            backend_id=self.member.backend_id,
+            backend_started_unix_ms=self.member.backend.started_unix_ms,
+        )
+        session.send(limits)
         logger.info("placer_connected", backend=self.member.backend_id)
         try:
             for message in session.messages():
--- a/nutmegdeal/placer/engine.py
+++ b/nutmegdeal/placer/engine.py
@@ -79,9 +79,10 @@
         OrderResult
         """
         body = platform_engine.encode_order(order, self._holder, expected_count)
+        headers = platform_engine.encode_order_headers(order)
         try:
             status_code, answer = self._call(
-                b"POST", platform_engine.ORDER_PATH, body, ORDER_TIMEOUT_MS
+                b"POST", platform_engine.ORDER_PATH, body, ORDER_TIMEOUT_MS, headers
             )
         except ConnectError:
             return OrderResult.NOT_SENT
@@ -100,10 +101,8 @@
         )
         return OrderResult.REJECTED
 
-    def _call(self, method, path, body, within_ms):
-        headers = [(b"host", self.peer.encode())]
-        if body:
-            headers.append((b"content-type", b"application/json"))
+    def _call(self, method, path, body, within_ms, extra_headers=()):
+        headers = [(b"host", self.peer.encode()), *extra_headers]
         return self._pool.call(
             self._address,
             method,
--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -7,6 +7,7 @@
 import attrs
 
 from nutmegdeal.order_kinds import OrderKind
+from nutmegdeal.placer.orders import Order, UnansweredOrders
 from nutmegdeal.site_configuration import (
     CONCURRENT_LOADS_MAX,
     UNCONTENDED_LOAD_MS,
@@ -14,9 +15,6 @@
 )
 from nutmegdeal.usage_rates import UsageRates
 
-# Time in which an unanswered order may still be executed. The platform's documentation
-# says seconds, its list of faults up to 12.
-UNANSWERED_ORDER_MS = 13_000.0
 # Decay time of the use average for eviction; popularity changes within seconds.
 USE_DECAY_MS = 15_000.0
 # A loaded adapter is kept for at least this time, so that the requests that waited for
@@ -29,26 +27,6 @@
 NOT_HELD = -1
 
 
-@attrs.frozen
-class Order:
-    """An order to an engine.
-
-    Parameters
-    ----------
-    operation : OrderKind
-    model : str
-    adapter : str
-        ``""`` for the base model itself.
-    version : int or None
-        None for the newest.
-    """
-
-    operation: OrderKind
-    model: str
-    adapter: str = ""
-    version: int | None = None
-
-
 @attrs.frozen
 class AdapterDemand:
     """One gateway's demand for an adapter.
@@ -71,27 +49,6 @@
     waiting_count: int = 1
 
 
-@attrs.frozen
-class _UnansweredOrder:
-    """An unanswered order, which may still be executed.
-
-    Parameters
-    ----------
-    order : Order
-    expected_count : int
-        The order is void once the engine has accepted more orders than this.
-    until_ms : float
-        When the order can no longer be executed, on the monotonic clock.
-    started_unix_ms : int
-        Incarnation of the engine to which it was sent.
-    """
-
-    order: Order
-    expected_count: int
-    until_ms: float
-    started_unix_ms: int
-
-
 class AdapterPlanner:
     """Plans the orders to one engine.
 
@@ -112,7 +69,8 @@
         self._running = {}
         self._rates = UsageRates(USE_DECAY_MS)
         self._resident_since_ms = {}
-        self._unanswered = []
+        self._limits_by_session = {}
+        self._unanswered = UnansweredOrders()
         self._model_ordered_ms = float("-inf")
 
     def apply_report(self, report, now_ms):
@@ -126,21 +84,35 @@
         self._resident_since_ms = {
             name: self._resident_since_ms.get(name, now_ms) for name in self._held
         }
-        self._unanswered = [
-            item for item in self._unanswered if self._may_still_execute(item, now_ms)
-        ]
+        self._unanswered.remove_expired(now_ms)
+
+    def apply_limits(self, session, limits):
+        """Apply the EngineLimits of a session's gateway."""
+        self.limits = limits
+        self._limits_by_session[session] = limits
+
+    @property
+    def engine_id(self):
+        """Return the id of the present instance, "" if no gateway knows it (str)."""
+        if self.report is None:
+            return ""
+        started = self.report.started_unix_ms
+        ids = (
+            limits.backend_id
+            for limits in self._limits_by_session.values()
+            if started and limits.backend_started_unix_ms == started
+        )
+        return next(ids, "")
 
-    def _may_still_execute(self, item, now_ms):
-        """Return whether the engine may still execute an unanswered order.
+    @property
+    def _awaits_engine_id(self):
+        """Return whether a gateway will send the id of the present instance.
 
-        The order count excludes this only in the incarnation to which the order was
-        sent.
+        Gateways of an earlier release do not send it.
         """
-        if now_ms >= item.until_ms:
+        if self.engine_id or not self.report.started_unix_ms:
             return False
-        if item.started_unix_ms != self.report.started_unix_ms:
-            return True
-        return self.report.order_count <= item.expected_count
+        return any(limits.backend_id for limits in self._limits_by_session.values())
 
     def add_demand(self, session, adapter, demand):
         """Set the demand of a session's gateway for an adapter."""
@@ -169,21 +141,15 @@
                 self._rates.record(use.adapter, now_ms)
 
     def remove_session(self, session):
-        """Remove the use and the demands of a session that has ended."""
+        """Remove what a session that has ended has sent."""
         self._running.pop(session, None)
+        self._limits_by_session.pop(session, None)
         for adapter in list(self._demands):
             self.remove_demand(session, adapter)
 
     def record_unanswered(self, order, now_ms):
         """Record an unanswered order, which may still be executed."""
-        self._unanswered.append(
-            _UnansweredOrder(
-                order,
-                self.report.order_count,
-                now_ms + UNANSWERED_ORDER_MS,
-                self.report.started_unix_ms,
-            )
-        )
+        self._unanswered.record(order, self.report.order_count, now_ms)
 
     @property
     def queued_count(self):
@@ -216,24 +182,34 @@
             return None
         if self.limits.model not in self.report.models:
             return self._order_model(now_ms)
-        if len(self.report.loading) >= CONCURRENT_LOADS_MAX:
+        if self._awaits_engine_id:
+            return None
+        late_loads = self._unanswered.count_late_loads(
+            self.report.order_count + 1, self.engine_id
+        )
+        if len(self.report.loading) + late_loads >= CONCURRENT_LOADS_MAX:
             return None
         demanded = self._unmet_demands(now_ms)
         if not demanded:
             return None
-        adapter, version = self._most_urgent(demanded, now_ms)
-        if self._occupied_slot_count() < self.limits.adapter_slots_max:
-            return Order(OrderKind.LOAD, self.limits.model, adapter, version or None)
+        occupied = len(self.report.resident) + len(self.report.loading) + late_loads
+        if occupied < self.limits.adapter_slots_max:
+            adapter, version = self._most_urgent(demanded, now_ms)
+            return self._make_order(OrderKind.LOAD, adapter, version or None)
         victim = self._find_victim(now_ms)
-        if victim is None:
+        if victim is None or occupied - 1 > self.limits.adapter_slots_max:
             return None
-        return Order(OrderKind.UNLOAD, self.limits.model, victim)
+        return self._make_order(OrderKind.UNLOAD, victim)
+
+    def _make_order(self, operation, adapter="", version=None):
+        model = self.limits.model
+        return Order(operation, model, adapter, version, self.engine_id)
 
     def _order_model(self, now_ms):
         if now_ms - self._model_ordered_ms < MODEL_ORDER_INTERVAL_MS:
             return None
         self._model_ordered_ms = now_ms
-        return Order(OrderKind.LOAD, self.limits.model)
+        return self._make_order(OrderKind.LOAD)
 
     def remove_ended_demands(self, now_ms):
         """Remove the demands that are fulfilled or past their deadline.
@@ -284,14 +260,6 @@
         adapter, by_session = min(demanded.items(), key=urgency)
         return adapter, max(demand.version for demand in by_session.values())
 
-    def _occupied_slot_count(self):
-        """Return how many slots are in use, with those of unanswered loads (int)."""
-        unanswered = sum(
-            item.order.operation is OrderKind.LOAD and bool(item.order.adapter)
-            for item in self._unanswered
-        )
-        return len(self.report.resident) + len(self.report.loading) + unanswered
-
     def _find_victim(self, now_ms):
         """Return the adapter to evict, or None.
 
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -146,7 +146,7 @@
             for gap_ms in message.longest_gaps_ms:
                 self._pacer.record_gap(gap_ms)
         elif isinstance(message, EngineLimits):
-            self._planner.limits = message
+            self._planner.apply_limits(session, message)
             self._pacer.window_ms = message.gap_target_ms
             self._order_wake.set()
         else:
--- a/nutmegdeal/platform/engine.py
+++ b/nutmegdeal/platform/engine.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from nutmegdeal.platform.headers import TARGET_ID
 from nutmegdeal.platform.rows import DECODE_ERRORS, decode_adapters
 
 REPORT_PATH = "/report"
@@ -77,7 +78,7 @@
 
     Parameters
     ----------
-    order : nutmegdeal.placer.planning.Order
+    order : nutmegdeal.placer.orders.Order
     holder : str
         Name of this host, the only one that sends orders to this engine.
     expected_count : int
@@ -95,3 +96,14 @@
     if order.version is not None:
         data["version"] = order.version
     return json.dumps(data).encode()
+
+
+def encode_order_headers(order):
+    """Return the headers of an order, a list of (bytes, bytes).
+
+    Any instance that gets the order may execute it unless it names one.
+    """
+    headers = [(b"content-type", b"application/json")]
+    if order.target_id:
+        headers.append((TARGET_ID, order.target_id.encode("latin-1")))
+    return headers
--- a/nutmegdeal/platform/headers.py
+++ b/nutmegdeal/platform/headers.py
@@ -23,11 +23,13 @@
         b"expect",
     )
 )
+# The only backend server that may execute the request; others answer 421.
+TARGET_ID = b"x-target-instance"
 # Headers that only the gateway sets; those of a caller are dropped.
 GATEWAY_HEADERS = frozenset(
     (
         b"x-deadline-ms",
-        b"x-target-instance",
+        TARGET_ID,
         b"x-request-priority",
         b"x-expected-version",
         b"x-hold",
@@ -133,7 +135,7 @@
         built = [item for item in built if item[0] != LAST_EVENT_ID]
         built.append((LAST_EVENT_ID, b"%d" % last_event_id))
     built.append((DEADLINE, b"%d" % max(1, int(remaining_ms))))
-    built.append((b"x-target-instance", backend_id.encode("latin-1")))
+    built.append((TARGET_ID, backend_id.encode("latin-1")))
     if priority is not None:
         clamped = min(max(priority, PRIORITY_FIRST), PRIORITY_LAST)
         built.append((b"x-request-priority", b"%d" % clamped))
--- a/nutmegdeal/tests/test_platform_rows.py
+++ b/nutmegdeal/tests/test_platform_rows.py
@@ -3,13 +3,14 @@
 import base64
 import json
 
+import attrs
 import pytest
 
 from nutmegdeal.errors import Failure
 from nutmegdeal.order_kinds import OrderKind
-from nutmegdeal.placer.planning import Order
+from nutmegdeal.placer.orders import Order
 from nutmegdeal.platform import rows
-from nutmegdeal.platform.engine import decode_report, encode_order
+from nutmegdeal.platform.engine import decode_report, encode_order, encode_order_headers
 from nutmegdeal.platform.headers import decode_request_terms, decode_server_load
 from nutmegdeal.platform.settings import load_node_settings
 from nutmegdeal.site_configuration import BackendState, RouteKind
@@ -147,6 +148,13 @@
     assert (data["adapter"], data["version"], data["holder"]) == ("a3", 2, "side-1")
 
 
+def test_order_names_the_instance_that_it_is_for():
+    order = Order(OrderKind.LOAD, "daka", "a3", target_id="i-1")
+    assert dict(encode_order_headers(order))[b"x-target-instance"] == b"i-1"
+    anywhere = attrs.evolve(order, target_id="")
+    assert b"x-target-instance" not in dict(encode_order_headers(anywhere))
+
+
 def test_request_terms_are_decoded():
     terms = decode_request_terms(
         [
