Placer logs: a report that the engine refuses says its status

Cause: read_report returned None for any status but 200 without a log line. The line report_failed now gives the status. The assertion failed before.

--- a/nutmegdeal/placer/engine.py
+++ b/nutmegdeal/placer/engine.py
@@ -59,6 +59,7 @@
             logger.debug("report_failed", peer=self.peer, error=repr(error))
             return None
         if status_code != 200:
+            logger.debug("report_failed", peer=self.peer, error=f"status {status_code}")
             return None
         report = platform_engine.decode_report(body)
         if report is None:
--- a/nutmegdeal/tests/test_log_events.py
+++ b/nutmegdeal/tests/test_log_events.py
@@ -143,6 +143,7 @@
     wait_until(lambda: any('"orders_executed_late"' in text for text in lines))
     engine.refuses_reports = True
     wait_until(lambda: placer._planner.report is None)
+    assert any('"error": "status 503"' in text for text in lines)
     engine.restart("e-9")
     engine.refuses_reports = False
     wait_until(lambda: any('"engine_restarted"' in text for text in lines))
