Logs: count failed writes instead of hiding them

Cause: one except clause for BlockingIOError and OSError. Failed writes are now counted and reported by log_lines_left_out once a write succeeds; the lines are kept and written again, as before. An error that lasts until the process ends still cannot be reported there. The test failed before: no line gave the count.

--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -358,10 +358,10 @@
     LogEvent(
         "log_lines_left_out",
         Process.BOTH,
-        "log lines dropped by the rate limit or because the buffer was full",
+        "log lines dropped by the rate limit or a full buffer, and failed writes",
         {
             "counts": Field(
-                (dict,), "number of dropped lines, by event or `buffer_full`"
+                (dict,), "numbers, by event, `buffer_full` or `failed_writes`"
             )
         },
     ),
--- a/nutmegdeal/log_writer.py
+++ b/nutmegdeal/log_writer.py
@@ -25,6 +25,8 @@
 # Default capacity of a Linux pipe.
 WRITE_CHUNK_BYTES = 65_536
 WARNING_LEVELS = ("warning", "error", "critical")
+# Name under which log_lines_left_out counts failed writes, which are tried again.
+FAILED_WRITES = "failed_writes"
 
 
 class LogRateLimiter:
@@ -38,7 +40,8 @@
     Attributes
     ----------
     dropped_counts : Counter
-        Dropped lines by event, or ``"buffer_full"``, not yet logged.
+        Dropped lines by event, or ``"buffer_full"``, not yet logged; failed writes
+        under `FAILED_WRITES`.
     """
 
     def __init__(self, clock_s=time.monotonic):
@@ -124,7 +127,11 @@
                 self._pending_chunk = self._take_chunk()
             try:
                 written = os.write(self._descriptor, self._pending_chunk)
-            except (BlockingIOError, OSError):
+            except BlockingIOError:
+                return
+            except OSError:
+                # It cannot be logged before a later write succeeds.
+                self.rate_limiter.dropped_counts[FAILED_WRITES] += 1
                 return
             self._pending_chunk = self._pending_chunk[written:]
 
--- a/nutmegdeal/tests/test_log_writer.py
+++ b/nutmegdeal/tests/test_log_writer.py
@@ -1,10 +1,12 @@
 """Tests of the rate limit, the buffer and the drop counts of log lines."""
 
+import errno
 import json
 import os
 
 from nutmegdeal.log_writer import (
     BUFFER_BYTES_MAX,
+    FAILED_WRITES,
     LINES_PER_EVENT_PER_S,
     LogRateLimiter,
     NonBlockingLogWriter,
@@ -47,6 +49,25 @@
     assert lines[-1] == {"event": "log_lines_left_out", "counts": {"flood": 3}}
 
 
+def test_failed_writes_are_counted_in_a_log_line(monkeypatch):
+    reader, writer = make_pipe()
+    log_writer = NonBlockingLogWriter(writer, LogRateLimiter(lambda: 0.0))
+    log_writer.msg('{"event": "x"}')
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", fail_to_write)
+        log_writer.flush()
+    log_writer.flush()
+    counts = {FAILED_WRITES: 1}
+    assert read_lines(reader) == [
+        {"event": "x"},
+        {"event": "log_lines_left_out", "counts": counts},
+    ]
+
+
+def fail_to_write(_descriptor, _data):
+    raise OSError(errno.ENOSPC, "no space")
+
+
 def test_stalled_reader_does_not_block_logging():
     reader, writer = make_pipe()
     log_writer = NonBlockingLogWriter(writer, LogRateLimiter(lambda: 0.0))
