Soak: late orders, engines that restart under a new id, and unsent requests

An engine now leaves up to five loads unanswered, restarts in half of the cases, and executes each order at the moment at which it is valid.

Counts in the soak seldom come to the same number again.

--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -185,10 +185,14 @@
         self.has_model = False
 
     def execute_delayed_orders(self):
-        """Execute the orders that got no answer, if they are still valid."""
+        """Execute the orders that got no answer and are valid now.
+
+        The others stay delayed: they may become valid in a later incarnation.
+        """
         delayed, self.delayed_orders = self.delayed_orders, []
         for target_id, order in delayed:
-            self._execute_order(target_id, order)
+            if self._execute_order(target_id, order) not in (200, 202):
+                self.delayed_orders.append((target_id, order))
 
     def _registration_fields(self):
         names = [f"{name}@{version}" for name, version in self.adapters.items()]
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -16,6 +16,9 @@
 ENDED_POLL_S = 0.1
 FAULT_INTERVAL_S = (0.05, 1.2)
 FAULT_DURATION_S = (0.3, 3.0)
+# Orders in a row that an engine leaves unanswered.
+DELAYED_ORDERS_MAX = 5
+DELAYED_ORDER_POLL_S = 0.002
 LINK_MODES = (
     ProxyMode.DELAY,
     ProxyMode.SILENT,
@@ -62,6 +65,7 @@
         self._site = site
         self._random = random.Random(seed)
         self._running = []
+        self._restart_count = 0
         self._actions = (
             ("kill", self._kill, False),
             ("pause", self._pause, False),
@@ -72,6 +76,7 @@
             ("placer_link", self._break_placer_link, False),
             ("reset", self._reset_links, False),
             ("engine_restart", self._restart_engine, False),
+            ("late_orders", self._delay_orders, False),
             ("configuration", self._change_configuration, True),
             ("version", self._increment_version, True),
             ("drain", self._drain_server, True),
@@ -156,8 +161,36 @@
 
     def _restart_engine(self, _duration_s):
         engine = self._random.choice(self._site.engines)
-        engine.restart()
-        self._site.register(engine)
+        # A placer that has restarted does not know the delayed orders, and could not
+        # prevent their execution under the same id.
+        if self._random.random() < 0.5 and not engine.delayed_orders:
+            self._site.restart_engine(engine, engine.backend_id)
+        else:
+            self._restart_under_new_id(engine)
+        return engine.backend_id
+
+    def _restart_under_new_id(self, engine):
+        self._restart_count += 1
+        name = engine.backend_id.partition("#")[0]
+        self._site.restart_engine(engine, f"{name}#{self._restart_count}")
+
+    def _delay_orders(self, duration_s):
+        engine = self._random.choice(self._site.engines)
+        is_restarted = self._random.random() < 0.5
+        if is_restarted:
+            # Both incarnations then have low order counts.
+            self._restart_under_new_id(engine)
+        engine.unanswered_pending += self._random.randint(1, DELAYED_ORDERS_MAX)
+        gevent.sleep(duration_s)
+        engine.unanswered_pending = 0
+        if is_restarted:
+            self._restart_under_new_id(engine)
+        # Each order is executed at the moment at which it is valid.
+        end_s = time.monotonic() + duration_s
+        while time.monotonic() < end_s:
+            engine.execute_delayed_orders()
+            gevent.sleep(DELAYED_ORDER_POLL_S)
+        engine.delayed_orders.clear()
         return engine.backend_id
 
     def _change_configuration(self, _duration_s):
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -22,6 +22,8 @@
     ----------
     seed : int
     request_count, completed_count, fault_count : int
+    unsent_count : int
+        Requests for which no connection to a gateway could be opened.
     violations : tuple of str
     """
 
@@ -29,6 +31,7 @@
     request_count: int
     completed_count: int
     fault_count: int
+    unsent_count: int
     violations: tuple[str, ...]
 
 
@@ -64,9 +67,15 @@
         violations += find_violations(records, fault_injector.records, site)
     finally:
         site.close()
-    completed = sum(item.status_code == 200 and bool(item.body) for item in records)
     return SoakResult(
-        seed, len(records), completed, len(fault_injector.records), tuple(violations)
+        seed=seed,
+        request_count=len(records),
+        completed_count=sum(
+            item.status_code == 200 and bool(item.body) for item in records
+        ),
+        fault_count=len(fault_injector.records),
+        unsent_count=sum(not item.was_sent for item in records),
+        violations=tuple(violations),
     )
 
 
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -169,6 +169,13 @@
         row["address"] = f"{host}:{port}"
         self.store.put("servers", backend.backend_id, json.dumps(row).encode())
 
+    def restart_engine(self, engine, backend_id):
+        """Restart an engine under an id, which may be its present one."""
+        self.store.remove("servers", engine.backend_id)
+        self.proxies[backend_id] = self.proxies.pop(engine.backend_id)
+        engine.restart(backend_id)
+        self.register(engine)
+
     def put_configuration(self):
         """Store the configuration of the operator with the next version number."""
         self.configuration_version += 1
