Explanations: no crash if the ledger cannot be read and no agent is known

Cause: the row was compared without a check that it is one; a Failure has no attempt. The explanation now says that it is not known.

--- a/nutmegdeal/explanations.py
+++ b/nutmegdeal/explanations.py
@@ -218,7 +218,7 @@
         return agent_events[0].incarnation
     if submitted is not None:
         return submitted.peer_incarnation
-    if ledger_row is not None and ledger_row.attempt_id == attempt_id:
+    if isinstance(ledger_row, LedgerRow) and ledger_row.attempt_id == attempt_id:
         return ledger_row.agent_incarnation
     return ""
 
--- a/nutmegdeal/tests/test_explanations.py
+++ b/nutmegdeal/tests/test_explanations.py
@@ -7,7 +7,7 @@
 from nutmegdeal import explanation_text, explanations
 from nutmegdeal.account_reader import AccountReader
 from nutmegdeal.accounts import Outcome
-from nutmegdeal.errors import Step
+from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.evidence import (
     FATES_BY_VALUE,
     NO_END_UNIX_MS,
@@ -217,3 +217,14 @@
     explanation = explanations.explain("e1-1", events, coverages, None, NOW_UNIX_MS)
     assert {unknown.incarnation for unknown in explanation.unknowns} == {"e1", "a1"}
     assert explanation.ran is Ran.UNKNOWN
+
+
+def test_unreadable_ledger_leaves_an_attempt_without_a_known_agent_unknown():
+    event = build_event(
+        incarnation=ENTRY, attempt_id=f"{REQUEST_ID}.1", request_id=REQUEST_ID
+    )
+    failure = Failure(Reason.STORE_UNAVAILABLE, Step.LEDGER, "table", "no answer")
+    explanation = explanations.explain(REQUEST_ID, [event], [], failure, NOW_UNIX_MS)
+    (attempt,) = explanation.attempts
+    assert (attempt.incarnation, attempt.ran) == ("", Ran.UNKNOWN)
+    assert explanation.ledger_failure == failure
