Losses: no crash on a late answer without a first part

Cause: the time to the first part was replaced by that of the whole answer in the comparison, but not in the calculation of the cause.

--- a/nutmegdeal/request_losses.py
+++ b/nutmegdeal/request_losses.py
@@ -82,20 +82,23 @@
     """Return the Cause for the fields of a ``request_ended`` line, None if in time."""
     if fields["end"] != "completed":
         return _CAUSE_OF_END[fields["end"]]
-    if (fields["first_ms"] or fields["whole_ms"]) > fields["target_ms"]:
-        return _find_cause_of_delay(fields)
+    first_ms = fields["first_ms"]
+    if first_ms is None:
+        first_ms = fields["whole_ms"]
+    if first_ms > fields["target_ms"]:
+        return _find_cause_of_delay(fields, first_ms)
     if fields["gap_target_ms"] and fields["gap_ms"] > fields["gap_target_ms"]:
         return Cause.EVENT_GAP
     return None
 
 
-def _find_cause_of_delay(fields):
+def _find_cause_of_delay(fields, first_ms):
     if fields["sent"] > 1:
         return Cause.FAILING_SERVER
     durations_ms = {
         Cause.ADAPTER: fields["waited_ms"],
         Cause.PACING: fields["paced_ms"],
-        Cause.ENGINE: fields["first_ms"] - fields["waited_ms"] - fields["paced_ms"],
+        Cause.ENGINE: first_ms - fields["waited_ms"] - fields["paced_ms"],
     }
     return max(durations_ms, key=durations_ms.get)
 
