--- a/nutmegdeal/request_log.py
+++ b/nutmegdeal/request_log.py
@@ -1,5 +1,6 @@
 """Summary of one request, read from the log lines of gateways and placers."""
 
+import datetime
 import json
 
 import attrs
@@ -127,13 +128,13 @@
     processes = {line.process for line in request_lines}
     backends = {line.fields.get("backend") for line in request_lines} - {None}
     first_s, last_s = (
-        _seconds_of_day(request_lines[0]) - CONTEXT_BEFORE_S,
-        _seconds_of_day(request_lines[-1]),
+        _unix_seconds(request_lines[0]) - CONTEXT_BEFORE_S,
+        _unix_seconds(request_lines[-1]),
     )
     for line in lines:
         if (
             line.event not in CONTEXT_EVENTS
-            or not first_s <= _seconds_of_day(line) <= last_s
+            or not first_s <= _unix_seconds(line) <= last_s
         ):
             continue
         if line.process in processes and (
@@ -142,10 +143,9 @@
             yield line
 
 
-def _seconds_of_day(line):
-    """Return the time of day of a line in s; the date is ignored."""
-    hours, minutes, seconds = line.timestamp[11:].rstrip("Z").split(":")
-    return int(hours) * 3_600 + int(minutes) * 60 + float(seconds)
+def _unix_seconds(line):
+    """Return the timestamp of a line in s since 1970."""
+    return datetime.datetime.fromisoformat(line.timestamp).timestamp()
 
 
 def _find_unknowns(request_lines, lines):
--- a/nutmegdeal/tests/test_request_log.py
+++ b/nutmegdeal/tests/test_request_log.py
@@ -49,6 +49,25 @@
     assert "broken off" in "\n".join(describe(summary))
 
 
+def test_lines_of_another_day_are_no_context():
+    texts = [
+        line(1, "backend_left", backend="e-1").replace("12-04", "12-03"),
+        line(1, "backend_chosen", request="q-1", backend="e-1"),
+        line(2, "request_ended", request="q-1", end="cut"),
+    ]
+    assert summarize_request_log("q-1", texts).context == ()
+
+
+def test_context_before_midnight_belongs_to_a_request_after_it():
+    left = line(59, "backend_left", backend="e-1")
+    chosen = line(1, "backend_chosen", request="q-1", backend="e-1")
+    texts = [
+        left.replace("12-04T10:00", "12-03T23:59"),
+        chosen.replace("T10:00", "T00:00"),
+    ]
+    assert len(summarize_request_log("q-1", texts).context) == 1
+
+
 def test_refused_request_shows_the_store_outage():
     texts = [
         line(1, "store_lost", table="op", failure="HTTP 503"),
