--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -220,7 +220,9 @@
             **self._registration_fields(),
             "busy": False,
             "waiting": 0,
-            "running": sum(self.runs.values()) - sum(self.completed.values()),
+            "running": (
+                self.runs.total() - self.completed.total() - self.cancelled.total()
+            ),
             "kv_used": 0,
             "kv_total": 1_000,
             "pending": [f"{self.model}/{n}@{v}" for n, v in self.pending.items()],
--- a/nutmegdeal/tests/test_platform_site.py
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -267,7 +267,8 @@
     wait_until(lambda: any(e.adapters.get("a1") == 2 for e in site.engines))
 
 
-def test_caller_that_disconnects_cancels_its_run(site):
+def cancel_run(site):
+    """Disconnect while a request runs, and wait until its run is cancelled."""
     assert site.call("/chat/1", "q-0")[0] == 200
     connection = ClientConnection(site.address)
     greenlet = gevent.spawn(site.exchange, connection, "/chat/1", "q-1")
@@ -277,6 +278,16 @@
     wait_until(lambda: sum(engine.cancelled["q-1"] for engine in site.engines))
 
 
+def test_caller_that_disconnects_cancels_its_run(site):
+    cancel_run(site)
+
+
+def test_cancelled_run_is_not_reported_as_running(site):
+    cancel_run(site)
+    for placer in site.placers:
+        wait_until(lambda placer=placer: placer._planner.report.running_count == 0)
+
+
 def test_drain_finishes_requests_and_closes_idle_connections(site):
     connection = ClientConnection(site.address)
     assert site.exchange(connection, "/book/1", "q-0")[0] == 200
