Agent: refusals under a claim give the reason that applies

Cause: one condition for both, and a fixed reason in each place. Both tests failed before with the other reason.

--- a/nutmegdeal/agent/claims.py
+++ b/nutmegdeal/agent/claims.py
@@ -59,10 +59,9 @@
             self._replay(attempt, claim.row)
             return
         self._events.add_event(attempt.submit, Step.LEDGER, Outcome.CLAIMED)
-        if self._is_cancelled_or_late(attempt):
-            failure = Failure(
-                Reason.CANCELLED, Step.LEDGER, self._board.agent_id, "not sent"
-            )
+        stop_reason = self._find_stop_reason(attempt)
+        if stop_reason is not None:
+            failure = self._failure(stop_reason, "not sent")
             self._attempt_finalizer.refuse(attempt, failure)
             self._record(attempt, claim, LedgerState.NOT_RUN)
             return
@@ -74,9 +73,13 @@
             submit = attempt.submit
             self._retry_until_expiry(submit, lambda: self._ledger.withdraw(submit))
 
-    def _is_cancelled_or_late(self, attempt):
-        is_late = self._clock.monotonic_ms() >= attempt.deadline_ms
-        return attempt.is_cancelled or is_late
+    def _find_stop_reason(self, attempt):
+        """Return the Reason for which an attempt must not go on, or None."""
+        if attempt.is_cancelled:
+            return Reason.CANCELLED
+        if self._clock.monotonic_ms() >= attempt.deadline_ms:
+            return Reason.DEADLINE_PASSED
+        return None
 
     def _send(self, attempt, claim):
         attempt.state = AttemptState.DISPATCHED
@@ -184,14 +187,15 @@
         return Failure(reason, Step.LEDGER, self._board.agent_id, detail)
 
     def _await_outcome(self, attempt, row):
-        """Return the LedgerRow with an outcome, or a Failure at the deadline."""
+        """Return the LedgerRow with an outcome, or a Failure if the wait ends."""
         pause_ms = OUTCOME_POLL_FIRST_MS
         while True:
             if row is not None and row.state is not LedgerState.DISPATCHED:
                 return row
-            if self._is_cancelled_or_late(attempt):
+            stop_reason = self._find_stop_reason(attempt)
+            if stop_reason is not None:
                 return self._failure(
-                    Reason.DEADLINE_PASSED, "another attempt's outcome is not known"
+                    stop_reason, "another attempt's outcome is not known"
                 )
             remaining_ms = attempt.deadline_ms - self._clock.monotonic_ms()
             gevent.sleep(min(pause_ms, max(remaining_ms, 0.0)) / 1000)
--- a/nutmegdeal/tests/test_agent_claims.py
+++ b/nutmegdeal/tests/test_agent_claims.py
@@ -8,6 +8,8 @@
 import pytest
 from gevent.event import Event
 
+from nutmegdeal.accounts import Outcome
+from nutmegdeal.agent.claims import OUTCOME_POLL_FIRST_MS
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.messages import AnswerEnd, Fate
 from nutmegdeal.tests.agent_harness import ScriptedService, build_harness
@@ -94,6 +96,34 @@
     assert harness.backend.ran == []
 
 
+def test_deadline_that_passes_after_the_claim_is_refused_as_late(monkeypatch):
+    harness = build_booking_harness()
+    record = harness.recorder.record
+
+    def record_late(event):
+        record(event)
+        if event.outcome == Outcome.CLAIMED.value:
+            deadline_unix_ms = build_booking().deadline_unix_ms
+            harness.clock.advance(deadline_unix_ms - harness.clock.unix_ms())
+
+    monkeypatch.setattr(harness.recorder, "record", record_late)
+    harness.submit(build_booking())
+    ended = harness.session.last()
+    assert (ended.fate, ended.reason) == (Fate.NOT_RUN, Reason.DEADLINE_PASSED)
+    assert harness.backend.ran == []
+
+
+def test_repeat_that_is_cancelled_while_it_waits_ends_as_cancelled():
+    harness = build_booking_harness(gate=Event())
+    harness.submit(build_booking())
+    harness.submit(repeat_of(build_booking()))
+    harness.agent.streams.cancel("r-2.1")
+    gevent.sleep(2 * OUTCOME_POLL_FIRST_MS / 1000)
+    harness.settle()
+    ended = harness.session.last("r-2.1")
+    assert (ended.fate, ended.reason) == (Fate.IN_DOUBT, Reason.CANCELLED)
+
+
 def test_answer_after_its_entry_has_gone_is_still_recorded():
     harness = build_booking_harness(gate=Event())
     harness.submit(build_booking())
