--- a/nutmegdeal/ledger_sweep.py
+++ b/nutmegdeal/ledger_sweep.py
@@ -52,17 +52,33 @@
     return SweepResult(next_after, len(expired) if is_written else 0)
 
 
+@attrs.frozen
+class SweepTotal:
+    """Result of a whole sweep.
+
+    Parameters
+    ----------
+    deleted_count : int
+        Rows that were deleted for certain.
+    failure : Failure or None
+        Why the sweep stopped before its end; rows of its last step may be deleted too.
+    """
+
+    deleted_count: int
+    failure: Failure | None = None
+
+
 def sweep_all(table, clock, skew_ms):
-    """Delete all expired rows; return their number (int), or a Failure."""
+    """Delete all expired rows; return a SweepTotal."""
     deleted_count, after = 0, ""
     while True:
         result = sweep_expired(table, clock, skew_ms, after)
         if isinstance(result, Failure):
-            return result
+            return SweepTotal(deleted_count, result)
         deleted_count += result.deleted_count
         after = result.after
         if not after:
-            return deleted_count
+            return SweepTotal(deleted_count)
 
 
 def _expiry_unix_ms(row):
--- a/nutmegdeal/tests/test_ledger_bench.py
+++ b/nutmegdeal/tests/test_ledger_bench.py
@@ -6,9 +6,16 @@
 from nutmegdeal.bench import generations, leases, ledger
 from nutmegdeal.clock import ManualClock
 from nutmegdeal.configuration import Fencing
+from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.fakes.memory import MemoryTable
 from nutmegdeal.ledger import TableLedger
-from nutmegdeal.ledger_sweep import LATE_WRITE_MS, SWEEP_ROWS_MAX, sweep_expired
+from nutmegdeal.ledger_sweep import (
+    LATE_WRITE_MS,
+    SWEEP_ROWS_MAX,
+    SweepTotal,
+    sweep_all,
+    sweep_expired,
+)
 from nutmegdeal.tests.builders import build_booking
 
 SKEW_MS = 500
@@ -69,6 +76,19 @@
     assert not table.rows
 
 
+def test_sweep_that_stops_tells_how_many_rows_it_deleted(table, clock, monkeypatch):
+    write_rows(table, clock, SWEEP_ROWS_MAX + 1)
+    clock.advance(10 * LATE_WRITE_MS)
+    failure = Failure(Reason.STORE_UNAVAILABLE, Step.LEDGER, "table", "no answer")
+    scan = table.scan
+    monkeypatch.setattr(
+        table,
+        "scan",
+        lambda prefix, after, limit: failure if after else scan(prefix, after, limit),
+    )
+    assert sweep_all(table, clock, SKEW_MS) == SweepTotal(SWEEP_ROWS_MAX, failure)
+
+
 def test_sweep_continues_where_it_stopped_and_skips_unreadable_rows(table, clock):
     write_rows(table, clock, SWEEP_ROWS_MAX + 5)
     broken = min(table.rows)
--- a/nutmegdeal/tools/ctl.py
+++ b/nutmegdeal/tools/ctl.py
@@ -35,8 +35,8 @@
 EXIT_CODES_HELP = (
     "Exit codes: 0 done; 2 wrong command line or invalid input file; 3 another "
     "configuration was accepted first; 4 the platform or a process could not be read "
-    "or written, nothing changed; 5 it is not known whether the configuration was "
-    "accepted; 6 nothing is recorded about the request."
+    "or written, nothing changed except by a sweep that stopped; 5 it is not known "
+    "whether the configuration was accepted; 6 nothing is recorded about the request."
 )
 PLATFORM_KEYS = ("platform.table_url", "platform.objects_url", "platform.hosts_url")
 
@@ -310,14 +310,14 @@
     loaded_settings = _exit_if_invalid(settings_module.load(settings, PLATFORM_KEYS))
     platform = loaded_settings.platform
     table = HttpTableService(platform.table_url, platform.call_within_ms)
-    deleted = ledger_sweep.sweep_all(
+    total = ledger_sweep.sweep_all(
         table, SystemClock(), loaded_settings.agent.clock_skew_ms
     )
-    if isinstance(deleted, Failure):
+    print(f"deleted {total.deleted_count} expired rows")
+    if total.failure is not None:
         _exit_with_error(
-            ExitCode.UNAVAILABLE, f"stopped, some rows may remain: {deleted}"
+            ExitCode.UNAVAILABLE, f"stopped, some rows may remain: {total.failure}"
         )
-    print(f"deleted {deleted} expired rows")
 
 
 def _print_result(content, describe, as_json):
