Tests: bookings are held until the test has seen them run

Cause: it waited for four bookings of 400 ms that run at once, and a stall of its own process of more than that let all of them end before the first look. The same holds for its neighbour. Bookings now wait at the stand-in until the test releases them; both tests check as before, and the agent is now always killed or paused while at least as many run.

--- a/nutmegdeal/fakes/plain.py
+++ b/nutmegdeal/fakes/plain.py
@@ -19,6 +19,8 @@
 )
 from nutmegdeal.identifiers import body_digest
 
+HOLD_POLL_MS = 10.0
+
 
 @attrs.define
 class PlainFaults:
@@ -26,6 +28,8 @@
 
     Parameters
     ----------
+    holds_calls : bool
+        Calls wait before their effect until this is false again.
     slow_ms : float
         Time from the start of a call to its effect.
     slow_answer_ms : float
@@ -42,6 +46,7 @@
         A call has its effect, but gets 500.
     """
 
+    holds_calls: bool = False
     slow_ms: float = 0.0
     slow_answer_ms: float = 0.0
     not_run: FaultTrigger = attrs.field(factory=FaultTrigger)
@@ -82,6 +87,8 @@
             return abort_request(request)
         digest = body_digest(request.body.read())
         run = self._begin_run(request, digest)
+        while self.faults.holds_calls:
+            gevent.sleep(HOLD_POLL_MS / 1000)
         gevent.sleep(self.faults.slow_ms / 1000)
         run.end(Outcome.COMPLETED)
         gevent.sleep(self.faults.slow_answer_ms / 1000)
--- a/nutmegdeal/tests/test_site_agents.py
+++ b/nutmegdeal/tests/test_site_agents.py
@@ -24,22 +24,27 @@
 
 
 @pytest.fixture
-def slow_bookings(site):
-    """Make each booking take 400 ms at the backend server."""
-    for host in hosts_of(site, PLAIN):
-        host.stand_in.set_faults(slow_ms=400)
-    yield
+def held_bookings(site):
+    """Hold bookings at the backend servers; return a function that releases them."""
+
+    def release():
+        for host in hosts_of(site, PLAIN):
+            host.stand_in.set_faults()
+
     for host in hosts_of(site, PLAIN):
-        host.stand_in.set_faults()
+        host.stand_in.set_faults(holds_calls=True)
+    yield release
+    release()
 
 
 @pytest.mark.promise(5)
-def test_bookings_run_at_most_once_when_their_agent_is_killed(site, slow_bookings):
+def test_bookings_run_at_most_once_when_their_agent_is_killed(site, held_bookings):
     load = RequestLoad(site, answer_within_ms=BOOKING_TIMEOUT_MS)
     load.start_bookings(12)
     load.wait_until_running(4)
     killed_host = hosts_of(site, PLAIN)[0]
     killed_host.agent.kill()
+    held_bookings()
     fates = collections.Counter(assert_calls_correct(site, load.finish()))
     site.restart_agent(killed_host)
     site.wait_until_ready()
@@ -49,13 +54,14 @@
 @pytest.mark.promise(4)
 @pytest.mark.promise(5)
 def test_a_paused_agent_runs_no_request_that_was_reported_as_not_run(
-    site, slow_bookings
+    site, held_bookings
 ):
     paused_host = hosts_of(site, PLAIN)[1]
     load = RequestLoad(site, answer_within_ms=BOOKING_TIMEOUT_MS)
     load.start_bookings(6)
     load.wait_until_running(2)
     paused_host.agent.send_signal(signal.SIGSTOP)
+    held_bookings()
     load.start_bookings(6)
     calls = load.finish()
     paused_host.agent.send_signal(signal.SIGCONT)
