Benchmarks: the ledger's percentiles are the nearest rank, as in the others

Cause: a function of its own. It now uses that of the path benchmark, moved to bench/quantiles.py. Figures of earlier runs of the ledger benchmark were one rank too high; none was run again. policy_metrics keeps its function of sorted values and a fraction.

--- a/nutmegdeal/bench/ledger.py
+++ b/nutmegdeal/bench/ledger.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from nutmegdeal.bench.quantiles import percentile
 from nutmegdeal.bench.simulated_time import LimitedTable, SimulatedResult, Simulation
 from nutmegdeal.ledger import LedgerAnswer, LedgerState, MayDispatch, TableLedger
 from nutmegdeal.ledger_rules import FinishRule, ledger_key
@@ -135,9 +136,9 @@
             request_count=count,
             transactions_per_request=self._table.transaction_count / count,
             rows_per_request=self._table.row_count / count,
-            added_p50_ms=_percentile(self._added_ms, 50),
-            added_p99_ms=_percentile(self._added_ms, 99),
-            unrecorded_p99_ms=_percentile(self._unrecorded_ms, 99),
+            added_p50_ms=percentile(self._added_ms, 50),
+            added_p99_ms=percentile(self._added_ms, 99),
+            unrecorded_p99_ms=percentile(self._unrecorded_ms, 99),
         )
 
     def _build_submit(self, number, at_ms):
@@ -207,11 +208,6 @@
     return Write(key, encode_record(rule.outcome), claim.version)
 
 
-def _percentile(values, percent):
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
-
-
 def measure_ledger_costs(load):
     """Return the LedgerCost of each strategy under a LedgerLoad (tuple)."""
     return tuple(LedgerBench(strategy, load).run() for strategy in STRATEGIES)
--- a/nutmegdeal/bench/request_path.py
+++ b/nutmegdeal/bench/request_path.py
@@ -15,6 +15,8 @@
 import gevent.pool
 import urllib3
 
+from nutmegdeal.bench.quantiles import percentile
+
 IDLE_CONNECTIONS_MAX = 512
 ANSWER_TIMEOUT_S = 60
 READ_BYTES = 65_536
@@ -117,15 +119,6 @@
     agent_rss_mb: float
 
 
-def percentile(values, percent):
-    """Return the nearest-rank percentile of a sequence of numbers, 0.0 if empty."""
-    if not values:
-        return 0.0
-    ordered = sorted(values)
-    index = max(0, -(-len(ordered) * percent // 100) - 1)
-    return ordered[int(index)]
-
-
 def summarize_times(values):
     """Return the Spread of a sequence of times in ms."""
     return Spread(*(round(percentile(values, each), 2) for each in PERCENTILES))
--- a/nutmegdeal/tests/test_ledger_bench.py
+++ b/nutmegdeal/tests/test_ledger_bench.py
@@ -4,6 +4,7 @@
 import pytest
 
 from nutmegdeal.bench import generations, leases, ledger
+from nutmegdeal.bench.quantiles import percentile
 from nutmegdeal.clock import ManualClock
 from nutmegdeal.configuration import Fencing
 from nutmegdeal.errors import Failure, Reason, Step
@@ -32,6 +33,14 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("values", "percent", "expected"),
+    [([4, 1, 3, 2], 50, 2), (range(1, 101), 99, 99), ([7], 99, 7), ([], 50, 0.0)],
+)
+def test_percentile_is_the_nearest_rank(values, percent, expected):
+    assert percentile(values, percent) == expected
+
+
 def test_leases_are_renewed_only_if_engines_ignore_fencing():
     checked = leases.measure_lease_cost(60_000, 100, Fencing.CHECKED, duration_s=600.0)
     ignored = leases.measure_lease_cost(60_000, 100, Fencing.IGNORED, duration_s=600.0)
