--- a/nutmegdeal/tests/conftest.py
+++ b/nutmegdeal/tests/conftest.py
@@ -5,17 +5,12 @@
 
 import pytest
 from hypothesis import settings
-from hypothesis.internal.conjecture import providers
 
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.tests.process_site import Site
 
 KNUSEPOOL = pathlib.Path(__file__).parents[2] / "examples/knusepool/questionnaire.ini"
 
-# Hypothesis also draws constants of the loaded local modules, so that examples would
-# depend on which test files are collected. It has no public setting for this.
-providers._get_local_constants = lambda: providers._local_constants
-
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 settings.register_profile("search", deadline=None, max_examples=2_000, print_blob=True)
 settings.load_profile(os.environ.get("NUTMEGDEAL_PROFILE", "ci"))
