Placer: do not wait for an instance id that no gateway can match

What callers would see: no adapter of an engine is loaded if its registration has no start time. Cause, found on reading the diff: the placer waited for the id if any gateway had sent one, but without the start time it never matches a report. It now waits only for gateways that sent a start time. The second case of the test failed before. Beside it: the log of restarts in guard clauses, and the reason for the next count.

--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -108,11 +108,15 @@
     def _awaits_engine_id(self):
         """Return whether a gateway will send the id of the present instance.
 
-        Gateways of an earlier release do not send it.
+        Gateways of an earlier release do not send it, and some registrations do not
+        contain the start time.
         """
         if self.engine_id or not self.report.started_unix_ms:
             return False
-        return any(limits.backend_id for limits in self._limits_by_session.values())
+        return any(
+            limits.backend_started_unix_ms
+            for limits in self._limits_by_session.values()
+        )
 
     def add_demand(self, session, adapter, demand):
         """Set the demand of a session's gateway for an adapter."""
@@ -184,6 +188,7 @@
             return self._order_model(now_ms)
         if self._awaits_engine_id:
             return None
+        # At the present count the engine executes only one order, this or a late one.
         late_loads = self._unanswered.count_late_loads(
             self.report.order_count + 1, self.engine_id
         )
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -207,18 +207,17 @@
     def _log_changes(self, report):
         """Log a restart of the engine, and orders that it has executed late."""
         started = report.started_unix_ms
-        if started != self._started_unix_ms:
-            if self._started_unix_ms is not None:
-                logger.warning(
-                    "engine_restarted",
-                    started=started,
-                    unanswered=self._planner.unanswered_count,
-                )
-            # A restarted engine counts from 0. What an engine had accepted before
-            # this process started is not known.
-            is_known = self._started_unix_ms is not None
-            self._known_order_count = 0 if is_known else report.order_count
-            self._started_unix_ms = started
+        if self._started_unix_ms is None:
+            # What the engine had accepted before this process started is not known.
+            self._known_order_count = report.order_count
+        elif started != self._started_unix_ms:
+            logger.warning(
+                "engine_restarted",
+                started=started,
+                unanswered=self._planner.unanswered_count,
+            )
+            self._known_order_count = 0
+        self._started_unix_ms = started
         if report.order_count > self._known_order_count:
             logger.warning(
                 "orders_executed_late",
--- a/nutmegdeal/tests/test_placer_planning.py
+++ b/nutmegdeal/tests/test_placer_planning.py
@@ -293,7 +293,13 @@
     assert planner.next_order(20.0).target_id == "i-2"
 
 
-def test_gateways_that_send_no_id_get_their_adapters():
+@pytest.mark.parametrize(
+    "limits",
+    [EngineLimits("model", SLOTS), EngineLimits("model", SLOTS, 0.0, "i-1", 0)],
+    ids=["no_id", "no_start_time"],
+)
+def test_gateways_that_do_not_know_the_instance_get_their_adapters(limits):
     planner = build_planner()
+    planner.apply_limits("s", limits)
     add_demand(planner, "a1")
     assert planner.next_order(0.0).target_id == ""
