Lease tests: the early takeover is played step by step instead of searched for

The same machine and assertion now see a takeover while the previous holder, whose clock is behind, sends an order: the correct lease waits, the faulty version is detected in each run. It replaces the searched case; the correct lease is still searched under both kinds of fencing, as are the five other faulty versions.

--- a/nutmegdeal/tests/test_leases_safety.py
+++ b/nutmegdeal/tests/test_leases_safety.py
@@ -247,7 +247,6 @@
 FAULTY_VERSION_SETTINGS = faulty_version_settings(3_000)
 FAULTY_VERSIONS = (
     (TakesOverAtOnce, Fencing.IGNORED),
-    (TakesOverAtTheDeadline, Fencing.IGNORED),
     (CountsDeadlineFromTheAnswer, Fencing.IGNORED),
     (IgnoresItsDeadline, Fencing.IGNORED),
     (AssumesLostRenewalsSucceeded, Fencing.IGNORED),
@@ -274,3 +273,28 @@
     with pytest.raises(AssertionError):
         machine = build_machine(naive_class, fencing, agent_max=2)
         run_state_machine_as_test(machine, settings=FAULTY_VERSION_SETTINGS)
+
+
+def take_over_during_an_order(lease_class):
+    """Take over while the previous holder, whose clock is behind, sends an order."""
+    machine = build_machine(lease_class, Fencing.IGNORED)()
+    machine.start()
+    machine.run_to_next_point(0, CallOutcome.ANSWERED)
+    machine.order(0)
+    # The clocks differ by SKEW_MS, so the successor sees the deadline that much sooner.
+    machine.wait(TERM_MS - SKEW_MS - 1)
+    machine.wake_idle_agent(0)
+    machine.run_to_next_point(0, CallOutcome.REFUSED)
+    machine.wait(1)
+    machine.start()
+    machine.run_to_next_point(0, CallOutcome.ANSWERED)
+    for index in reversed(range(len(machine._list_actors_at("send")))):
+        machine.order(index)
+    return machine
+
+
+@pytest.mark.promise(2)
+def test_takeover_waits_for_margin_and_clock_skew():
+    assert take_over_during_an_order(TableLease).engine.acquired_count == 1
+    with pytest.raises(AssertionError):
+        take_over_during_an_order(TakesOverAtTheDeadline)
