--- a/nutmegdeal/tests/test_placer_planning.py
+++ b/nutmegdeal/tests/test_placer_planning.py
@@ -146,18 +146,21 @@
         else:
             self.resident = {n for n in self.resident if not is_of(n, order.adapter)}
 
-    def send_next_order(self, is_executed, is_answered, is_delayed):
-        """Let the planner send an order; return whether there was one."""
+    def send_next_order(self, is_executed=True, is_answered=True):
+        """Let the planner send an order; return whether there was one.
+
+        An order that is not executed at once is delayed.
+        """
         self.read_report()
         self.planner.remove_ended_demands(self.now_ms)
         order = self.planner.next_order(self.now_ms)
         if order is None:
             return False
         expected = self.planner.report.order_count
-        if is_delayed:
-            self.delayed.append((order, expected, self.now_ms + UNANSWERED_ORDER_MS))
         if is_executed:
             self.execute(order, expected)
+        else:
+            self.delayed.append((order, expected, self.now_ms + UNANSWERED_ORDER_MS))
         if not is_answered:
             self.planner.record_unanswered(order, self.now_ms)
         return True
@@ -170,17 +173,17 @@
     def answer_orders(self):
         for _ in range(2 * SLOTS):
             self.now_ms += MIN_RESIDENCE_MS
-            if not self.send_next_order(True, True, False):
+            if not self.send_next_order():
                 break
             self.finish_loads()
 
     @rule()
     def lose_an_answer(self):
-        self.send_next_order(True, False, False)
+        self.send_next_order(is_answered=False)
 
     @rule()
     def delay_an_order(self):
-        self.send_next_order(False, False, True)
+        self.send_next_order(is_executed=False, is_answered=False)
 
     @precondition(lambda self: self.delayed)
     @rule(data=st.data())
@@ -256,7 +259,7 @@
         machine.demand_adapter(adapter, 0)
     machine.answer_orders()
     machine.demand_adapter(ADAPTERS[SLOTS], 0)
-    machine.send_next_order(True, True, False)
+    machine.send_next_order()
     machine.delay_an_order()
     machine.planner.remove_demand("s", ADAPTERS[SLOTS])
     restart(machine)
