--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -12,11 +12,15 @@
 
 logger = get_logger(__name__)
 
+# Backoff after failed calls; each call is charged.
+RETRY_INITIAL_MS = 100.0
+RETRY_MAX_MS = 800.0
+RETRY_JITTER = 0.3
 # Time for a connection and an answer of a busy store.
 ANSWER_MS = 170.0
 # Time between the end of a call's wait and a renewed read after its answer was lost:
 # the timeout margin of the call, the pause after the first failed call, and ANSWER_MS.
-LOSS_DETECTION_MS = FEED_MARGIN_MS + 130.0 + ANSWER_MS
+LOSS_DETECTION_MS = FEED_MARGIN_MS + RETRY_INITIAL_MS * (1 + RETRY_JITTER) + ANSWER_MS
 # Least time that a call waits for changes, whatever the bounds: calls are charged.
 FEED_WAIT_MIN_MS = 500.0
 # Pause after an answer with changes, so that the next call returns several of them.
@@ -25,10 +29,6 @@
 # a leaving server must stop. The servers' heartbeats change their table all the time,
 # and each call is charged.
 BACKENDS_PAUSE_SHARE = 0.4
-# Backoff after failed calls; each call is charged.
-RETRY_INITIAL_MS = 100.0
-RETRY_MAX_MS = 800.0
-RETRY_JITTER = 0.3
 
 
 class TableWatcher(abc.ABC):
