Gateway: follow a store that returns from a copy, and servers that leave or pause

The store may return from a copy some seconds old, its era rises and versions are given out again. A server that leaves says so in all its answers. A server that refuses with 503 may add a Retry-After, during which it wants nothing from that machine.

A whole read with a lower version was dropped as stale, so a watcher read the table again and again until the counter had passed the old mark, and a feed resumed at a version given out again skipped what was lost. The headers of servers were not read.

Change: - Each answer of the store carries its era. A newer era makes every position of an earlier one void, whichever call shows it; answers of earlier eras are dropped, and the tables are read whole. A read of several pages has the position of its first page: changes made between two pages were skipped before. - Availability holds what keeps requests from a server: it leaves (until its next incarnation, whatever its row says), it is paused, or it was gone and is known only from a copy. Removed servers are remembered for a minute for that. - The placer tells all gateways that its engine leaves, and gives it no more orders. - If all servers of a service are paused, callers are refused at once with the time of the first one that is back, spread by up to 150 ms.

--- a/nutmegdeal/engine_messages.py
+++ b/nutmegdeal/engine_messages.py
@@ -173,6 +173,8 @@
     resident, loading : tuple of str
         Adapters as ``name@version``.
     load : EngineLoad
+    is_leaving : bool
+        The engine will exit and should get no new requests.
     """
 
     backend_started_unix_ms: int
@@ -181,6 +183,7 @@
     resident: tuple[str, ...]
     loading: tuple[str, ...]
     load: EngineLoad
+    is_leaving: bool = False
 
 
 @attrs.frozen
--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -42,6 +42,10 @@
         Number of next streams of a model engine that end before their last event.
     incarnation : int
         Sent as ``born``; a restart increments it.
+    is_leaving : bool
+        Every answer says that the server leaves; its registration is not changed.
+    retry_after_s : float or None
+        Sent with each refusal by 503, if not None.
     """
 
     def __init__(self, address, backend_id, service, zone="a"):
@@ -56,6 +60,8 @@
         self.refusals_pending = 0
         self.aborts_pending = 0
         self.incarnation = 1
+        self.is_leaving = False
+        self.retry_after_s = None
         self.listener = CallerListener(
             address, self._respond, lambda: DEFAULT_CALLER_LIMITS
         )
@@ -98,10 +104,18 @@
 
     def _refuse(self, request, responder, status_code):
         headers = [*self._common_headers(request), (b"x-not-executed", b"1")]
+        if status_code == 503 and self.retry_after_s is not None:
+            headers.append((b"retry-after", f"{self.retry_after_s}".encode()))
         responder.reply(status_code, headers, b"")
 
+    def _leaving_headers(self):
+        return [(b"server-leaving", b"1")] if self.is_leaving else []
+
     def _common_headers(self, request):
-        headers = [(b"x-instance-id", self.backend_id.encode())]
+        headers = [
+            (b"x-instance-id", self.backend_id.encode()),
+            *self._leaving_headers(),
+        ]
         request_id = find_header(request.headers, b"x-request-id")
         if request_id is not None:
             headers.append((b"x-request-id", request_id))
@@ -180,6 +194,7 @@
             By default the engine keeps its id.
         """
         self.incarnation += 1
+        self.is_leaving = False
         self.backend_id = backend_id or self.backend_id
         self.adapters, self.pending, self.order_count = {}, {}, 0
         self.has_model = False
@@ -214,7 +229,7 @@
 
     def _send_report(self, responder):
         if self.refuses_reports:
-            responder.reply(503, [], b"")
+            responder.reply(503, self._leaving_headers(), b"")
             return
         report = {
             **self._registration_fields(),
@@ -227,7 +242,7 @@
             "kv_total": 1_000,
             "pending": [f"{self.model}/{n}@{v}" for n, v in self.pending.items()],
         }
-        responder.reply(200, [], json.dumps(report).encode())
+        responder.reply(200, self._leaving_headers(), json.dumps(report).encode())
 
     def _apply_order(self, request, responder):
         order = json.loads(request.body)
@@ -240,7 +255,8 @@
             self.delayed_orders.append((target_id, order))
             gevent.sleep(NO_ANSWER_MS / 1000)
             return
-        responder.reply(self._execute_order(target_id, order), [], b"")
+        status_code = self._execute_order(target_id, order)
+        responder.reply(status_code, self._leaving_headers(), b"")
 
     def _execute_order(self, target_id, order):
         """Execute an order; return the status of its answer."""
--- a/nutmegdeal/fakes/platform_store.py
+++ b/nutmegdeal/fakes/platform_store.py
@@ -5,8 +5,8 @@
 import json
 import urllib.parse
 
+import attrs
 import gevent
-import gevent.event
 
 from nutmegdeal.http_listener import CallerListener
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
@@ -28,36 +28,32 @@
     RESET = "reset"
 
 
-class PlatformStore:
-    """Row store that keeps its rows in memory.
+@attrs.frozen
+class StoreCopy:
+    """Copy of the store's contents at one version."""
 
-    Parameters
-    ----------
-    address : tuple of str and int
+    version: int
+    rows: dict
+    changes: list
+
+
+class RowHistory:
+    """The store's rows and their changes, without a network.
 
     Attributes
     ----------
-    fault : StoreFault
-    call_count : int
-        Calls received, including those that failed.
+    era : int
+        Sent with each answer; `restore` increments it.
     history_start_version : int
         Feeds that start before this version get 410.
     """
 
-    def __init__(self, address):
-        self.fault = StoreFault.NONE
-        self.call_count = 0
+    def __init__(self):
+        self.era = 1
         self.history_start_version = 0
         self._version = 0
         self._rows = {}
         self._changes = []
-        self.listener = CallerListener(address, self._respond, _default_limits)
-        self.listener.start()
-
-    @property
-    def port(self):
-        """TCP port in use."""
-        return self.listener.port
 
     def put(self, table, key, value):
         """Write `value` (bytes) to a row."""
@@ -76,6 +72,91 @@
         """Make feeds that start before the current version get 410."""
         self.history_start_version = self._version
 
+    def take_copy(self):
+        """Return a copy of the rows and their history, for `restore`."""
+        return StoreCopy(self._version, dict(self._rows), list(self._changes))
+
+    def restore(self, copy):
+        """Return to a copy: later writes are lost, and their versions given out again.
+
+        Parameters
+        ----------
+        copy : StoreCopy
+        """
+        self.era += 1
+        self._version = copy.version
+        self._rows = dict(copy.rows)
+        self._changes = list(copy.changes)
+
+    @property
+    def headers(self):
+        """Return the headers of every answer."""
+        return [(b"store-era", b"%d" % self.era)]
+
+    def has_history_since(self, version):
+        """Return whether the changes after a version are known."""
+        return self.history_start_version <= version <= self._version
+
+    def find_keys(self, table):
+        """Return the keys of all rows of a table, in order."""
+        return [key for row_table, key in sorted(self._rows) if row_table == table]
+
+    def find_rows(self, table, start):
+        """Return all rows of a table with keys from `start` on, as JSON objects."""
+        return [
+            self._encode_row(table, key)
+            for key in self.find_keys(table)
+            if key >= (start or "")
+        ]
+
+    def find_changes(self, table, after):
+        """Return the rows of a table changed after a version, as JSON objects."""
+        keys = {
+            key: version
+            for version, row_table, key in self._changes
+            if version > after and row_table == table
+        }
+        return [self._encode_row(table, key) for key in sorted(keys, key=keys.get)]
+
+    def _encode_row(self, table, key):
+        row = {"table": table, "part": "", "key": key}
+        if (table, key) not in self._rows:
+            return {**row, "removed": True, "ver": self._version}
+        value, version = self._rows[table, key]
+        return {**row, "value": base64.b64encode(value).decode(), "ver": version}
+
+    def encode_answer(self, rows):
+        """Return the body of an answer with rows (bytes)."""
+        body = {"rows": rows, "more_pages": False, "ver": self._version, "now_ms": 0}
+        return json.dumps(body).encode()
+
+
+class PlatformStore(RowHistory):
+    """Row store that serves its rows over HTTP.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+
+    Attributes
+    ----------
+    fault : StoreFault
+    call_count : int
+        Calls received, including those that failed.
+    """
+
+    def __init__(self, address):
+        super().__init__()
+        self.fault = StoreFault.NONE
+        self.call_count = 0
+        self.listener = CallerListener(address, self._respond, _default_limits)
+        self.listener.start()
+
+    @property
+    def port(self):
+        """TCP port in use."""
+        return self.listener.port
+
     def _respond(self, request, responder):
         self.call_count += 1
         if self.fault is StoreFault.SILENT:
@@ -83,57 +164,34 @@
         if self.fault is StoreFault.RESET:
             return
         if self.fault is StoreFault.BUSY:
-            responder.reply(503, [], b"")
+            responder.reply(503, self.headers, b"")
             return
         target = urllib.parse.urlsplit(request.target.decode("latin-1"))
         query = dict(urllib.parse.parse_qsl(target.query, keep_blank_values=True))
         if target.path == "/rows-get":
             self._send_rows(
-                responder, self._find_rows(query["table"], query.get("from"))
+                responder, self.find_rows(query["table"], query.get("from"))
             )
         elif target.path == "/rows-feed":
             self._send_changes(responder, query)
         else:
-            responder.reply(404, [], b"")
+            responder.reply(404, self.headers, b"")
 
     def _send_changes(self, responder, query):
         after, elapsed_ms = int(query["after"]), 0.0
-        if after < self.history_start_version:
-            responder.reply(410, [], b"")
+        if not self.has_history_since(after):
+            responder.reply(410, self.headers, b"")
             return
         while True:
-            rows = self._find_changes(query["table"], after)
+            rows = self.find_changes(query["table"], after)
             if rows or elapsed_ms >= float(query["wait_ms"]):
                 self._send_rows(responder, rows)
                 return
             gevent.sleep(FEED_POLL_INTERVAL_MS / 1000)
             elapsed_ms += FEED_POLL_INTERVAL_MS
 
-    def _find_rows(self, table, start):
-        return [
-            self._encode_row(table, key)
-            for row_table, key in sorted(self._rows)
-            if row_table == table and key >= (start or "")
-        ]
-
-    def _find_changes(self, table, after):
-        keys = {
-            key: version
-            for version, row_table, key in self._changes
-            if version > after and row_table == table
-        }
-        return [self._encode_row(table, key) for key in sorted(keys, key=keys.get)]
-
-    def _encode_row(self, table, key):
-        row = {"table": table, "part": "", "key": key}
-        if (table, key) not in self._rows:
-            return {**row, "removed": True, "ver": self._version}
-        value, version = self._rows[table, key]
-        return {**row, "value": base64.b64encode(value).decode(), "ver": version}
-
     def _send_rows(self, responder, rows):
-        body = {"rows": rows, "more_pages": False, "ver": self._version, "now_ms": 0}
-        responder.reply(200, [], json.dumps(body).encode())
+        responder.reply(200, self.headers, self.encode_answer(rows))
 
 
 def _default_limits():
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -245,8 +245,8 @@
         ----------
         reason : str
         excess_ms : float
-            Time by which the adapter would have been loaded too late; added to the
-            Retry-After.
+            Time by which the adapter would have been loaded too late, or until a
+            server accepts requests; added to the Retry-After.
         """
         jitter = 1.0 + RETRY_AFTER_JITTER * self._random.random()
         return Refusal(503, reason, excess_ms + RETRY_AFTER_MS * jitter)
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -2,12 +2,22 @@
 
 Servers join, leave, restart and fail, also while the store that lists them has an
 outage. A registration that expires because of such an outage stays valid for a grace
-period.
+period. The store may also return from a copy: registrations in it may be of servers
+that are gone, leave, or have restarted since, and newer ones are missing until their
+servers write them again.
 """
 
 import attrs
 
+from nutmegdeal.gateway.availability import (
+    Availability,
+    DepartedBackend,
+    LeavingSource,
+    is_earlier_incarnation,
+    is_same_incarnation,
+)
 from nutmegdeal.gateway.outcomes import OutcomeHistory
+from nutmegdeal.platform.settings import REGISTRATION_INTERVAL_MS
 from nutmegdeal.site_configuration import Backend, BackendState, split_adapter
 
 # Registrations that expired during an outage of the store are renewed within about 2 s
@@ -21,6 +31,9 @@
 # Validity of the load in a placer's message: placers send one every 450 ms, and one
 # message may be late.
 PLACER_LOAD_VALID_MS = 1_000.0
+# How long a removed server is remembered. A copy from which the store returns is some
+# seconds old.
+DEPARTED_KEPT_MS = 60_000.0
 
 
 @attrs.define
@@ -37,6 +50,7 @@
     in_flight_count : int
         Requests of this gateway in progress at the server.
     history : OutcomeHistory
+    availability : Availability
     resident : dict of str to int
         Loaded adapters, with their version.
     loading : frozenset of str
@@ -64,6 +78,7 @@
     expires_at_ms: float | None = None
     in_flight_count: int = 0
     history: OutcomeHistory = attrs.field(factory=OutcomeHistory)
+    availability: Availability = attrs.field(factory=Availability)
     resident: dict = attrs.field(factory=dict)
     loading: frozenset = frozenset()
     queued_count: int = 0
@@ -87,8 +102,10 @@
 
     def is_usable(self, now_ms):
         """Return whether new requests may be sent to the server."""
-        if self.backend.state is not BackendState.READY:
-            return False
+        return self.is_registered(now_ms) and self.availability.accepts_requests(now_ms)
+
+    def is_registered(self, now_ms):
+        """Return whether the server's registration is valid."""
         return self.expires_at_ms is None or now_ms < self.expires_at_ms
 
     def record_sent(self, now_ms):
@@ -146,38 +163,97 @@
     ----------
     on_joined, on_left : callable, optional
         Called with the Member that was added or removed.
+    on_leaving : callable, optional
+        Called with a Member that now is known to leave, and the LeavingSource.
+    on_paused : callable, optional
+        Called with a Member that asked for a pause, and its duration in ms.
+    registration_interval_ms : float
+        Pause between two writes of a server's registration.
     """
 
-    def __init__(self, on_joined=None, on_left=None):
+    def __init__(
+        self,
+        on_joined=None,
+        on_left=None,
+        on_leaving=None,
+        on_paused=None,
+        registration_interval_ms=REGISTRATION_INTERVAL_MS,
+    ):
         self.members = {}
+        self._departed = {}
         self._on_joined = on_joined or (lambda member: None)
         self._on_left = on_left or (lambda member: None)
+        self._on_leaving = on_leaving or (lambda member, source: None)
+        self._on_paused = on_paused or (lambda member, pause_ms: None)
+        self._registration_interval_ms = registration_interval_ms
         self._store_regained_ms = float("-inf")
 
     def record_store_regained(self, now_ms):
-        """Record that the store answers again after an outage."""
+        """Record that the store answers again after an outage, or from a copy."""
         self._store_regained_ms = now_ms
 
-    def put(self, backend, now_ms):
-        """Add or update a registration; return its Member.
+    def put(self, backend, now_ms, is_from_copy=False):
+        """Add or update a registration.
+
+        A server that has restarted under the same id becomes a new Member. What is
+        known of a leaving server holds for all registrations of its incarnation.
 
-        A server that has restarted under the same id becomes a new Member.
+        Parameters
+        ----------
+        backend : Backend
+        now_ms : float
+        is_from_copy : bool
+            The registration may be older than what is known.
+
+        Returns
+        -------
+        Member or None
+            None if the registration is of an earlier incarnation than the known one.
         """
         member = self.members.get(backend.backend_id)
-        if member is not None and not _is_same_incarnation(member.backend, backend):
-            self._drop(member)
-            member = None
+        departed = self._departed.get(backend.backend_id)
+        known = member or departed
+        if known is not None and is_earlier_incarnation(backend, known.backend):
+            return None
+        if member is not None and not is_same_incarnation(member.backend, backend):
+            self._drop(member, now_ms)
+            member = departed = None
         if member is None:
-            member = Member(backend)
-            self.members[backend.backend_id] = member
-            self._on_joined(member)
-            return member
-        member.backend = backend
-        member.expires_at_ms = None
-        if member.is_registration_trusted and not member.is_linked:
-            member.trust_registration()
+            member = self._add(backend, departed, now_ms, is_from_copy)
+        else:
+            member.backend = backend
+            member.expires_at_ms = None
+            if not is_from_copy:
+                member.availability.record_confirmed()
+            if member.is_registration_trusted and not member.is_linked:
+                member.trust_registration()
+        if backend.state is not BackendState.READY:
+            self.record_leaving(member, LeavingSource.REGISTRATION)
+        return member
+
+    def _add(self, backend, departed, now_ms, is_from_copy):
+        member = Member(backend)
+        if departed is not None and is_same_incarnation(departed.backend, backend):
+            member.availability.is_leaving = departed.is_leaving
+            if is_from_copy:
+                member.availability.record_unconfirmed(
+                    self._registration_interval_ms, now_ms
+                )
+        self._departed.pop(backend.backend_id, None)
+        self.members[backend.backend_id] = member
+        self._on_joined(member)
         return member
 
+    def record_leaving(self, member, source):
+        """Record that a server leaves; only its next incarnation gets requests."""
+        if member.availability.record_leaving():
+            self._on_leaving(member, source)
+
+    def record_pause(self, member, pause_ms, now_ms):
+        """Record that a server wants no requests of this gateway for some time."""
+        if member.availability.record_pause(pause_ms, now_ms):
+            self._on_paused(member, pause_ms)
+
     def remove(self, backend_id, now_ms):
         """Handle the removal of a registration.
 
@@ -189,15 +265,25 @@
             return
         grace_end_ms = self._store_regained_ms + EXPIRY_GRACE_MS
         if now_ms >= grace_end_ms:
-            self._drop(member)
+            self._drop(member, now_ms)
         elif member.expires_at_ms is None:
             member.expires_at_ms = grace_end_ms
 
-    def replace_all(self, backends, now_ms):
-        """Replace all registrations by those of a complete read."""
-        listed = {backend.backend_id for backend in backends}
-        for backend in backends:
-            self.put(backend, now_ms)
+    def replace_all(self, backends, now_ms, is_from_copy=False):
+        """Replace all registrations by those of a complete read.
+
+        Parameters
+        ----------
+        backends : list of Backend
+        now_ms : float
+        is_from_copy : bool
+            It is the first read since the store returned from a copy.
+        """
+        listed = {
+            backend.backend_id
+            for backend in backends
+            if self.put(backend, now_ms, is_from_copy) is not None
+        }
         for backend_id in set(self.members) - listed:
             self.remove(backend_id, now_ms)
 
@@ -205,7 +291,10 @@
         """Remove the members whose grace period has ended."""
         for member in list(self.members.values()):
             if member.expires_at_ms is not None and now_ms >= member.expires_at_ms:
-                self._drop(member)
+                self._drop(member, now_ms)
+        for backend_id, departed in list(self._departed.items()):
+            if now_ms - departed.departed_ms >= DEPARTED_KEPT_MS:
+                del self._departed[backend_id]
 
     def usable(self, service, now_ms):
         """Return the Members of a service to which new requests may be sent."""
@@ -215,14 +304,23 @@
             if member.backend.service == service and member.is_usable(now_ms)
         ]
 
-    def _drop(self, member):
-        del self.members[member.backend_id]
-        self._on_left(member)
+    def pause_end_ms(self, service, now_ms):
+        """Return when the first paused server of a service accepts requests (float).
 
+        On the monotonic clock. None if no server of the service is paused.
+        """
+        ends_ms = [
+            member.availability.paused_until_ms
+            for member in self.members.values()
+            if member.backend.service == service
+            and member.is_registered(now_ms)
+            and member.availability.is_only_paused(now_ms)
+        ]
+        return min(ends_ms, default=None)
 
-def _is_same_incarnation(registered, announced):
-    return (
-        registered.address == announced.address
-        and registered.service == announced.service
-        and registered.started_unix_ms == announced.started_unix_ms
-    )
+    def _drop(self, member, now_ms):
+        del self.members[member.backend_id]
+        self._departed[member.backend_id] = DepartedBackend(
+            member.backend, member.availability.is_leaving, now_ms
+        )
+        self._on_left(member)
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -17,6 +17,7 @@
     PromptGranted,
 )
 from nutmegdeal.errors import Failure
+from nutmegdeal.gateway.availability import LeavingSource
 from nutmegdeal.gateway.blackboard import BASE_MODEL
 from nutmegdeal.gateway.members import PLACER_LOAD_VALID_MS
 from nutmegdeal.log import get_logger
@@ -147,6 +148,9 @@
         if state.has_model and not member.has_model:
             self._board.waiters.wake((BASE_MODEL,))
         member.has_model = state.has_model
+        if state.is_leaving:
+            self._board.membership.record_leaving(member, LeavingSource.PLACER)
+            self._board.waiters.wake(self._waiting_counts)
         before = set(member.resident)
         member.set_resident(state.resident)
         self._apply_load(state)
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -71,7 +71,11 @@
         self._clock = clock
         self._settings = settings
         membership = Membership(
-            on_joined=self._handle_joined, on_left=self._handle_left
+            on_joined=self._handle_joined,
+            on_left=self._handle_left,
+            on_leaving=self._handle_leaving,
+            on_paused=self._handle_paused,
+            registration_interval_ms=settings.registration_interval_ms,
         )
         versions = AdapterVersions(settings.bounds.version_ms)
         self._board = Blackboard(settings, clock, membership, versions)
@@ -81,15 +85,15 @@
         self._gateway_count = 0
         self._budgets = RetryBudgets(self._new_budget)
         self._telemetry = GatewayTelemetry()
-        store = StoreClient(settings.store_at, ConnectionPool(clock))
+        self._store = StoreClient(settings.store_at, ConnectionPool(clock))
         self._watchers = (
-            OperatorWatcher(store, self._board, self._telemetry),
-            BackendsWatcher(store, self._board, self._telemetry),
+            OperatorWatcher(self._store, self._board, self._telemetry),
+            BackendsWatcher(self._store, self._board, self._telemetry),
         )
         selector = EngineSelector(settings.zone, random_state)
         dispatcher = Dispatcher(
             self._board,
-            DirectTransport(pool, clock),
+            DirectTransport(pool, clock, membership),
             selector,
             MemberSearch(self._board, selector, self._links, random_state),
             self._links,
@@ -140,6 +144,12 @@
         self._pool.drop(member.backend.address)
         self._links.drop(member)
 
+    def _handle_leaving(self, member, source):
+        self._telemetry.record_leaving(member, source)
+
+    def _handle_paused(self, member, pause_ms):
+        self._telemetry.record_paused(member, pause_ms)
+
     def _answer_readiness(self, _incoming, responder):
         responder.reply(200 if self._board.is_ready else 503, [], b"")
 
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -21,7 +21,8 @@
     ----------
     reason : str
     excess_ms : float
-        By how much the adapter would be loaded too late, 0.0 if that is not known.
+        By how much the adapter would be loaded too late, or how long the first server
+        will still be paused; 0.0 if that is not known.
     """
 
     reason: str
@@ -67,7 +68,7 @@
                 item for item in usable if item.backend_id not in request.tried_ids
             ] or usable
             if not members:
-                return NotFound("no_backend")
+                return self._explain_no_member(request, now_ms)
             if now_ms >= until_ms:
                 return NotFound("too_late")
             try_find = (
@@ -77,6 +78,13 @@
             if found is not None:
                 return found
 
+    def _explain_no_member(self, request, now_ms):
+        """Return the NotFound of a service without a usable server."""
+        pause_end_ms = self._board.membership.pause_end_ms(request.service.name, now_ms)
+        if pause_end_ms is None:
+            return NotFound("no_backend")
+        return NotFound("backends_unavailable", pause_end_ms - now_ms)
+
     def _try_without_adapter(self, request, members, until_ms, now_ms):
         """Return a Member for a request without an adapter, None to search again."""
         member = self._select_without_adapter(request, members, now_ms)
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -78,6 +78,62 @@
             buckets=STORE_BUCKETS_S,
             registry=self.registry,
         )
+        self._era_changes = Counter(
+            "nutmegdeal_store_era_changes",
+            "Returns of the store from a copy",
+            ("table",),
+            registry=self.registry,
+        )
+        self._leaving = Counter(
+            "nutmegdeal_backends_leaving",
+            "Backend servers that became known to leave",
+            ("source",),
+            registry=self.registry,
+        )
+        self._paused = Counter(
+            "nutmegdeal_backends_paused",
+            "Backend servers that asked for a pause",
+            registry=self.registry,
+        )
+
+    def record_leaving(self, member, source):
+        """Record that a backend server is known to leave."""
+        self._leaving.labels(source.value).inc()
+        logger.info(
+            "backend_leaving",
+            backend=member.backend_id,
+            service=member.backend.service,
+            source=source.value,
+        )
+
+    def record_paused(self, member, pause_ms):
+        """Record that a backend server asked for a pause."""
+        self._paused.inc()
+        logger.info(
+            "backend_paused",
+            backend=member.backend_id,
+            service=member.backend.service,
+            pause_ms=round(pause_ms, 1),
+        )
+
+    def record_era_change(self, table, previous, position):
+        """Record that the store has returned from a copy.
+
+        Parameters
+        ----------
+        table : str
+        previous, position : StorePosition
+            Last known position, and that of the first read of the new era.
+        """
+        self._era_changes.labels(table).inc()
+        logger.warning(
+            "store_era_changed",
+            table=table,
+            era=position.era,
+            version=position.version,
+            previous_era=previous.era,
+            previous_version=previous.version,
+        )
 
     def record_store_call(self, table, outcome, taken_ms):
         """Record the duration of a call to the store."""
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from nutmegdeal.gateway.availability import LeavingSource
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.requests import HeldAnswer, RunFate, RunOutcome
 from nutmegdeal.http_connections import (
@@ -80,11 +81,14 @@
     ----------
     pool : ConnectionPool
     clock : Clock
+    membership : Membership
+        Gets what the servers' answers say of their availability.
     """
 
-    def __init__(self, pool, clock):
+    def __init__(self, pool, clock, membership):
         self._pool = pool
         self._clock = clock
+        self._membership = membership
 
     def run(self, request, member, version, progress, may_repeat):
         """Run a request once.
@@ -131,7 +135,15 @@
         self._pool.drop(member.backend.address)
 
     def _exchange(self, connection, request, member, version, progress, may_repeat):
-        run = _Exchange(self._clock, connection, request, member, progress, may_repeat)
+        run = _Exchange(
+            self._clock,
+            connection,
+            request,
+            member,
+            progress,
+            may_repeat,
+            self._membership,
+        )
         try:
             run.send(version)
             head = run.read_matching_head()
@@ -151,8 +163,11 @@
 class _Exchange:
     """One request and its answer on one connection."""
 
-    def __init__(self, clock, connection, request, member, progress, may_repeat):
+    def __init__(
+        self, clock, connection, request, member, progress, may_repeat, membership
+    ):
         self._clock = clock
+        self._membership = membership
         self._connection = connection
         self._request = request
         self._member = member
@@ -179,18 +194,30 @@
         limit_ms = self._first_event_limit_ms()
         while True:
             head = self._connection.read_head(limit_ms)
+            if platform_headers.is_server_leaving(head.headers):
+                self._record_leaving(head)
             answered_id = find_header(head.headers, platform_headers.REQUEST_ID)
             if answered_id is None or answered_id.decode("latin-1") == (
                 self._request.request_id
             ):
                 break
             self._connection.skip_response(limit_ms, ANSWER_BYTES_MAX)
+        now_ms = self._clock.monotonic_ms()
         load = platform_headers.decode_server_load(head.headers)
         if load is not None and not self._member.is_linked:
-            now_ms = self._clock.monotonic_ms()
             self._member.record_load(load.running_count, load.waiting_count, now_ms)
+        pause_ms = platform_headers.decode_retry_after_ms(
+            head.status_code, head.headers
+        )
+        if pause_ms is not None:
+            self._membership.record_pause(self._member, pause_ms, now_ms)
         return head
 
+    def _record_leaving(self, head):
+        # After the address has been assigned to another server, that one answers 421.
+        if platform_headers.is_from_server(head.headers, self._member.backend_id):
+            self._membership.record_leaving(self._member, LeavingSource.ANSWER)
+
     def forward_answer(self, head):
         """Forward a successful answer to the caller; keep a failure in the outcome."""
         if not 200 <= head.status_code < 300:
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -53,7 +53,7 @@
         self._board = board
         self._clock = board.clock
         self._telemetry = telemetry
-        self._store_version = None
+        self._position = None
         self._failure_count = 0
 
     def run(self):
@@ -74,13 +74,13 @@
 
     def _poll(self):
         """Call the store once; return a Failure or the number of rows read (int)."""
-        if self._store_version is None:
+        if self._position is None:
             return self._read_all()
         # During an outage a call that waits would delay the first read after it, as
         # long pauses between the calls already do.
         wait_ms = 0.0 if self._failure_count else self._wait_ms
         try:
-            answer = self._store.read_changes(self._table, self._store_version, wait_ms)
+            answer = self._store.read_changes(self._table, self._position, wait_ms)
         except HistoryGoneError:
             logger.info("store_history_gone", table=self._table)
             return self._read_all()
@@ -88,22 +88,24 @@
             return answer
         self._check_store_regained()
         self.apply_changes(answer.rows)
-        self._store_version = max(self._store_version, answer.store_version)
+        if answer.position.version > self._position.version:
+            self._position = answer.position
         return len(answer.rows)
 
     def _read_all(self):
         answer = self._store.read_table(self._table)
         if isinstance(answer, Failure):
             return answer
-        if (
-            self._store_version is not None
-            and answer.store_version < self._store_version
-        ):
+        previous = self._position
+        is_new_era = previous is not None and answer.position.era > previous.era
+        if is_new_era:
+            self._telemetry.record_era_change(self._table, previous, answer.position)
+        elif previous is not None and answer.position.version < previous.version:
             logger.warning("store_answer_stale", table=self._table)
             return 1
         self._check_store_regained()
-        self.apply_snapshot(answer.rows)
-        self._store_version = answer.store_version
+        self.apply_snapshot(answer.rows, is_from_copy=is_new_era)
+        self._position = answer.position
         return len(answer.rows)
 
     def _check_store_regained(self):
@@ -115,8 +117,16 @@
         """Handle the first answer of the store after failed calls."""
 
     @abc.abstractmethod
-    def apply_snapshot(self, rows):
-        """Apply all rows of the table."""
+    def apply_snapshot(self, rows, is_from_copy):
+        """Apply all rows of the table.
+
+        Parameters
+        ----------
+        rows : tuple of StoredRow
+        is_from_copy : bool
+            The store has returned from a copy since the last read, so the rows may be
+            older than what is known.
+        """
 
     @abc.abstractmethod
     def apply_changes(self, rows):
@@ -163,8 +173,8 @@
     def handle_store_regained(self):
         """Do nothing: a configuration stays in force until a newer one is known."""
 
-    def apply_snapshot(self, rows):
-        """Apply all rows of the table."""
+    def apply_snapshot(self, rows, is_from_copy):
+        """Apply all rows of the table; versions never decrease."""
         for row in rows:
             self._apply_row(row, is_new=False)
 
@@ -224,12 +234,15 @@
         """Start the grace period for registrations that expired during the outage."""
         self._board.membership.record_store_regained(self._clock.monotonic_ms())
 
-    def apply_snapshot(self, rows):
+    def apply_snapshot(self, rows, is_from_copy):
         """Apply all rows of the table."""
         decoded = [self._decode(row) for row in rows if row.value is not None]
         backends = [backend for backend in decoded if backend is not None]
         now_ms = self._clock.monotonic_ms()
-        self._board.membership.replace_all(backends, now_ms)
+        if is_from_copy:
+            # Registrations that are missing in the copy are written again.
+            self._board.membership.record_store_regained(now_ms)
+        self._board.membership.replace_all(backends, now_ms, is_from_copy)
         self._board.has_registrations = True
         self._board.update_initialized()
 
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -351,8 +351,8 @@
 
         Returns
         -------
-        tuple of int and bytes
-            Status code and body.
+        tuple of ResponseHead and bytes
+            Head and body.
 
         Raises
         ------
@@ -371,7 +371,7 @@
             connection.close()
             raise
         self.release(connection, head)
-        return head.status_code, response_body
+        return head, response_body
 
     def release(self, connection, head):
         """Return a connection to the pool after its response was read to its end.
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -206,6 +206,26 @@
         "backend server that left its service or is considered lost",
         {"backend": _BACKEND},
     ),
+    LogEvent(
+        "backend_leaving",
+        Process.GATEWAY,
+        "backend server that will exit and gets no more requests from this gateway",
+        {
+            "backend": _BACKEND,
+            "service": _text("service of the backend server"),
+            "source": _text("`registration`, `answer` or `placer`"),
+        },
+    ),
+    LogEvent(
+        "backend_paused",
+        Process.GATEWAY,
+        "backend server that refused a request and asked for a pause",
+        {
+            "backend": _BACKEND,
+            "service": _text("service of the backend server"),
+            "pause_ms": _ms("duration of the pause"),
+        },
+    ),
     LogEvent(
         "registration_believed",
         Process.GATEWAY,
@@ -249,6 +269,24 @@
         "answer of the store that is older than an earlier one",
         {"table": _TABLE},
     ),
+    LogEvent(
+        "store_era_changed",
+        Process.GATEWAY,
+        "first read of a table after the store has returned from a copy",
+        {
+            "table": _TABLE,
+            "era": _count("era of the store"),
+            "version": _count("version of the store in that era"),
+            "previous_era": _count("era of the last read before"),
+            "previous_version": _count("version of the last read before"),
+        },
+    ),
+    LogEvent(
+        "store_read_repeated",
+        Process.GATEWAY,
+        "read of a table that began again, because the store returned from a copy",
+        {"table": _TABLE, "era": _count("newest era of the store")},
+    ),
     LogEvent(
         "row_malformed",
         Process.GATEWAY,
@@ -314,6 +352,12 @@
             "unanswered": _count("unanswered orders that may still be executed"),
         },
     ),
+    LogEvent(
+        "engine_leaving",
+        Process.PLACER,
+        "engine that will exit and gets no more orders",
+        {"started": _STARTED},
+    ),
     LogEvent(
         "orders_executed_late",
         Process.PLACER,
--- a/nutmegdeal/placer/engine.py
+++ b/nutmegdeal/placer/engine.py
@@ -5,6 +5,7 @@
 from nutmegdeal.http_connections import BrokenAnswerError, ConnectError
 from nutmegdeal.log import get_logger
 from nutmegdeal.platform import engine as platform_engine
+from nutmegdeal.platform.headers import is_server_leaving
 
 logger = get_logger(__name__)
 
@@ -52,16 +53,17 @@
     def read_report(self):
         """Return the engine's EngineReport, None if there is no valid answer."""
         try:
-            status_code, body = self._call(
+            head, body = self._call(
                 b"GET", platform_engine.REPORT_PATH, b"", REPORT_TIMEOUT_MS
             )
         except (OSError, BrokenAnswerError) as error:
             logger.debug("report_failed", peer=self.peer, error=repr(error))
             return None
-        if status_code != 200:
-            logger.debug("report_failed", peer=self.peer, error=f"status {status_code}")
+        if head.status_code != 200:
+            error = f"status {head.status_code}"
+            logger.debug("report_failed", peer=self.peer, error=error)
             return None
-        report = platform_engine.decode_report(body)
+        report = platform_engine.decode_report(body, is_server_leaving(head.headers))
         if report is None:
             logger.warning("report_malformed", peer=self.peer)
         return report
@@ -82,7 +84,7 @@
         body = platform_engine.encode_order(order, self._holder, expected_count)
         headers = platform_engine.encode_order_headers(order)
         try:
-            status_code, answer = self._call(
+            head, answer = self._call(
                 b"POST", platform_engine.ORDER_PATH, body, ORDER_TIMEOUT_MS, headers
             )
         except ConnectError:
@@ -90,11 +92,11 @@
         except (OSError, BrokenAnswerError) as error:
             logger.warning("order_unanswered", peer=self.peer, error=repr(error))
             return OrderResult.UNANSWERED
-        if status_code in (200, 202):
+        if head.status_code in (200, 202):
             return OrderResult.ACCEPTED
         logger.info(
             "order_rejected",
-            status=status_code,
+            status=head.status_code,
             operation=order.operation.value,
             adapter=order.adapter,
             expected=expected_count,
--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -181,9 +181,14 @@
         return bool(self._demands) or bool(self.report and self.report.loading)
 
     def next_order(self, now_ms):
-        """Return the Order to send now, or None."""
+        """Return the Order to send now, or None.
+
+        A leaving engine gets no orders: it finishes its runs with what it holds.
+        """
         if self.limits is None or self.report is None or self.report.is_changing_model:
             return None
+        if self.report.is_leaving:
+            return None
         if self.limits.model not in self.report.models:
             return self._order_model(now_ms)
         if self._awaits_engine_id:
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -81,6 +81,7 @@
         self._updates = StateUpdates()
         self._is_reachable = True
         self._started_unix_ms = None
+        self._is_leaving = False
         self._known_order_count = 0
 
     def start(self):
@@ -217,6 +218,10 @@
                 unanswered=self._planner.unanswered_count,
             )
             self._known_order_count = 0
+            self._is_leaving = False
+        if report.is_leaving and not self._is_leaving:
+            logger.info("engine_leaving", started=started)
+        self._is_leaving = report.is_leaving
         self._started_unix_ms = started
         if report.order_count > self._known_order_count:
             logger.warning(
@@ -268,6 +273,7 @@
                 gateway_count=len(self._sessions),
                 waiting_tokens=self._pacer.waiting_tokens,
             ),
+            is_leaving=report.is_leaving,
         )
 
     def _send_updates(self, fulfilled, now_ms):
--- a/nutmegdeal/placer/state_updates.py
+++ b/nutmegdeal/placer/state_updates.py
@@ -89,7 +89,12 @@
 
 def _whole_state_key(state):
     """Return the fields that only an EngineState carries, not an EngineChange."""
-    return state.backend_started_unix_ms, state.is_reachable, state.has_model
+    return (
+        state.backend_started_unix_ms,
+        state.is_reachable,
+        state.has_model,
+        state.is_leaving,
+    )
 
 
 def _build_change(previous, state):
--- a/nutmegdeal/platform/engine.py
+++ b/nutmegdeal/platform/engine.py
@@ -34,6 +34,8 @@
         Size of the key-value cache in use and in total, in tokens.
     is_changing_model : bool
         An order for a base model is being executed.
+    is_leaving : bool
+        The engine will exit and should get no new work.
     """
 
     started_unix_ms: int
@@ -46,10 +48,18 @@
     memory_used: int
     memory_max: int
     is_changing_model: bool
+    is_leaving: bool = False
 
 
-def decode_report(body):
-    """Return the EngineReport in an answer's body, or None if it is not valid."""
+def decode_report(body, is_leaving=False):
+    """Return the EngineReport in an answer, or None if it is not valid.
+
+    Parameters
+    ----------
+    body : bytes
+    is_leaving : bool
+        What the headers of the answer say of the engine.
+    """
     try:
         data = json.loads(body)
         models = data["models"]
@@ -68,6 +78,7 @@
             memory_used=int(data["kv_used"]),
             memory_max=int(data["kv_total"]),
             is_changing_model=bool(data["busy"]),
+            is_leaving=is_leaving,
         )
     except DECODE_ERRORS:
         return None
--- a/nutmegdeal/platform/headers.py
+++ b/nutmegdeal/platform/headers.py
@@ -3,6 +3,8 @@
 Header names are lower-case bytes, as in h11.
 """
 
+import math
+
 import attrs
 
 from nutmegdeal.http_connections import find_header
@@ -49,6 +51,13 @@
 SIGNATURE = b"x-response-signature"
 NOT_EXECUTED = b"x-not-executed"
 SERVER_LOAD = b"x-server-load"
+SERVER_ID = b"x-instance-id"
+# In all answers of a backend server that will exit.
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
+# In all answers of the store.
+STORE_ERA = b"store-era"
+STATUS_UNAVAILABLE = 503
 PRIORITY_FIRST = 0
 PRIORITY_LAST = 9
 STATUS_MISDIRECTED = 421
@@ -174,3 +183,43 @@
         return ServerLoad(*map(int, value.split(b",")))
     except (TypeError, ValueError):
         return None
+
+
+def is_server_leaving(headers):
+    """Return whether a backend server states that it will exit."""
+    return (find_header(headers, SERVER_LEAVING) or b"").strip() == b"1"
+
+
+def is_from_server(headers, backend_id):
+    """Return whether an answer names no other backend server as its sender."""
+    sender = find_header(headers, SERVER_ID)
+    return sender is None or sender.decode("latin-1") == backend_id
+
+
+def decode_retry_after_ms(status_code, headers):
+    """Return for how long a backend server wants no requests, in ms (float).
+
+    None if it does not say so. Only refusals by 503 can.
+    """
+    value = find_header(headers, RETRY_AFTER)
+    if status_code != STATUS_UNAVAILABLE or value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds * 1000 if math.isfinite(seconds) and seconds > 0 else None
+
+
+def decode_store_era(headers):
+    """Return the era in the headers of an answer of the store (int).
+
+    None if it states none.
+
+    Raises
+    ------
+    ValueError
+        If the header is not a whole number.
+    """
+    value = find_header(headers, STORE_ERA)
+    return None if value is None else int(value)
--- a/nutmegdeal/platform/settings.py
+++ b/nutmegdeal/platform/settings.py
@@ -10,6 +10,8 @@
 
 # Environment variable with the path of the settings file.
 SETTINGS_PATH_VARIABLE = "NUTMEGDEAL_BOOT"
+# Pause between two writes of a registration, if the settings do not state it.
+REGISTRATION_INTERVAL_MS = 1_200.0
 
 
 @attrs.frozen
@@ -59,6 +61,8 @@
     engine_service : str
         Service of that backend server, ``""`` if there is none.
     bounds : Bounds
+    registration_interval_ms : float
+        Pause between two writes of a backend server's registration.
     """
 
     node_name: str
@@ -73,6 +77,7 @@
     engine_at: Address | None
     engine_service: str
     bounds: Bounds
+    registration_interval_ms: float = REGISTRATION_INTERVAL_MS
 
 
 def parse_address(text):
@@ -133,6 +138,9 @@
         engine_at=_optional_address(data.get("app")),
         engine_service=str(data.get("service") or ""),
         bounds=_decode_bounds(data["bounds"]),
+        registration_interval_ms=float(
+            data.get("heartbeat_ms") or REGISTRATION_INTERVAL_MS
+        ),
     )
 
 
--- a/nutmegdeal/platform/store.py
+++ b/nutmegdeal/platform/store.py
@@ -1,6 +1,10 @@
 """Calls to the platform's store of rows.
 
 The store is only read, as gateways and placers have no persistent state.
+
+The store may return from a copy that is some seconds old. Later changes are then lost,
+their versions are given out again, and its era rises by one. Versions of different eras
+cannot be compared.
 """
 
 import json
@@ -10,8 +14,12 @@
 
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.http_connections import BrokenAnswerError
+from nutmegdeal.log import get_logger
+from nutmegdeal.platform.headers import decode_store_era
 from nutmegdeal.platform.rows import DECODE_ERRORS, decode_row
 
+logger = get_logger(__name__)
+
 # Limit on an answer's body. The store answers with at most 1 MB, to which base64 and
 # JSON add a third.
 ANSWER_BYTES_MAX = 16_777_216
@@ -24,23 +32,49 @@
 PAGE_ROWS = 500
 
 
+# Reads of a table that are begun again because the era changed between two pages.
+TABLE_READS_MAX = 3
+
+
+@attrs.frozen
+class StorePosition:
+    """A point in the sequence of the store's changes.
+
+    Parameters
+    ----------
+    era : int
+        Rises each time that the store returns from a copy; 0 if it states none.
+    version : int
+        Increases with each change in an era.
+    """
+
+    era: int
+    version: int
+
+
 @attrs.frozen
 class RowsRead:
-    """Rows of one table at one version of the store.
+    """Rows of one table at one position of the store.
 
     Parameters
     ----------
     rows : tuple of StoredRow
-    store_version : int
-        Increases with each change of the store.
+    position : StorePosition
     """
 
     rows: tuple
-    store_version: int
+    position: StorePosition
 
 
 class HistoryGoneError(Exception):
-    """The store no longer has the history of changes since the requested version."""
+    """The store no longer has the changes since a position.
+
+    Either it has discarded them, or the position is of an earlier era.
+    """
+
+
+class _EraEndedError(Exception):
+    """The answer is of an earlier era than another one."""
 
 
 class StoreClient:
@@ -50,10 +84,16 @@
     ----------
     address : Address
     pool : ConnectionPool
+
+    Attributes
+    ----------
+    newest_era : int
+        Highest era in any answer. Answers of earlier eras are dropped.
     """
 
     def __init__(self, address, pool):
         self.peer = str(address)
+        self.newest_era = 0
         self._address = address.pair
         self._pool = pool
 
@@ -63,32 +103,48 @@
         Returns
         -------
         RowsRead or Failure
+            The position is that of the first page, so that changes made while the
+            others are read are read again.
         """
-        rows, start = [], ""
+        for _ in range(TABLE_READS_MAX):
+            try:
+                return self._read_pages(table)
+            except HistoryGoneError:
+                return self._build_failure("HTTP 410")
+            except _EraEndedError:
+                logger.info("store_read_repeated", table=table, era=self.newest_era)
+        return self._build_failure("the era changed during each read of the table")
+
+    def _read_pages(self, table):
+        rows, start, first_position = [], "", None
         while True:
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start:
                 query["from"] = start
-            data = self._get("/rows-get", query, CALL_TIMEOUT_MS)
-            if isinstance(data, Failure):
-                return data
-            page = self._decode_rows(data)
+            answer = self._get("/rows-get", query, CALL_TIMEOUT_MS)
+            if isinstance(answer, Failure):
+                return answer
+            data, era = answer
+            page = self._decode_rows(data, era)
             if isinstance(page, Failure):
                 return page
+            first_position = first_position or page.position
+            if era != first_position.era:
+                raise _EraEndedError
             rows += page.rows
             if not data.get("more_pages") or not page.rows:
-                return RowsRead(tuple(rows), page.store_version)
+                return RowsRead(tuple(rows), first_position)
             # The smallest key that is greater than the last one.
             start = page.rows[-1].key + "\0"
 
     def read_changes(self, table, after, wait_ms):
-        """Wait for changes of a table after a store version.
+        """Wait for changes of a table after a position.
 
         Parameters
         ----------
         table : str
-        after : int
-            Store version up to which the changes are known.
+        after : StorePosition
+            Up to which the changes are known.
         wait_ms : float
             Longest time that the store waits for a change.
 
@@ -102,17 +158,35 @@
         HistoryGoneError
             If the store no longer has the changes since `after`.
         """
-        query = {"table": table, "after": after, "wait_ms": int(wait_ms)}
-        data = self._get("/rows-feed", query, wait_ms + FEED_MARGIN_MS)
-        if isinstance(data, Failure):
-            return data
-        return self._decode_rows(data)
+        if after.era != self.newest_era:
+            raise HistoryGoneError
+        query = {"table": table, "after": after.version, "wait_ms": int(wait_ms)}
+        try:
+            answer = self._get("/rows-feed", query, wait_ms + FEED_MARGIN_MS)
+        except _EraEndedError as error:
+            raise HistoryGoneError from error
+        if isinstance(answer, Failure):
+            return answer
+        data, era = answer
+        if era != after.era:
+            # The version has been given out again, so changes may be missing.
+            raise HistoryGoneError
+        return self._decode_rows(data, era)
 
     def _get(self, path, query, within_ms):
+        """Return a Failure, or the answer's JSON object and its era.
+
+        Raises
+        ------
+        HistoryGoneError
+            If the store no longer has the requested version.
+        _EraEndedError
+            If another answer of a newer era has arrived before.
+        """
         target = f"{path}?{urllib.parse.urlencode(query)}".encode()
         headers = [(b"host", self.peer.encode())]
         try:
-            status_code, body = self._pool.call(
+            head, body = self._pool.call(
                 self._address,
                 b"GET",
                 target,
@@ -124,22 +198,36 @@
             )
         except (OSError, BrokenAnswerError) as error:
             return self._build_failure(f"{type(error).__name__}: {error}")
-        if status_code == 410:
+        try:
+            era = self._record_era(head)
+        except ValueError as error:
+            return self._build_failure(f"not an era: {error}")
+        if head.status_code == 410:
             raise HistoryGoneError
-        if status_code != 200:
-            return self._build_failure(f"HTTP {status_code}")
+        if head.status_code != 200:
+            return self._build_failure(f"HTTP {head.status_code}")
         try:
             data = json.loads(body)
         except ValueError as error:
             return self._build_failure(f"not JSON: {error}")
         if not isinstance(data, dict):
             return self._build_failure("the answer is not a JSON object")
-        return data
-
-    def _decode_rows(self, data):
+        return data, era
+
+    def _record_era(self, head):
+        """Return the era of an answer; one without the header is of the newest."""
+        era = decode_store_era(head.headers)
+        if era is None:
+            return self.newest_era
+        if era < self.newest_era:
+            raise _EraEndedError
+        self.newest_era = era
+        return era
+
+    def _decode_rows(self, data, era):
         try:
             rows = tuple(map(decode_row, data["rows"]))
-            return RowsRead(rows, int(data["ver"]))
+            return RowsRead(rows, StorePosition(era, int(data["ver"])))
         except DECODE_ERRORS as error:
             return self._build_failure(f"not rows: {error!r}")
 
--- a/nutmegdeal/tests/test_gateway_transport.py
+++ b/nutmegdeal/tests/test_gateway_transport.py
@@ -6,6 +6,7 @@
 import pytest
 
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.requests import RunFate
 from nutmegdeal.gateway.transport import (
     NON_REPEATABLE_IDLE_MAX_MS,
@@ -53,7 +54,7 @@
     def __init__(self, answer):
         self.server = ScriptedServer(answer)
         self.pool = ConnectionPool(SystemClock())
-        self.transport = DirectTransport(self.pool, SystemClock())
+        self.transport = DirectTransport(self.pool, SystemClock(), Membership())
         host, port = self.server.address
         self.member = build.build_member(host=host, port=port)
         self.responder = RecordingResponder()
--- a/nutmegdeal/tests/test_gateway_watching.py
+++ b/nutmegdeal/tests/test_gateway_watching.py
@@ -12,7 +12,7 @@
     RETRY_MAX_MS,
     OperatorWatcher,
 )
-from nutmegdeal.platform.store import FEED_MARGIN_MS, RowsRead
+from nutmegdeal.platform.store import FEED_MARGIN_MS, RowsRead, StorePosition
 from nutmegdeal.tests import platform_builders as build
 
 LOST = Failure(Reason.STORE_UNAVAILABLE, Step.PLATFORM, "store", "timed out")
@@ -25,7 +25,7 @@
         self.waits_ms = []
 
     def read_table(self, table):
-        return RowsRead((), 1)
+        return RowsRead((), StorePosition(0, 1))
 
     def read_changes(self, table, after, wait_ms):
         self.waits_ms.append(wait_ms)
@@ -40,7 +40,6 @@
     store = FailingStore()
     watcher = OperatorWatcher(store, board, None)
     watcher._poll()
-    watcher._store_version = 1
     for _ in range(6):
         watcher._record_failure(watcher._poll())
     # The last call before the return is lost; then come the longest pause and a read.
--- a/nutmegdeal/tests/test_placer_planning.py
+++ b/nutmegdeal/tests/test_placer_planning.py
@@ -52,6 +52,12 @@
     assert planner.next_order(1.0) is None
 
 
+def test_leaving_engine_gets_no_orders():
+    planner = build_planner(build_report(is_leaving=True))
+    add_demand(planner, "a1")
+    assert planner.next_order(0.0) is None
+
+
 def test_adapter_past_its_deadline_is_not_loaded():
     planner = build_planner()
     add_demand(planner, "a1")
--- a/nutmegdeal/tests/test_placer_state_updates.py
+++ b/nutmegdeal/tests/test_placer_state_updates.py
@@ -29,6 +29,13 @@
     assert message.added_adapters == ("a1@1",)
 
 
+def test_leaving_engine_is_announced_to_all_gateways_at_once():
+    updates = build_updates("s", "t")
+    state = build.build_engine_state(is_leaving=True)
+    sent = dict(updates.take_due(state, {}, 10.0))
+    assert sent == {"s": state, "t": state}
+
+
 def test_other_gateways_are_updated_at_the_next_interval():
     updates = build_updates("s", "t")
     state = build.build_engine_state(resident=("a1@1",))
