Soak: copies of the store, leaving servers, servers that ask for a pause

A server that drained became ready again in the same incarnation, which the platform excludes: one that leaves exits. It now comes back as its next incarnation.

--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -19,6 +19,10 @@
 # Orders in a row that an engine leaves unanswered.
 DELAYED_ORDERS_MAX = 5
 DELAYED_ORDER_POLL_S = 0.002
+# Requests in a row that a server refuses with a Retry-After.
+REFUSALS_MAX = 4
+# Time within which rows that a copy of the store lacks are written again.
+WRITTEN_AGAIN_S = 2.0
 LINK_MODES = (
     ProxyMode.DELAY,
     ProxyMode.SILENT,
@@ -77,6 +81,9 @@
             ("reset", self._reset_links, False),
             ("engine_restart", self._restart_engine, False),
             ("late_orders", self._delay_orders, False),
+            ("store_copy", self._restore_store, False),
+            ("server_pause", self._pause_server, False),
+            ("server_leaving", self._announce_leaving, True),
             ("configuration", self._change_configuration, True),
             ("version", self._increment_version, True),
             ("drain", self._drain_server, True),
@@ -206,6 +213,36 @@
         server.state = "draining"
         self._site.register(server)
         gevent.sleep(duration_s)
+        self._replace_server(server)
+        return server.backend_id
+
+    def _announce_leaving(self, duration_s):
+        server = self._random.choice(self._site.servers)
+        server.is_leaving = True
+        gevent.sleep(duration_s)
+        self._replace_server(server)
+        return server.backend_id
+
+    def _replace_server(self, server):
+        """Begin the next incarnation of a server: one that leaves never comes back."""
+        server.incarnation += 1
+        server.is_leaving = False
         server.state = "ready"
         self._site.register(server)
+
+    def _pause_server(self, duration_s):
+        server = self._random.choice(self._site.servers)
+        server.retry_after_s = duration_s
+        server.refusals_pending += self._random.randint(1, REFUSALS_MAX)
+        gevent.sleep(duration_s)
+        server.refusals_pending, server.retry_after_s = 0, None
         return server.backend_id
+
+    def _restore_store(self, duration_s):
+        store = self._site.store
+        copy = store.take_copy()
+        gevent.sleep(duration_s)
+        store.restore(copy)
+        gevent.sleep(self._random.uniform(0.0, WRITTEN_AGAIN_S))
+        self._site.write_all_again()
+        return "store"
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -179,6 +179,9 @@
     def put_configuration(self):
         """Store the configuration of the operator with the next version number."""
         self.configuration_version += 1
+        self._write_configuration()
+
+    def _write_configuration(self):
         body = encode_configuration(
             self.configuration_version, HOST, TIMEOUT_MS, TARGET_MS
         )
@@ -186,11 +189,27 @@
 
     def increment_version(self, adapter):
         """Store the next version number of an adapter."""
-        version = self._versions[adapter] = self._versions.get(adapter, 1) + 1
+        self._versions[adapter] = self._versions.get(adapter, 1) + 1
+        self._write_version(adapter)
+
+    def _write_version(self, adapter):
+        version = self._versions[adapter]
         row = {"model": MODEL, "adapter": adapter, "version": version}
         key = f"version/{MODEL}.{adapter}"
         self.store.put("op", key, json.dumps(row).encode())
 
+    def write_all_again(self):
+        """Store all rows again, as after the store has returned from a copy."""
+        self._write_configuration()
+        for adapter in self._versions:
+            self._write_version(adapter)
+        registered = {backend.backend_id for backend in self.backends}
+        for backend_id in self.store.find_keys("servers"):
+            if backend_id not in registered:
+                self.store.remove("servers", backend_id)
+        for backend in self.backends:
+            self.register(backend)
+
     def _make_gateway(self, number):
         ip = self._ip(20 + number)
         listen = {
