--- a/nutmegdeal/engine_messages.py
+++ b/nutmegdeal/engine_messages.py
@@ -153,8 +153,6 @@
         The fields below are set; placers of earlier releases do not send them.
     spare_count, in_time_count, place_interval_ms, late_interval_ms : int
         As in `nutmegdeal.placer.turnover.PlaceQueue`.
-    pace_percent : int
-        Speed of the engine as its streams show it, 100 for a usual one.
     """
 
     running_count: int = 0
@@ -167,7 +165,6 @@
     in_time_count: int = 0
     place_interval_ms: int = 0
     late_interval_ms: int = 0
-    pace_percent: int = 100
 
 
 @attrs.frozen
--- a/nutmegdeal/entry/rendezvous.py
+++ b/nutmegdeal/entry/rendezvous.py
@@ -8,13 +8,12 @@
 from nutmegdeal.errors import Failure, Reason, Step
 
 SCORE_BYTES = 8
-RANK_SCORE_MAX = 256**SCORE_BYTES - 1
 REPORT_HALF_LIFE_MS = 2_000.0
 TIE_MARGIN_MS = 10.0
 
 
 def rank_score(key, agent_id):
-    """Return the rendezvous score of an agent for a key, up to RANK_SCORE_MAX (int)."""
+    """Return the rendezvous score (int) of an agent for a key."""
     text = f"{key}\x00{agent_id}".encode()
     digest = hashlib.blake2b(text, digest_size=SCORE_BYTES).digest()
     return int.from_bytes(digest)
--- a/nutmegdeal/gateway/backend_selection.py
+++ b/nutmegdeal/gateway/backend_selection.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from nutmegdeal.entry.rendezvous import RANK_SCORE_MAX, rank_score
+from nutmegdeal.entry.rendezvous import rank_score
 from nutmegdeal.site_configuration import CONCURRENT_LOADS_MAX
 from nutmegdeal.usage_rates import UsageRates
 
@@ -100,8 +100,7 @@
         load += CROSS_ZONE_PENALTY_REQUESTS
     if member.history.is_blocked(now_ms) or not member.is_reachable:
         load += UNREACHABLE_PENALTY_REQUESTS
-    load *= 1.0 + FAILURE_WEIGHT * member.history.failure_rate(now_ms)
-    return load / member.pace
+    return load * (1.0 + FAILURE_WEIGHT * member.history.failure_rate(now_ms))
 
 
 def select_plain(members, zone, now_ms, random_state):
@@ -237,7 +236,7 @@
         reachable = _find_reachable(free, costs)
         ranked = sorted(
             reachable,
-            key=lambda item: _weighted_rank(adapter, item),
+            key=lambda item: rank_score(adapter, item.backend_id),
             reverse=True,
         )
         candidates = ranked[:LOAD_CANDIDATES_MAX]
@@ -256,15 +255,6 @@
         return min(candidates, key=_place_wait_ms)
 
 
-def _weighted_rank(adapter, member):
-    """Return the weighted rendezvous score of an engine for an adapter (float).
-
-    An engine is the first one for a share of the adapters in proportion to its pace.
-    """
-    score = rank_score(adapter, member.backend_id) + 1
-    return -member.pace / math.log(score / (RANK_SCORE_MAX + 2))
-
-
 def _place_wait_ms(member):
     """Return how long an adapter waits for a place in an engine (float)."""
     if not member.has_full_places:
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -100,8 +100,6 @@
         From the last EngineLoad that the server's placer sent.
     places : EnginePlaces or None
         From the last EngineLoad, None if the placer does not state it.
-    pace : float
-        Speed of the engine as its streams show it, 1 for a usual one.
     first_event_ms : float
         Average time from sending a request to the first event of its stream.
     running_count, waiting_count : int
@@ -132,7 +130,6 @@
     gateway_count: int = 0
     waiting_tokens: int = 0
     places: EnginePlaces | None = None
-    pace: float = 1.0
     first_event_ms: float = FIRST_EVENT_INITIAL_MS
     running_count: int = 0
     waiting_count: int = 0
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -172,7 +172,6 @@
         member.queued_count = load.queued_count
         member.gateway_count = load.gateway_count
         member.waiting_tokens = load.waiting_tokens
-        member.pace = load.pace_percent / 100
         if load.states_places:
             member.places = EnginePlaces(
                 load.spare_count,
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -279,7 +279,6 @@
                 in_time_count=places.in_time_count,
                 place_interval_ms=round(places.interval_ms),
                 late_interval_ms=round(places.late_interval_ms),
-                pace_percent=round(100 * self._pacer.pace),
             ),
             is_leaving=report.is_leaving,
         )
