Admission: a stream that broke off is in time until its caller abandons it

Cause, found by reading the change on places: a broken stream that is resumed has passed the target of its first event, so it counted as late, and an engine with all places in use would have refused it, which cuts the stream. Before: test_broken_stream_is_not_late fails. After: it passes.

--- a/nutmegdeal/gateway/admission.py
+++ b/nutmegdeal/gateway/admission.py
@@ -21,7 +21,7 @@
 FIRST_EVENT_MS = 120.0
 
 
-def useful_until_ms(request, last_event_ms):
+def useful_until_ms(request):
     """Return the latest time at which it is still useful to send a request (float).
 
     Callers abandon a stream whose next event does not arrive in time. Other requests
@@ -30,12 +30,10 @@
     Parameters
     ----------
     request : Request
-    last_event_ms : float
-        When the caller received the last part of the answer, 0.0 if it has none.
     """
     if not request.is_stream:
         return request.deadline_ms
-    waiting_since_ms = last_event_ms or request.incoming.arrived_ms
+    waiting_since_ms = request.last_event_ms or request.incoming.arrived_ms
     abandoned_ms = waiting_since_ms + request.route.stream_stall_timeout_ms
     return min(request.deadline_ms, abandoned_ms - FIRST_EVENT_MS)
 
@@ -44,12 +42,15 @@
     """Return until when the first event is in time, on the monotonic clock (float).
 
     The latency target counts from the caller's first attempt. A caller that has come
-    back after a refusal has less time left than others on the same route.
+    back after a refusal has less time left than others on the same route. A stream that
+    broke off is in time until its caller abandons it.
 
     Parameters
     ----------
     request : Request
     """
+    if request.last_event_ms:
+        return request.last_event_ms + request.route.stream_stall_timeout_ms
     arrived_ms = request.incoming.arrived_ms
     given_ms = request.deadline_ms - arrived_ms
     usual_ms = request.route.timeout_ms * (1 - BUDGET_VARIATION_SHARE)
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -140,7 +140,8 @@
             self._selector.record_request(request.adapter, now_ms)
         outcome = None
         while True:
-            member = self._search.find(request, progress.last_byte_ms)
+            request.last_event_ms = progress.last_byte_ms
+            member = self._search.find(request)
             if isinstance(member, NotFound):
                 refusal = self._build_not_run_refusal(member.reason, member.excess_ms)
                 return self._finish_failed(request, progress, outcome, refusal)
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -106,6 +106,8 @@
     queued_at_id : str
         Id of the engine at which the request last waited for its adapter, ``""`` if it
         has not waited.
+    last_event_ms : float
+        When the caller received the last part of the answer, 0.0 if it has none.
     waited_ms : float
         Time spent waiting for the adapter.
     paced_ms : float
@@ -125,6 +127,7 @@
     run_count: int = 0
     tried_ids: set = attrs.field(factory=set)
     queued_at_id: str = ""
+    last_event_ms: float = 0.0
     waited_ms: float = 0.0
     paced_ms: float = 0.0
 
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -55,21 +55,19 @@
         self._links = links
         self._random = random_state
 
-    def find(self, request, last_event_ms):
+    def find(self, request):
         """Find a backend server for a request and wait until it may be sent there.
 
         Parameters
         ----------
         request : Request
-        last_event_ms : float
-            When the caller received the last part of the answer, 0.0 if it has none.
 
         Returns
         -------
         Member or NotFound
         """
         board = self._board
-        until_ms = useful_until_ms(request, last_event_ms)
+        until_ms = useful_until_ms(request)
         while True:
             now_ms = board.clock.monotonic_ms()
             usable = board.membership.usable(request.service.name, now_ms)
--- a/nutmegdeal/tests/place_load.py
+++ b/nutmegdeal/tests/place_load.py
@@ -176,7 +176,7 @@
             caller.recheck_ms = now_ms + STEP_MS
             choice.member.resident.pop(caller.adapter, None)
             return
-        until_ms = useful_until_ms(request, 0.0)
+        until_ms = useful_until_ms(request)
         excess_ms = excess_wait_ms(request, choice.member, until_ms, now_ms)
         if excess_ms or now_ms >= until_ms:
             self._refuse(caller, excess_ms)
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -258,7 +258,7 @@
         request.incoming = attrs.evolve(
             request.incoming, arrived_ms=clock.monotonic_ms()
         )
-        found = search.find(request, 0.0)
+        found = search.find(request)
         if has_holder:
             assert found is full
         else:
@@ -324,25 +324,25 @@
     def test_stream_is_useful_while_its_caller_waits(self):
         request = build.build_request()
         stream_stall_timeout_ms = request.route.stream_stall_timeout_ms
-        assert useful_until_ms(request, 0.0) == stream_stall_timeout_ms - FIRST_EVENT_MS
+        assert useful_until_ms(request) == stream_stall_timeout_ms - FIRST_EVENT_MS
         short = build.build_request(deadline_ms=500.0)
-        assert useful_until_ms(short, 0.0) == 500.0
+        assert useful_until_ms(short) == 500.0
 
     def test_stall_timeout_of_a_broken_stream_starts_at_its_last_event(self):
-        request = build.build_request()
+        request = build.build_request(last_event_ms=5_000.0)
         until_ms = 5_000.0 + request.route.stream_stall_timeout_ms - FIRST_EVENT_MS
-        assert useful_until_ms(request, 5_000.0) == until_ms
+        assert useful_until_ms(request) == until_ms
         engine = build.build_member()
         assert excess_wait_ms(request, engine, until_ms, 5_500.0) == 0.0
 
     def test_booking_is_useful_until_its_deadline(self):
         request = build.build_request(build.build_booking_route(), deadline_ms=1_400.0)
-        assert useful_until_ms(request, 0.0) == 1_400.0
+        assert useful_until_ms(request) == 1_400.0
 
     def test_excess_wait_grows_with_the_load_queue(self):
         engine = build.build_member()
         request = build.build_request()
-        until_ms = useful_until_ms(request, 0.0)
+        until_ms = useful_until_ms(request)
         engine.queued_count = 8
         assert excess_wait_ms(request, engine, until_ms, 0.0) == 0.0
         engine.queued_count = 60
@@ -365,7 +365,7 @@
             request = build.build_request(
                 incoming=incoming, deadline_ms=now_ms + 9_000.0
             )
-            until_ms = useful_until_ms(request, 0.0)
+            until_ms = useful_until_ms(request)
             excess_ms = excess_wait_ms(request, engine, until_ms, now_ms)
             if excess_ms:
                 refused += 1
--- a/nutmegdeal/tests/test_gateway_places.py
+++ b/nutmegdeal/tests/test_gateway_places.py
@@ -76,7 +76,7 @@
         engine = build.build_member()
         engine.places = places
         request = build.build_request(deadline_ms=12_000.0, **changes)
-        until_ms = useful_until_ms(request, 0.0)
+        until_ms = useful_until_ms(request)
         return excess_wait_ms(request, engine, until_ms, now_ms)
 
     def test_request_that_can_be_in_time_waits(self):
@@ -96,6 +96,11 @@
         assert self.admit(places)
         assert not self.admit(places, queued_at_id="i-1")
 
+    def test_broken_stream_is_not_late(self):
+        places = EnginePlaces(0, 0, interval_ms=100.0, late_interval_ms=60_000.0)
+        assert self.admit(places, now_ms=5_200.0)
+        assert not self.admit(places, now_ms=5_200.0, last_event_ms=5_000.0)
+
     def test_target_of_a_caller_that_has_come_back_began_earlier(self):
         route = build.build_route(timeout_ms=10_000.0, target_ms=600.0)
         first = build.build_request(route, deadline_ms=9_000.0)
