Gateway, placer: an unexpected error costs one stream or one round

An error while prompts were granted ended the granting for good. Before: test_malformed_message_of_a_placer_costs_its_stream_only fails (the stream is not opened again in 30 s). After: it and test_error_while_prompts_are_granted_costs_one_round pass. The line ordering_crashed is now controller_crashed, with the loop's name.

--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -84,7 +84,7 @@
                         self._trust_registration()
                 else:
                     pause_ms = RECONNECT_INITIAL_MS
-                    self._serve(session)
+                    self._serve_guarded(session)
                 gevent.sleep(pause_ms / 1000)
         finally:
             if self._session is not None:
@@ -99,6 +99,13 @@
         logger.info("registration_believed", backend=member.backend_id)
         self._board.waiters.wake({*member.resident, BASE_MODEL})
 
+    def _serve_guarded(self, session):
+        """Serve a stream; a message that cannot be applied ends only this stream."""
+        try:
+            self._serve(session)
+        except Exception:
+            logger.exception("placer_link_crashed", backend=self.member.backend_id)
+
     def _serve(self, session):
         self._session = session
         self._follows_changes = False
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -429,7 +429,7 @@
     ),
     LogEvent(
         "controller_crashed",
-        Process.GATEWAY,
+        Process.BOTH,
         "unexpected exception in a background task",
         {
             "controller": _text("name of the function"),
@@ -437,10 +437,10 @@
         },
     ),
     LogEvent(
-        "ordering_crashed",
-        Process.PLACER,
-        "unexpected exception in the task that gives orders to the engine",
-        {"exception": _text("traceback")},
+        "placer_link_crashed",
+        Process.GATEWAY,
+        "message of a placer that could not be applied; its stream is opened again",
+        {"backend": _BACKEND, "exception": _text("traceback")},
     ),
 )
 
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -89,8 +89,8 @@
         address = Address(self._settings.ip, self._settings.internal_port_first)
         self._server.start(address)
         self._metrics.start()
-        self._greenlets.spawn(self._run_orders)
-        self._greenlets.spawn(self._run_grants)
+        for run in (self._run_cycle, self._run_grant):
+            self._greenlets.spawn(self._run_forever, run)
         logger.info("started", node=self._settings.node_name)
 
     def request_shutdown(self):
@@ -160,25 +160,26 @@
         if self._pacer.next_ms() is not None:
             self._grant_wake.set()
 
-    def _run_grants(self):
-        while True:
-            next_ms = self._pacer.next_ms()
-            if next_ms is None:
-                self._grant_wake.wait()
-                self._grant_wake.clear()
-                continue
-            pause_ms = max(next_ms - self._clock.monotonic_ms(), GRANT_CHECK_MIN_MS)
-            gevent.sleep(pause_ms / 1000)
-            self._grant_prompts()
-
-    def _run_orders(self):
+    def _run_forever(self, run):
+        """Repeat `run`; an unexpected error costs one round."""
         while True:
             try:
-                self._run_cycle()
+                run()
             except Exception:
-                logger.exception("ordering_crashed")
+                logger.exception("controller_crashed", controller=run.__qualname__)
                 gevent.sleep(IDLE_REPORT_EVERY_MS / 1000)
 
+    def _run_grant(self):
+        """Wait until a prompt may fit, then grant what fits."""
+        next_ms = self._pacer.next_ms()
+        if next_ms is None:
+            self._grant_wake.wait()
+            self._grant_wake.clear()
+            return
+        pause_ms = max(next_ms - self._clock.monotonic_ms(), GRANT_CHECK_MIN_MS)
+        gevent.sleep(pause_ms / 1000)
+        self._grant_prompts()
+
     def _run_cycle(self):
         self._read_report()
         now_ms = self._clock.monotonic_ms()
--- a/nutmegdeal/tests/test_platform_notices.py
+++ b/nutmegdeal/tests/test_platform_notices.py
@@ -4,6 +4,7 @@
 import pytest
 
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
+from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.platform_site import (
     PlatformSite,
     encode_operator_configuration,
@@ -168,3 +169,33 @@
     gevent.sleep(0.5)
     assert site.gateway._board.configuration.version == 5
     assert site.call("/look/1", "q-1")[0] == 200
+
+
+def test_malformed_message_of_a_placer_costs_its_stream_only(site):
+    links = site.gateway._links._links.values()
+    before = [link._session for link in links]
+    malformed = build.build_engine_state(
+        backend_started_unix_ms=1, resident=("no version",)
+    )
+    for placer in site.placers:
+        for session in list(placer._sessions):
+            session.send(malformed)
+    wait_until(lambda: not any(session.is_open for session in before))
+    wait_until(site._is_linked)
+    assert site.call("/chat/1", "q-1")[0] == 200
+
+
+def test_error_while_prompts_are_granted_costs_one_round(site, monkeypatch):
+    assert site.call("/chat/1", "q-1")[0] == 200
+    failures = []
+
+    def fail():
+        failures.append(1)
+        raise ValueError("unexpected")
+
+    for placer in site.placers:
+        monkeypatch.setattr(placer._pacer, "next_ms", fail)
+        placer._grant_wake.set()
+    wait_until(lambda: len(failures) >= 2)
+    monkeypatch.undo()
+    assert site.call("/chat/1", "q-2")[0] == 200
