Test of leaving engines: the placer does not tell the gateway first; measurements

Trace, from its log: engine_leaving of the placer and backend_leaving with source placer come before the first request, so the engine rightly got none. The test is about answers, so the placer of the leaving engine is stopped first; its checks are as before.

--- a/nutmegdeal/tests/test_platform_notices.py
+++ b/nutmegdeal/tests/test_platform_notices.py
@@ -41,6 +41,8 @@
 @pytest.mark.parametrize("kind", [ENGINES, SERVERS])
 def test_server_that_leaves_by_its_answers_gets_no_more_requests(site, kind):
     leaving = getattr(site, kind)[0]
+    # Else the placer of an engine would tell the gateway before the first answer.
+    site.placers[0].close()
     leaving.is_leaving = True
     call_until_answered_by(site, leaving, PATHS[kind])
     assert_gets_nothing(site, leaving, PATHS[kind])
