Logs: for how long the server of a failed run had sent nothing

A run that the gateway gave up because its server was silent, and a run whose server is gone, both said TimeoutError. `run_failed` now has `silent_ms`, and `why` shows it.

Tested: test_request_log, test_log_events and test_gateway_transport pass.

--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -52,6 +52,8 @@
         The server could not be reached or stopped responding.
     longest_gap_ms : float
         Longest gap between events of a complete stream, 0.0 for other answers.
+    silent_ms : float
+        For how long the server had sent nothing when the run failed.
     """
 
     fate: RunFate
@@ -59,6 +61,7 @@
     answer: HeldAnswer | None = None
     is_unresponsive: bool = False
     longest_gap_ms: float = 0.0
+    silent_ms: float = 0.0
 
 
 @attrs.frozen
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -182,6 +182,7 @@
             verdict=verdict.value,
             sent=request.sent_count,
             runs=request.run_count,
+            silent_ms=round(outcome.silent_ms, 1),
             failure_rate=round(member.history.failure_rate_at_update, 3),
         )
 
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -282,15 +282,21 @@
         """Return the RunOutcome of a run that ended with an error."""
         self._progress.splitter.restart()
         detail = f"{type(error).__name__}: {error}"
-        is_deadline_passed = self._clock.monotonic_ms() >= self._request.deadline_ms
+        now_ms = self._clock.monotonic_ms()
+        silent_ms = now_ms - self._connection.last_active_ms
+        is_deadline_passed = now_ms >= self._request.deadline_ms
         if isinstance(error, TimeoutError) and is_deadline_passed:
-            return RunOutcome(RunFate.TIMED_OUT, detail)
+            return RunOutcome(RunFate.TIMED_OUT, detail, silent_ms=silent_ms)
         is_unresponsive = isinstance(error, TimeoutError) and (
             not self._connection.has_response_started
         )
-        if self._progress.responder.has_started:
-            return RunOutcome(RunFate.CUT, detail, is_unresponsive=is_unresponsive)
-        return RunOutcome(RunFate.MAYBE_RAN, detail, is_unresponsive=is_unresponsive)
+        has_started = self._progress.responder.has_started
+        return RunOutcome(
+            RunFate.CUT if has_started else RunFate.MAYBE_RAN,
+            detail,
+            is_unresponsive=is_unresponsive,
+            silent_ms=silent_ms,
+        )
 
     def _first_event_limit_ms(self):
         return self._limit_ms(
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -97,6 +97,8 @@
         When the connection may no longer be reused, on the monotonic clock.
     has_response_started : bool
         A byte of the current response has arrived.
+    last_active_ms : float
+        When the request was sent or the last bytes arrived, on the monotonic clock.
 
     Raises
     ------
@@ -110,6 +112,7 @@
         self.idle_since_ms = 0.0
         self.reusable_until_ms = 0.0
         self.has_response_started = False
+        self.last_active_ms = 0.0
         try:
             self._socket = gevent.socket.create_connection(
                 address, max(connect_timeout_ms, 1.0) / 1000
@@ -134,6 +137,7 @@
         self.has_response_started = False
         self._request = h11.Request(method=method, target=target, headers=headers)
         self._socket.sendall(self._encode_request(body))
+        self.last_active_ms = time.monotonic() * 1000
 
     def _encode_request(self, body):
         data = self._protocol.send(self._request)
@@ -221,6 +225,7 @@
         self._socket.settimeout(remaining_s)
         data = self._socket.recv(RECEIVE_BYTES)
         self.has_response_started = self.has_response_started or bool(data)
+        self.last_active_ms = time.monotonic() * 1000
         return data
 
     def finish(self, head, now_ms):
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -127,6 +127,7 @@
             "verdict": _text("`retry` or `give_up`"),
             "sent": _count("backend servers that the request was sent to so far"),
             "runs": _count("backend servers that may have run the request"),
+            "silent_ms": _ms("for how long the server had sent nothing"),
             "failure_rate": _ratio(
                 "fraction of the server's recent answers that failed"
             ),
--- a/nutmegdeal/request_log.py
+++ b/nutmegdeal/request_log.py
@@ -194,6 +194,8 @@
     if line.event == "run_failed":
         fate = FATE_TEXTS.get(fields.get("fate"), fields.get("fate"))
         verdict = "retried" if fields.get("verdict") == "retry" else "given up"
+        if fields.get("silent_ms"):
+            verdict += f", after {fields['silent_ms']} ms without data"
         return (
             f"at {fields.get('backend')}: {fate} ({fields.get('detail')}): {verdict}."
         )
--- a/nutmegdeal/tests/test_request_log.py
+++ b/nutmegdeal/tests/test_request_log.py
@@ -36,6 +36,21 @@
     assert "q-2" not in text
 
 
+def test_run_that_was_given_up_shows_how_long_its_server_was_silent():
+    failed = line(
+        2,
+        "run_failed",
+        request="q-1",
+        backend="e-1",
+        fate="cut",
+        detail="TimeoutError: timed out",
+        verdict="give_up",
+        silent_ms=1200.4,
+    )
+    text = "\n".join(describe(summarize_request_log("q-1", [failed])))
+    assert "(TimeoutError: timed out): given up, after 1200.4 ms without data" in text
+
+
 def test_cut_stream_shows_the_server_that_left():
     texts = [
         line(1, "backend_chosen", request="q-1", backend="e-1"),
