--- /dev/null
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -0,0 +1,117 @@
+"""A dispatcher over scripted servers on loopback, without a store and placers."""
+
+import random
+import time
+
+from nutmegdeal.clock import SystemClock
+from nutmegdeal.gateway.backend_selection import EngineSelector
+from nutmegdeal.gateway.blackboard import Blackboard
+from nutmegdeal.gateway.dispatch import Dispatcher
+from nutmegdeal.gateway.members import Membership
+from nutmegdeal.gateway.retries import RetryBudgets, RetryDecider
+from nutmegdeal.gateway.search import MemberSearch
+from nutmegdeal.gateway.telemetry import GatewayTelemetry
+from nutmegdeal.gateway.transport import DirectTransport
+from nutmegdeal.gateway.versions import AdapterVersions
+from nutmegdeal.http_connections import ConnectionPool
+from nutmegdeal.retry_budget import WindowedRetryBudget
+from nutmegdeal.tests import platform_builders as build
+from nutmegdeal.tests.scripted_server import ScriptedServer
+from nutmegdeal.tests.test_gateway_transport import RecordingResponder
+
+ADAPTER = "a7@1"
+VERSION_MS = 5_000.0
+WINDOW_MS = 10_000.0
+
+
+class NoLinks:
+    """No placer is connected."""
+
+    def link_to(self, member):
+        return None
+
+
+class DispatchHarness:
+    """A gateway's dispatcher and its backend servers.
+
+    Parameters
+    ----------
+    answers : list of callable
+        One for each server, as for `ScriptedServer`. Requests go to the first server
+        until it has been tried.
+    retry_count : float
+        Retries that the budget allows.
+    route : Route, optional
+    """
+
+    def __init__(self, answers, retry_count=10.0, route=None):
+        self.clock = SystemClock()
+        self.route = route or build.build_route(gap_target_ms=100.0)
+        self.servers = [ScriptedServer(answer) for answer in answers]
+        membership = Membership()
+        settings = build.build_node_settings()
+        versions = AdapterVersions(VERSION_MS)
+        self.board = Blackboard(settings, self.clock, membership, versions)
+        self.board.configuration = build.build_configuration(routes=[self.route])
+        self.board.has_registrations = True
+        self.board.update_initialized()
+        self.members = [
+            self._add_member(number, server)
+            for number, server in enumerate(self.servers)
+        ]
+        self.telemetry = GatewayTelemetry()
+        self.responder = RecordingResponder()
+        self.dispatcher = self._build_dispatcher(membership, retry_count)
+
+    def _add_member(self, number, server):
+        host, port = server.address
+        member = self.board.membership.put(
+            build.build_backend(
+                backend_id=f"i-{number}",
+                service=self.route.targets[0].service,
+                host=host,
+                port=port,
+            ),
+            self.clock.monotonic_ms(),
+        )
+        member.set_resident([ADAPTER])
+        member.has_model = True
+        member.record_load(number, 0, self.clock.monotonic_ms(), valid_ms=60_000.0)
+        return member
+
+    def _build_dispatcher(self, membership, retry_count):
+        random_state = random.Random(1)
+        selector = EngineSelector("a", random_state)
+        links = NoLinks()
+        budgets = RetryBudgets(lambda: WindowedRetryBudget(0.0, retry_count, WINDOW_MS))
+        return Dispatcher(
+            self.board,
+            DirectTransport(ConnectionPool(self.clock), self.clock, membership),
+            selector,
+            MemberSearch(self.board, selector, links, random_state),
+            links,
+            RetryDecider(budgets.budget_for),
+            budgets,
+            self.telemetry,
+            random_state,
+        )
+
+    def call(self, deadline_in_ms=20_000.0):
+        """Serve one request; what the caller receives is in `responder`."""
+        arrived_ms = time.monotonic() * 1000
+        incoming = build.build_incoming(
+            path=self.route.prefix.encode() + b"1",
+            arrived_ms=arrived_ms,
+            headers=[
+                (b"host", self.route.host.encode()),
+                (b"x-request-id", b"q-1"),
+                (b"x-model", b"model/a7"),
+                (b"x-deadline-ms", b"%d" % deadline_in_ms),
+            ],
+        )
+        self.dispatcher(incoming, self.responder)
+
+    def close(self):
+        """Close the servers."""
+        for server in self.servers:
+            server.close()
