--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -2,10 +2,10 @@
 
 import math
 
+from nutmegdeal.gateway.exchange import AnswerProgress
 from nutmegdeal.gateway.requests import Ending, Refusal, Request, RunFate
 from nutmegdeal.gateway.retries import RetryDecision
 from nutmegdeal.gateway.search import NotFound
-from nutmegdeal.gateway.transport import AnswerProgress
 from nutmegdeal.http_connections import find_header
 from nutmegdeal.platform import headers as platform_headers
 
--- a/nutmegdeal/tests/test_gateway_silence.py
+++ b/nutmegdeal/tests/test_gateway_silence.py
@@ -4,7 +4,7 @@
 import gevent.event
 import pytest
 
-from nutmegdeal.gateway.transport import GAP_TIMEOUT_MIN_MS
+from nutmegdeal.gateway.exchange import GAP_TIMEOUT_MIN_MS
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.dispatch_harness import DispatchHarness
 
--- a/nutmegdeal/tests/test_gateway_telemetry.py
+++ b/nutmegdeal/tests/test_gateway_telemetry.py
@@ -4,10 +4,10 @@
 
 from prometheus_client import generate_latest
 
+from nutmegdeal.gateway.exchange import AnswerProgress
 from nutmegdeal.gateway.requests import Ending, Refusal, RunFate, RunOutcome
 from nutmegdeal.gateway.retries import RetryDecision
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
-from nutmegdeal.gateway.transport import AnswerProgress
 from nutmegdeal.platform.rows import BACKENDS_TABLE, OPERATOR_TABLE
 from nutmegdeal.request_log import END_TEXTS
 from nutmegdeal.site_configuration import RouteKind
--- a/nutmegdeal/tests/test_gateway_transport.py
+++ b/nutmegdeal/tests/test_gateway_transport.py
@@ -6,13 +6,10 @@
 import pytest
 
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.gateway.exchange import AnswerProgress
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.requests import RunFate
-from nutmegdeal.gateway.transport import (
-    NON_REPEATABLE_IDLE_MAX_MS,
-    AnswerProgress,
-    DirectTransport,
-)
+from nutmegdeal.gateway.transport import NON_REPEATABLE_IDLE_MAX_MS, DirectTransport
 from nutmegdeal.http_connections import ConnectionPool
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.scripted_server import ScriptedServer
