Gateway: a silent run goes on until another server has begun to answer

What callers got: beside any load that spends the retry budget (a change of the configuration, a burst), a stream whose sound server paused for over 4 gap targets was cut, and a stream or lookup whose server paused for 2 latency targets before its first byte was answered 502.

Cause: the exchange gave the run up when the other server was only allowed (`may_repeat`), not found. The retry budget, the deadline, the adapter and the choice of a server were looked at afterwards, when the connection was closed already. The class: a resource is released before the one that replaces it is held.

Fix: at its silence limit an exchange asks a SilenceHandler. Takeover looks for a server that has a free slot, responds, has not been tried and holds the adapter; it asks for a load otherwise, and spends the retry budget only for a server that is there. The second run then watches both connections. The one that first has a whole event or the head of a plain success goes on, and the other is closed. If the second one refuses, breaks off, cannot be reached or stays silent, the first one is as it was, with the bytes that have arrived meanwhile. Both runs are open together only until the second one's first event.

Ruled out: only reserving budget and server before the run is given up. The tests with a second server that refuses, breaks off or does not answer would still be cut.

New: bytes without a whole event, a break in the middle of an event, a first server that breaks off late, a caller that leaves. Logs and metrics: `run_silent`, fates `silent` and `superseded`, verdict `keep`, nutmegdeal_silent_runs_total.

--- a/nutmegdeal/gateway/backend_selection.py
+++ b/nutmegdeal/gateway/backend_selection.py
@@ -103,6 +103,13 @@
     return load * (1.0 + FAILURE_WEIGHT * member.history.failure_rate(now_ms))
 
 
+def has_free_slot(member, now_ms):
+    """Return whether a member that responds can run one more request at once."""
+    if member.history.is_blocked(now_ms) or not member.is_reachable:
+        return False
+    return member.expected_load(now_ms) < member.backend.slots
+
+
 def select_plain(members, zone, now_ms, random_state):
     """Return the Member with the lowest cost, None if `members` is empty.
 
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -3,9 +3,10 @@
 import math
 
 from nutmegdeal.gateway.exchange import AnswerProgress
-from nutmegdeal.gateway.requests import Ending, Refusal, Request, RunFate
-from nutmegdeal.gateway.retries import RetryDecision
+from nutmegdeal.gateway.requests import Attempt, Ending, Refusal, Request, RunFate
+from nutmegdeal.gateway.retries import RetryDecision, may_run_beside
 from nutmegdeal.gateway.search import NotFound
+from nutmegdeal.gateway.takeover import Takeover
 from nutmegdeal.http_connections import find_header
 from nutmegdeal.platform import headers as platform_headers
 
@@ -145,7 +146,8 @@
             if isinstance(member, NotFound):
                 refusal = self._build_not_run_refusal(member.reason, member.excess_ms)
                 return self._finish_failed(request, progress, outcome, refusal)
-            outcome = self._attempt(request, member, progress)
+            ended = self.attempt(request, member, progress)
+            member, outcome = ended.member, ended.outcome
             if outcome.fate is RunFate.COMPLETED:
                 return Ending("completed")
             now_ms = self._board.clock.monotonic_ms()
@@ -155,30 +157,67 @@
                 refusal = self._build_not_run_refusal(f"gave_up_{outcome.fate.value}")
                 return self._finish_failed(request, progress, outcome, refusal)
 
-    def _attempt(self, request, member, progress):
+    def attempt(self, request, member, progress, rival=None):
+        """Run a request once, or until another run has taken over.
+
+        Parameters
+        ----------
+        request : Request
+        member : Member
+        progress : AnswerProgress
+        rival : Exchange or None
+            Silent exchange of the same request that this run may replace.
+
+        Returns
+        -------
+        Attempt
+            The last run: the replacement if one has taken over.
+        """
         adapter = request.adapter
         link = self._links.link_to(member) if adapter else None
         if link is not None:
             link.record_started(adapter)
-        may_repeat = (
-            request.route.is_repeatable
-            and request.run_count + 1 < request.route.attempts_max
-        )
+        takeover = self._build_takeover(request, member, progress)
         request.tried_ids.add(member.backend_id)
         version = self._required_version(adapter, member)
         now_ms = self._board.clock.monotonic_ms()
         self._telemetry.record_selection(request, member, version, now_ms)
         try:
             outcome = self._transport.run(
-                request, member, version, progress, may_repeat
+                request, member, version, progress, takeover, rival
             )
         finally:
+            if takeover is not None:
+                takeover.close()
             if link is not None:
                 link.record_ended(adapter)
         if link is not None and outcome.longest_gap_ms:
             link.record_gap(outcome.longest_gap_ms)
         self._record_outcome(request, member, outcome)
-        return outcome
+        if outcome.replacement is None:
+            return Attempt(member, outcome)
+        self._telemetry.record_failed_run(request, member, outcome, RetryDecision.RETRY)
+        return outcome.replacement
+
+    def _build_takeover(self, request, member, progress):
+        """Return the Takeover of a run, None if no other server may run the request."""
+        if not may_run_beside(request):
+            return None
+        return Takeover(
+            self,
+            self._search,
+            self._retries,
+            self._telemetry,
+            self._board.clock,
+            request,
+            member,
+            progress,
+        )
+
+    def record_unresponsive(self, member, now_ms):
+        """Record that a server could not be reached or has not begun to answer."""
+        member.history.record_unreachable(now_ms)
+        self._transport.drop_idle_connections(member)
 
     def _required_version(self, adapter, member):
         if not adapter or self._board.versions.newest(adapter) is None:
@@ -195,8 +234,7 @@
         if fate not in (RunFate.NOT_SENT, RunFate.NOT_RUN):
             request.run_count += 1
         if outcome.is_unresponsive:
-            member.history.record_unreachable(now_ms)
-            self._transport.drop_idle_connections(member)
+            self.record_unresponsive(member, now_ms)
         if fate is RunFate.NOT_RUN:
             is_misdirected = (
                 outcome.answer.status_code == platform_headers.STATUS_MISDIRECTED
@@ -207,7 +245,7 @@
                 # as fast as another engine can load it.
                 request.tried_ids.discard(member.backend_id)
             return
-        if fate is not RunFate.NOT_SENT:
+        if fate not in (RunFate.NOT_SENT, RunFate.SUPERSEDED):
             member.history.record_outcome(fate is not RunFate.COMPLETED, now_ms)
 
     def _finish_failed(self, request, progress, outcome, refusal):
--- a/nutmegdeal/gateway/events.py
+++ b/nutmegdeal/gateway/events.py
@@ -61,6 +61,11 @@
             )
         self.last_event_id = event_id
 
+    def take_pending(self):
+        """Remove and return the bytes of the incomplete event."""
+        pending, self._pending = self._pending, b""
+        return pending
+
     def restart(self):
         """Discard the incomplete event: a new run resumes after the last whole one."""
         self._pending = b""
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -1,26 +1,64 @@
-"""One request and its answer on one connection to a backend server."""
+"""One request and its answer on one connection to a backend server.
+
+A server that sends nothing for a while may be sound. Its run is given up only if
+another server has begun to answer the request; until then both connections are watched,
+and the first one to deliver a part of the answer goes on.
+"""
+
+import abc
 
 import attrs
 
 from nutmegdeal.gateway.availability import LeavingSource
-from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
+from nutmegdeal.gateway.events import EVENT_END, BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.requests import HeldAnswer, RunFate, RunOutcome
-from nutmegdeal.http_connections import BrokenAnswerError, find_header
+from nutmegdeal.http_connections import (
+    BrokenAnswerError,
+    find_header,
+    wait_until_readable,
+)
 from nutmegdeal.platform import headers as platform_headers
 from nutmegdeal.site_configuration import RouteKind
 
 # Limit on an answer's body: four times the largest body that a caller may send.
 # Answers are a few KB.
 ANSWER_BYTES_MAX = 16_777_216
-# Timeout for the head of an answer and for the first event of a stream, as a multiple
-# of the latency target. It applies if another server may then run the request, else the
-# deadline does. Callers abandon a stream after four targets.
+# Time without a head or a first event after which a server counts as silent, as a
+# multiple of the latency target. Callers abandon a stream after four targets.
 FIRST_EVENT_TIMEOUT_TARGETS = 2.0
-# Timeout between two events of a stream that another server may then resume, as a
-# multiple of the target for the gap between events. Callers abandon a stream after
-# eight targets.
+# The same for the time between two events, as a multiple of the target for the gap
+# between events. Callers abandon a stream after eight targets.
 GAP_TIMEOUT_TARGETS = 4.0
 GAP_TIMEOUT_MIN_MS = 800.0
+# Pause between two searches for a server that can take over a silent run.
+SILENCE_RECHECK_MS = 100.0
+# Limit on reading bytes that have arrived already.
+ARRIVED_READ_MS = 1.0
+# What ends an exchange, apart from the caller.
+EXCHANGE_ERRORS = (OSError, BrokenAnswerError, BrokenStreamError)
+
+
+class OvertakenError(Exception):
+    """The exchange that was to be replaced has delivered a part of the answer."""
+
+
+class SilenceHandler(abc.ABC):
+    """Decides what happens to a run whose server sends nothing for a while."""
+
+    @abc.abstractmethod
+    def replace(self, exchange):
+        """Run the request at another server if one can take it now.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The silent one; it is abandoned if the other server begins to answer.
+
+        Returns
+        -------
+        Attempt or None
+            None if the silent run goes on.
+        """
 
 
 @attrs.define
@@ -64,10 +102,38 @@
 
 
 class Exchange:
-    """One request and its answer on one connection."""
+    """One request and its answer on one connection.
+
+    Parameters
+    ----------
+    clock : Clock
+    connection : ClientConnection
+    request : Request
+    member : Member
+    progress : AnswerProgress
+    membership : Membership
+    silence_handler : SilenceHandler or None
+        None if no other server may run the request.
+    rival : Exchange or None
+        Silent exchange of the same request, which this one replaces once it has a part
+        of the answer.
+
+    Attributes
+    ----------
+    is_abandoned : bool
+        Another exchange has taken over.
+    """
 
     def __init__(
-        self, clock, connection, request, member, progress, may_repeat, membership
+        self,
+        clock,
+        connection,
+        request,
+        member,
+        progress,
+        membership,
+        silence_handler=None,
+        rival=None,
     ):
         self._clock = clock
         self._membership = membership
@@ -75,8 +141,38 @@
         self._request = request
         self._member = member
         self._progress = progress
-        self._may_repeat = may_repeat
+        self._silence_handler = silence_handler
+        self._rival = rival
+        self._head = None
         self._sent_ms = 0.0
+        self._active_ms = 0.0
+        self._gaps_ms = []
+        self._unfed = b""
+        self._is_at_end = False
+        self._failure = None
+        self.is_abandoned = False
+
+    @property
+    def connection(self):
+        """Return the ClientConnection."""
+        return self._connection
+
+    @property
+    def head(self):
+        """Return the ResponseHead of the answer, None before it has arrived."""
+        return self._head
+
+    @property
+    def is_over(self):
+        """Return whether nothing more can arrive that the caller waits for."""
+        return self._failure is not None or (
+            self._head is not None and not _is_success(self._head)
+        )
+
+    @property
+    def has_response_started(self):
+        """Return whether a byte of the answer has arrived."""
+        return self._connection.has_response_started
 
     def send(self, version):
         """Send the request."""
@@ -92,11 +188,103 @@
             self._progress.splitter.last_event_id,
         )
         self._connection.send(incoming.method, incoming.target, headers, incoming.body)
-        self._sent_ms = self._clock.monotonic_ms()
+        self._sent_ms = self._active_ms = self._clock.monotonic_ms()
+        if self._rival is not None:
+            self._connection.wait_for_data = self._wait_beside_rival
+
+    def follow(self):
+        """Read the answer and forward it; return the RunOutcome.
 
-    def read_matching_head(self):
+        Raises
+        ------
+        OvertakenError, OSError, BrokenAnswerError, BrokenStreamError
+        """
+        while True:
+            try:
+                return self._advance()
+            except TimeoutError as error:
+                if not self._is_silent(error):
+                    raise
+            # The other exchange splits its own events.
+            self._unfed = self._progress.splitter.take_pending()
+            attempt = self._silence_handler.replace(self)
+            if attempt is not None:
+                return RunOutcome(
+                    RunFate.SILENT,
+                    "the server sent nothing",
+                    silent_ms=self.silent_ms(),
+                    replacement=attempt,
+                )
+
+    def silent_ms(self):
+        """Return for how long the server has sent nothing (float)."""
+        return self._clock.monotonic_ms() - self._connection.last_active_ms
+
+    def _is_silent(self, error):
+        """Return whether a timeout is one of waiting, and before the deadline."""
+        if error.errno is not None or self._silence_handler is None:
+            return False
+        return self._clock.monotonic_ms() < self._request.deadline_ms
+
+    def _advance(self):
+        if self._failure is not None:
+            raise self._failure
+        if self._head is None:
+            self._head = self._read_matching_head(self._first_event_limit_ms())
+        return self._forward_answer(self._head)
+
+    def poll(self):
+        """Read what has arrived; return whether a part of the answer can be forwarded.
+
+        Nothing is forwarded: `follow` does that. A failure is kept for it, too.
+        """
+        try:
+            self._read_arrived(self._clock.monotonic_ms() + ARRIVED_READ_MS)
+        except EXCHANGE_ERRORS as error:
+            # A timeout without a number is only the end of what has arrived.
+            is_failure = not isinstance(error, TimeoutError) or error.errno is not None
+            self._failure = error if is_failure else None
+        if self._head is None or self.is_over:
+            return False
+        if not self._request.is_stream:
+            return True
+        return self._is_at_end or EVENT_END in self._unfed
+
+    def _read_arrived(self, limit_ms):
+        if self._head is None:
+            self._head = self._read_matching_head(limit_ms)
+        if self.is_over or not self._request.is_stream:
+            return
+        while (data := self._connection.read_data(limit_ms)) is not None:
+            self._unfed += data
+        self._is_at_end = True
+
+    def abandon(self):
+        """Close the connection, as another exchange has taken over."""
+        self.is_abandoned = True
+        self._connection.close()
+
+    def _wait_beside_rival(self, deadline_ms):
+        """Wait for bytes of this exchange, and for parts of the rival's answer."""
+        while not self._rival.is_over:
+            pair = (self._connection, self._rival.connection)
+            readable = wait_until_readable(pair, deadline_ms)
+            if self._rival.connection in readable and self._rival.poll():
+                raise OvertakenError("the other server went on")
+            if self._connection in readable:
+                return
+        self._connection.wait_for_data = None
+
+    def _take_over(self):
+        """Abandon the rival, as this exchange has a part of the answer."""
+        if self._rival is None:
+            return
+        self._rival.abandon()
+        self._rival = None
+        self._connection.wait_for_data = None
+
+    def _read_matching_head(self, limit_ms):
         """Read the head of the answer to this request, skipping late other answers."""
-        limit_ms = self._first_event_limit_ms()
         while True:
             head = self._connection.read_head(limit_ms)
             if platform_headers.is_server_leaving(head.headers):
@@ -107,7 +295,7 @@
             ):
                 break
             self._connection.skip_response(limit_ms, ANSWER_BYTES_MAX)
-        now_ms = self._clock.monotonic_ms()
+        now_ms = self._active_ms = self._clock.monotonic_ms()
         load = platform_headers.decode_server_load(head.headers)
         if load is not None and not self._member.is_linked:
             self._member.record_load(load.running_count, load.waiting_count, now_ms)
@@ -123,9 +311,9 @@
         if platform_headers.is_from_server(head.headers, self._member.backend_id):
             self._membership.record_leaving(self._member, LeavingSource.ANSWER)
 
-    def forward_answer(self, head):
+    def _forward_answer(self, head):
         """Forward a successful answer to the caller; keep a failure in the outcome."""
-        if not 200 <= head.status_code < 300:
+        if not _is_success(head):
             return self._hold_answer(head)
         if find_header(head.headers, platform_headers.SIGNATURE) is None:
             raise BrokenAnswerError("the successful answer has no signature")
@@ -134,6 +322,7 @@
         if self._request.route.kind is RouteKind.STREAM:
             return self._forward_events(head)
         body = self._connection.read_body(self._request.deadline_ms, ANSWER_BYTES_MAX)
+        self._take_over()
         self._progress.record_forwarded(self._clock.monotonic_ms())
         self._progress.responder.reply(
             head.status_code, platform_headers.filter_answer_headers(head.headers), body
@@ -151,28 +340,41 @@
 
     def _forward_events(self, head):
         progress = self._progress
-        responder = progress.responder
-        limit_ms = self._first_event_limit_ms()
-        gaps_ms = []
-        while (data := self._connection.read_data(limit_ms)) is not None:
+        while (data := self._read_events()) is not None:
             whole = progress.splitter.feed(data)
             if whole:
-                self._start_answer(head)
-                now_ms = self._clock.monotonic_ms()
-                if not gaps_ms:
-                    self._member.record_first_event(now_ms - self._sent_ms)
-                gaps_ms.append(progress.record_forwarded(now_ms))
-                responder.send(whole)
-                limit_ms = self._gap_limit_ms()
+                self._forward(head, whole)
         if not progress.splitter.is_between_events:
             raise BrokenStreamError("the stream ended inside an event")
+        self._take_over()
         self._start_answer(head)
-        responder.finish()
+        progress.responder.finish()
         # The first gap includes the time to reach this server, so it is not one of the
         # engine's own.
-        longest_gap_ms = max(gaps_ms[1:], default=0.0)
+        longest_gap_ms = max(self._gaps_ms[1:], default=0.0)
         return RunOutcome(RunFate.COMPLETED, longest_gap_ms=longest_gap_ms)
 
+    def _read_events(self):
+        """Return the next bytes of a stream, None at its end."""
+        if self._unfed:
+            data, self._unfed = self._unfed, b""
+            return data
+        if self._is_at_end:
+            return None
+        has_events = bool(self._gaps_ms)
+        limit_ms = self._gap_limit_ms() if has_events else self._first_event_limit_ms()
+        return self._connection.read_data(limit_ms)
+
+    def _forward(self, head, whole):
+        """Forward whole events."""
+        self._take_over()
+        self._start_answer(head)
+        now_ms = self._active_ms = self._clock.monotonic_ms()
+        if not self._gaps_ms:
+            self._member.record_first_event(now_ms - self._sent_ms)
+        self._gaps_ms.append(self._progress.record_forwarded(now_ms))
+        self._progress.responder.send(whole)
+
     def _start_answer(self, head):
         progress = self._progress
         if progress.responder.has_started:
@@ -184,6 +386,8 @@
     def classify_failure(self, error):
         """Return the RunOutcome of a run that ended with an error."""
         self._progress.splitter.restart()
+        if isinstance(error, OvertakenError):
+            return RunOutcome(RunFate.SUPERSEDED, str(error))
         detail = f"{type(error).__name__}: {error}"
         now_ms = self._clock.monotonic_ms()
         silent_ms = now_ms - self._connection.last_active_ms
@@ -212,6 +416,13 @@
 
     def _limit_ms(self, timeout_ms):
         """Return the monotonic time until which to wait for the next bytes (float)."""
-        if not self._may_repeat:
+        if self._silence_handler is None or self._rival is not None:
             return self._request.deadline_ms
-        return min(self._request.deadline_ms, self._clock.monotonic_ms() + timeout_ms)
+        silent_at_ms = self._active_ms + timeout_ms
+        recheck_at_ms = self._clock.monotonic_ms() + SILENCE_RECHECK_MS
+        return min(self._request.deadline_ms, max(silent_at_ms, recheck_at_ms))
+
+
+def _is_success(head):
+    """Return whether the status of an answer is 2xx."""
+    return 200 <= head.status_code < 300
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -17,6 +17,8 @@
     ``MAYBE_RAN``: there was no complete answer, and the caller has received nothing.
     ``CUT``: the answer broke off after the caller had received a part of it.
     ``TIMED_OUT``: the deadline passed before the answer was complete.
+    ``SILENT``: the server sent nothing for a while, and another one took over.
+    ``SUPERSEDED``: the server that was to be replaced delivered its answer first.
     """
 
     COMPLETED = "completed"
@@ -26,6 +28,8 @@
     MAYBE_RAN = "maybe_ran"
     CUT = "cut"
     TIMED_OUT = "timed_out"
+    SILENT = "silent"
+    SUPERSEDED = "superseded"
 
 
 @attrs.frozen
@@ -54,6 +58,8 @@
         Longest gap between events of a complete stream, 0.0 for other answers.
     silent_ms : float
         For how long the server had sent nothing when the run failed.
+    replacement : Attempt or None
+        The run that took over from a silent one.
     """
 
     fate: RunFate
@@ -62,6 +68,15 @@
     is_unresponsive: bool = False
     longest_gap_ms: float = 0.0
     silent_ms: float = 0.0
+    replacement: object = None
+
+
+@attrs.frozen
+class Attempt:
+    """One run of a request and the backend server that ran it."""
+
+    member: object
+    outcome: RunOutcome
 
 
 @attrs.frozen
@@ -103,7 +118,9 @@
     sent_count : int
         Number of times that the request was sent to a backend server.
     run_count : int
-        Number of times that the request may have run at a backend server.
+        Number of runs that have ended and in which the request may have run.
+    open_run_count : int
+        Silent runs that go on while another server is asked to take over.
     tried_ids : set of str
         Ids of the backend servers tried.
     queued_at_id : str
@@ -128,6 +145,7 @@
     connect_count: int = 0
     sent_count: int = 0
     run_count: int = 0
+    open_run_count: int = 0
     tried_ids: set = attrs.field(factory=set)
     queued_at_id: str = ""
     last_event_ms: float = 0.0
--- a/nutmegdeal/gateway/retries.py
+++ b/nutmegdeal/gateway/retries.py
@@ -22,10 +22,14 @@
 
 
 class RetryDecision(enum.Enum):
-    """Decision after a run that did not complete."""
+    """Decision after a run that did not complete.
+
+    ``KEEP``: the silent run that it was to replace goes on.
+    """
 
     RETRY = "retry"
     GIVE_UP = "give_up"
+    KEEP = "keep"
 
 
 @attrs.define
@@ -68,12 +72,38 @@
             return RetryDecision.GIVE_UP
         return RetryDecision.RETRY
 
+    def try_replace(self, request, now_ms):
+        """Return whether a silent run may be replaced; this spends the retry budget.
+
+        Parameters
+        ----------
+        request : Request
+        now_ms : float
+        """
+        if request.deadline_ms - now_ms < RETRY_MIN_REMAINING_MS:
+            return False
+        if request.sent_count >= SENDS_MAX:
+            return False
+        if request.connect_count >= FAILED_CONNECTS_MAX:
+            return False
+        if not may_run_beside(request):
+            return False
+        return self._budget(request.service.name).try_spend(now_ms)
+
     def _may_run_again(self, request):
         if not request.route.is_repeatable:
             return False
         return request.run_count < request.route.attempts_max
 
 
+def may_run_beside(request):
+    """Return whether another server may run a request that runs now (bool)."""
+    if not request.route.is_repeatable:
+        return False
+    begun_count = request.run_count + request.open_run_count + 1
+    return begun_count < request.route.attempts_max
+
+
 class RetryBudgets:
     """The retry budgets of this gateway, one for each service.
 
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -9,7 +9,12 @@
     target_end_ms,
     useful_until_ms,
 )
-from nutmegdeal.gateway.backend_selection import LoadFirst, SendNow, select_plain
+from nutmegdeal.gateway.backend_selection import (
+    LoadFirst,
+    SendNow,
+    has_free_slot,
+    select_plain,
+)
 from nutmegdeal.gateway.blackboard import BASE_MODEL
 from nutmegdeal.site_configuration import UNCONTENDED_LOAD_MS
 
@@ -85,6 +90,54 @@
             if found is not None:
                 return found
 
+    def find_replacement(self, request):
+        """Find a backend server that can take over a silent run.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        SendNow, LoadFirst or None
+            LoadFirst if a server can do so once it has loaded the adapter.
+        """
+        now_ms = self._board.clock.monotonic_ms()
+        if now_ms >= useful_until_ms(request):
+            return None
+        members = [
+            item
+            for item in self._board.membership.usable(request.service.name, now_ms)
+            if item.backend_id not in request.tried_ids and has_free_slot(item, now_ms)
+        ]
+        if not members:
+            return None
+        if not request.adapter:
+            member = self._select_without_adapter(request, members, now_ms)
+            return SendNow(member) if member is not None else None
+        choice = self._select_engine(request, members, now_ms)
+        if not isinstance(choice, LoadFirst):
+            return choice
+        until_ms = useful_until_ms(request)
+        is_late = excess_wait_ms(request, choice.member, until_ms, now_ms) > 0
+        return None if is_late else choice
+
+    def request_load(self, request, member):
+        """Ask a member's placer for the adapter of a request.
+
+        Returns
+        -------
+        PlacerLink or None
+            On which `cancel_load_request` has to be called; None without a placer.
+        """
+        link = self._links.link_to(member)
+        if link is None:
+            return None
+        newest = self._board.versions.newest(request.adapter)
+        due_ms = load_due_ms(request, member)
+        link.request_load(request.adapter, newest, due_ms, request.deadline_ms)
+        return link
+
     def _explain_no_member(self, request, now_ms):
         """Return the NotFound of a service without a usable server."""
         pause_end_ms = self._board.membership.pause_end_ms(request.service.name, now_ms)
@@ -148,20 +201,15 @@
             link.request_copy(adapter, newest, now_ms)
 
     def _wait_for_load(self, request, member, now_ms):
-        link = self._links.link_to(member)
         within_ms = min(request.deadline_ms - now_ms, RECHECK_AFTER_MS)
-        adapter = request.adapter
-        if link is None:
-            self._board.waiters.wait(adapter, within_ms)
-        else:
-            newest = self._board.versions.newest(adapter)
-            due_ms = load_due_ms(request, member)
+        link = self.request_load(request, member)
+        if link is not None:
             request.queued_at_id = member.backend_id
-            link.request_load(adapter, newest, due_ms, request.deadline_ms)
-            try:
-                self._board.waiters.wait(adapter, within_ms)
-            finally:
-                link.cancel_load_request(adapter)
+        try:
+            self._board.waiters.wait(request.adapter, within_ms)
+        finally:
+            if link is not None:
+                link.cancel_load_request(request.adapter)
         request.waited_ms += self._board.clock.monotonic_ms() - now_ms
 
     def _wait_for_grant(self, request, member, now_ms):
--- /dev/null
+++ b/nutmegdeal/gateway/takeover.py
@@ -0,0 +1,95 @@
+"""Replacement of a run whose server sends nothing for a while."""
+
+from nutmegdeal.gateway.backend_selection import LoadFirst
+from nutmegdeal.gateway.exchange import SilenceHandler
+from nutmegdeal.gateway.retries import RetryDecision
+
+
+class Takeover(SilenceHandler):
+    """Replaces the silent run of one request as soon as another server can take it.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Its `attempt` runs the request elsewhere.
+    search : MemberSearch
+    retries : RetryDecider
+    telemetry : GatewayTelemetry
+    clock : Clock
+    request : Request
+    member : Member
+        The server that runs the request.
+    progress : AnswerProgress
+    """
+
+    def __init__(
+        self, dispatcher, search, retries, telemetry, clock, request, member, progress
+    ):
+        self._dispatcher = dispatcher
+        self._search = search
+        self._retries = retries
+        self._telemetry = telemetry
+        self._clock = clock
+        self._request = request
+        self._member = member
+        self._progress = progress
+        self._load_link = None
+        self._silent_since_ms = None
+
+    def replace(self, exchange):
+        """Run the request at another server if one can take it now.
+
+        Returns
+        -------
+        Attempt or None
+            None if the silent run goes on.
+        """
+        request = self._request
+        request.last_event_ms = self._progress.last_byte_ms
+        choice = self._search.find_replacement(request)
+        self._record_silence(exchange, choice)
+        if isinstance(choice, LoadFirst):
+            self._request_load(choice.member)
+            return None
+        if choice is None or not self._try_spend():
+            return None
+        request.open_run_count += 1
+        try:
+            attempt = self._dispatcher.attempt(
+                request, choice.member, self._progress, exchange
+            )
+        finally:
+            request.open_run_count -= 1
+        if exchange.is_abandoned:
+            return attempt
+        self._telemetry.record_failed_run(
+            request, attempt.member, attempt.outcome, RetryDecision.KEEP
+        )
+        return None
+
+    def _try_spend(self):
+        return self._retries.try_replace(self._request, self._clock.monotonic_ms())
+
+    def _record_silence(self, exchange, choice):
+        """Record the first search since the server last sent something."""
+        now_ms = self._clock.monotonic_ms()
+        since_ms = round(now_ms - exchange.silent_ms())
+        if since_ms == self._silent_since_ms:
+            return
+        self._silent_since_ms = since_ms
+        self._telemetry.record_silent_run(
+            self._request, self._member, exchange.silent_ms(), choice
+        )
+        if not exchange.has_response_started:
+            self._dispatcher.record_unresponsive(self._member, now_ms)
+
+    def _request_load(self, member):
+        """Ask for the adapter once; the search finds the server that has loaded it."""
+        if self._load_link is None:
+            self._load_link = self._search.request_load(self._request, member)
+
+    def close(self):
+        """Withdraw the demand for the adapter."""
+        if self._load_link is not None:
+            self._load_link.cancel_load_request(self._request.adapter)
+            self._load_link = None
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
+from nutmegdeal.gateway.backend_selection import LoadFirst, SendNow
 from nutmegdeal.log import get_logger
 
 logger = get_logger(__name__)
@@ -14,6 +15,8 @@
 # The store answers within 4 ms, within 400 ms while it is slow, and keeps a call that
 # waits for changes open for a few seconds.
 STORE_BUCKETS_S = (0.01, 0.05, 0.25, 0.5, 1.0, 2.0, 4.0)
+# Whether another server can take over a silent run.
+_REPLACEMENTS = {SendNow: "ready", LoadFirst: "must_load", type(None): "none"}
 
 
 class GatewayTelemetry:
@@ -44,6 +47,12 @@
             ("fate", "verdict"),
             registry=self.registry,
         )
+        self._silent = Counter(
+            "nutmegdeal_silent_runs",
+            "Runs whose server sent nothing for a while",
+            ("replacement",),
+            registry=self.registry,
+        )
         self._first = Histogram(
             "nutmegdeal_first_byte_seconds",
             "From the arrival to the first part of the answer",
@@ -186,6 +195,27 @@
             failure_rate=round(member.history.failure_rate_at_update, 3),
         )
 
+    def record_silent_run(self, request, member, silent_ms, choice):
+        """Record a run whose server sends nothing.
+
+        Parameters
+        ----------
+        request : Request
+        member : Member
+        silent_ms : float
+        choice : SendNow, LoadFirst or None
+            Which other server can take over.
+        """
+        replacement = _REPLACEMENTS[type(choice)]
+        self._silent.labels(replacement).inc()
+        logger.info(
+            "run_silent",
+            request=request.request_id,
+            backend=member.backend_id,
+            silent_ms=round(silent_ms, 1),
+            replacement=replacement,
+        )
+
     def record_ended(self, request, progress, ending, now_ms):
         """Record the end of a request.
 
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -1,9 +1,8 @@
 """Runs requests at backend servers, over pooled connections."""
 
-from nutmegdeal.gateway.events import BrokenStreamError
-from nutmegdeal.gateway.exchange import Exchange
+from nutmegdeal.gateway.exchange import EXCHANGE_ERRORS, Exchange, OvertakenError
 from nutmegdeal.gateway.requests import RunFate, RunOutcome
-from nutmegdeal.http_connections import BrokenAnswerError, ConnectError
+from nutmegdeal.http_connections import ConnectError
 
 # Timeout for a connection to a backend server, which takes 1 to 3 ms. After it another
 # server can be tried, since nothing was sent.
@@ -30,7 +29,7 @@
         self._clock = clock
         self._membership = membership
 
-    def run(self, request, member, version, progress, may_repeat):
+    def run(self, request, member, version, progress, silence_handler=None, rival=None):
         """Run a request once.
 
         Parameters
@@ -40,8 +39,10 @@
         version : int or None
             Version of the adapter on which the request must run, None for any.
         progress : AnswerProgress
-        may_repeat : bool
-            Whether another server may run the request if this one is too slow.
+        silence_handler : SilenceHandler or None
+            None if no other server may run the request.
+        rival : Exchange or None
+            Silent exchange of the same request that this run may replace.
 
         Returns
         -------
@@ -60,10 +61,18 @@
         except ConnectError as error:
             return RunOutcome(RunFate.NOT_SENT, str(error), is_unresponsive=True)
         member.record_sent(now_ms)
+        exchange = Exchange(
+            self._clock,
+            connection,
+            request,
+            member,
+            progress,
+            self._membership,
+            silence_handler,
+            rival,
+        )
         try:
-            return self._exchange(
-                connection, request, member, version, progress, may_repeat
-            )
+            return self._run_exchange(exchange, version)
         except BaseException:
             connection.close()
             raise
@@ -74,24 +83,15 @@
         """Close the idle connections to a member that stopped responding."""
         self._pool.drop(member.backend.address)
 
-    def _exchange(self, connection, request, member, version, progress, may_repeat):
-        run = Exchange(
-            self._clock,
-            connection,
-            request,
-            member,
-            progress,
-            may_repeat,
-            self._membership,
-        )
+    def _run_exchange(self, exchange, version):
         try:
-            run.send(version)
-            head = run.read_matching_head()
-            outcome = run.forward_answer(head)
-        except (OSError, BrokenAnswerError, BrokenStreamError) as error:
-            connection.close()
-            return run.classify_failure(error)
-        self._pool.release(connection, head)
+            exchange.send(version)
+            outcome = exchange.follow()
+        except (*EXCHANGE_ERRORS, OvertakenError) as error:
+            exchange.connection.close()
+            return exchange.classify_failure(error)
+        if not exchange.is_abandoned:
+            self._pool.release(exchange.connection, exchange.head)
         return outcome
 
 
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -8,6 +8,7 @@
 import time
 
 import attrs
+import gevent.select
 import gevent.socket
 import h11
 
@@ -99,6 +100,8 @@
         A byte of the current response has arrived.
     last_active_ms : float
         When the request was sent or the last bytes arrived, on the monotonic clock.
+    wait_for_data : callable or None
+        Called with the deadline before each read, to wait for bytes in another way.
 
     Raises
     ------
@@ -113,6 +116,7 @@
         self.reusable_until_ms = 0.0
         self.has_response_started = False
         self.last_active_ms = 0.0
+        self.wait_for_data = None
         try:
             self._socket = gevent.socket.create_connection(
                 address, max(connect_timeout_ms, 1.0) / 1000
@@ -219,6 +223,8 @@
             raise BrokenAnswerError(describe_protocol_error(error)) from error
 
     def _receive(self, deadline_ms):
+        if self.wait_for_data is not None:
+            self.wait_for_data(deadline_ms)
         remaining_s = deadline_ms / 1000 - time.monotonic()
         if remaining_s <= 0:
             raise TimeoutError("the deadline passed")
@@ -262,11 +268,36 @@
             return False
         return False
 
+    def fileno(self):
+        """Return the file descriptor of the socket."""
+        return self._socket.fileno()
+
     def close(self):
         """Close the connection, which may abort a request that the server processes."""
         self._socket.close()
 
 
+def wait_until_readable(connections, deadline_ms):
+    """Return the connections on which bytes or an end have arrived, at least one.
+
+    Parameters
+    ----------
+    connections : sequence of ClientConnection
+    deadline_ms : float
+        On the monotonic clock.
+
+    Raises
+    ------
+    TimeoutError
+        At the deadline.
+    """
+    remaining_s = max(deadline_ms / 1000 - time.monotonic(), 0.0)
+    readable, _, _ = gevent.select.select(connections, (), (), remaining_s)
+    if not readable:
+        raise TimeoutError("the deadline passed")
+    return readable
+
+
 def describe_protocol_error(error):
     """Return an h11 error as text, without the bytes that h11 quotes.
 
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -124,7 +124,9 @@
             "backend": _BACKEND,
             "fate": _text("how the run ended"),
             "detail": _ERROR,
-            "verdict": _text("`retry` or `give_up`"),
+            "verdict": _text(
+                "`retry`, `give_up`, or `keep` if the run to be replaced goes on"
+            ),
             "sent": _count("backend servers that the request was sent to so far"),
             "runs": _count("backend servers that may have run the request"),
             "silent_ms": _ms("for how long the server had sent nothing"),
@@ -133,6 +135,20 @@
             ),
         },
     ),
+    LogEvent(
+        "run_silent",
+        Process.GATEWAY,
+        "run whose server has sent nothing for a while; it goes on until another "
+        "server has begun to answer",
+        {
+            "request": _REQUEST,
+            "backend": _BACKEND,
+            "silent_ms": _ms("for how long the server had sent nothing"),
+            "replacement": _text(
+                "`ready` or `must_load` if another server can take over, else `none`"
+            ),
+        },
+    ),
     LogEvent(
         "request_refused",
         Process.GATEWAY,
--- a/nutmegdeal/request_log.py
+++ b/nutmegdeal/request_log.py
@@ -43,9 +43,16 @@
     "maybe_ran": "the answer is missing or incomplete, so it may have run the request",
     "cut": "the answer broke off",
     "timed_out": "the deadline passed",
+    "silent": "the server sent nothing for a while, and another one took over",
+    "superseded": "the server that was to be replaced delivered its answer first",
     "completed": "the server answered completely",
 }
 
+VERDICT_TEXTS = {
+    "retry": "retried",
+    "keep": "the run that it was to replace goes on",
+}
+
 
 @attrs.frozen
 class LogLine:
@@ -193,12 +200,17 @@
         )
     if line.event == "run_failed":
         fate = FATE_TEXTS.get(fields.get("fate"), fields.get("fate"))
-        verdict = "retried" if fields.get("verdict") == "retry" else "given up"
+        verdict = VERDICT_TEXTS.get(fields.get("verdict"), "given up")
         if fields.get("silent_ms"):
             verdict += f", after {fields['silent_ms']} ms without data"
         return (
             f"at {fields.get('backend')}: {fate} ({fields.get('detail')}): {verdict}."
         )
+    if line.event == "run_silent":
+        return (
+            f"{fields.get('backend')} has sent nothing for {fields.get('silent_ms')} "
+            f"ms; another server that can take over: {fields.get('replacement')}."
+        )
     if line.event == "request_refused":
         return f"refused with {fields.get('status')}: {fields.get('reason')}."
     if line.event == "request_ended":
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -7,15 +7,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from nutmegdeal.clock import SystemClock
+from nutmegdeal.clock import ManualClock, SystemClock
 from nutmegdeal.gateway.admission import (
     FIRST_EVENT_MS,
     excess_wait_ms,
     useful_until_ms,
 )
-from nutmegdeal.gateway.backend_selection import (
-    LoadFirst,
-)
+from nutmegdeal.gateway.backend_selection import LoadFirst, SendNow
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.members import EXPIRY_GRACE_MS, Membership
@@ -90,6 +88,41 @@
         assert decide(request, RunFate.CUT) is RetryDecision.GIVE_UP
 
 
+class TestReplacement:
+    """When another server may be asked to take over a silent run."""
+
+    @staticmethod
+    def try_replace(request, tokens=10.0):
+        decider = RetryDecider(
+            lambda service: WindowedRetryBudget(0.2, tokens, WINDOW_MS)
+        )
+        return decider.try_replace(request, now_ms=0.0)
+
+    def test_silent_run_may_be_replaced(self):
+        assert self.try_replace(build.build_request())
+
+    def test_no_replacement_with_an_empty_budget(self):
+        assert not self.try_replace(build.build_request(), tokens=0.0)
+
+    def test_no_replacement_just_before_the_deadline(self):
+        assert not self.try_replace(build.build_request(deadline_ms=10.0))
+
+    def test_no_replacement_of_a_request_that_may_run_once(self):
+        assert not self.try_replace(build.build_request(build.build_booking_route()))
+
+    @pytest.mark.parametrize(
+        "counts",
+        [
+            {"run_count": 1},
+            {"open_run_count": 1},
+            {"sent_count": SENDS_MAX},
+            {"connect_count": FAILED_CONNECTS_MAX},
+        ],
+    )
+    def test_ended_and_open_runs_count(self, counts):
+        assert not self.try_replace(build.build_request(**counts))
+
+
 # As in the largest installation: 28 gateways that share a burst of 96.
 GATEWAYS = 28
 RATIO = 0.16
@@ -265,6 +298,55 @@
             assert found.reason == "adapter_too_late"
 
 
+class TestReplacementSearch:
+    """Which server can take over a silent run at once."""
+
+    @staticmethod
+    def search(make_choice, prepare=lambda member, now_ms: None, **changes):
+        clock = ManualClock()
+        membership = Membership()
+        member = membership.put(build.build_backend(backend_id="i-2"), 0.0)
+        member.is_linked = True
+        prepare(member, clock.monotonic_ms())
+        board = Blackboard(
+            build.build_node_settings(), clock, membership, AdapterVersions(5_000.0)
+        )
+        selector = FixedSelector(make_choice(member))
+        search = MemberSearch(board, selector, NoLinks(), random.Random(1))
+        request = build.build_request(**{"tried_ids": {"i-1"}, **changes})
+        return search.find_replacement(request), member
+
+    def test_free_holder_is_found(self):
+        found, member = self.search(SendNow)
+        assert found.member is member
+
+    def test_load_that_is_in_time_is_found(self):
+        found, member = self.search(LoadFirst)
+        assert isinstance(found, LoadFirst) and found.member is member
+
+    def test_load_that_is_too_late_is_not_found(self):
+        found, _ = self.search(LoadFirst, deadline_ms=0.8 * UNCONTENDED_LOAD_MS)
+        assert found is None
+
+    def test_server_that_has_been_tried_is_not_found(self):
+        found, _ = self.search(SendNow, tried_ids={"i-1", "i-2"})
+        assert found is None
+
+    @pytest.mark.parametrize(
+        "prepare",
+        [
+            lambda member, now_ms: member.record_load(64, 0, now_ms),
+            lambda member, now_ms: member.history.record_unreachable(now_ms),
+            lambda member, now_ms: setattr(member, "is_reachable", False),
+            lambda member, now_ms: member.availability.record_leaving(),
+        ],
+        ids=["full", "blocked", "unreachable", "leaving"],
+    )
+    def test_server_that_may_not_answer_at_once_is_not_found(self, prepare):
+        found, _ = self.search(SendNow, prepare)
+        assert found is None
+
+
 class TestVersions:
     """On which adapter versions a request may start."""
 
--- a/nutmegdeal/tests/test_gateway_silence.py
+++ b/nutmegdeal/tests/test_gateway_silence.py
@@ -136,3 +136,90 @@
     harness.call()
     check_whole_stream(harness)
     assert len(harness.servers[1].requests) == 1
+
+
+def test_silent_stream_goes_on_in_the_middle_of_an_event(start):
+    event = build.encode_chunk(build.build_event(3))
+
+    def pause_inside_event(sock, _request):
+        sock.sendall(HEAD + encode_events(range(3)) + event[:12])
+        gevent.sleep(SILENCE_S)
+        sock.sendall(event[12:] + encode_events(range(4, 6)) + b"0\r\n\r\n")
+
+    harness = start([pause_inside_event, break_off], route=build_stream_route())
+    harness.call()
+    check_whole_stream(harness)
+
+
+def test_bytes_without_a_whole_event_do_not_stop_the_replacement(start):
+    def trickle(sock, _request):
+        sock.sendall(HEAD + encode_events(range(3)))
+        while True:
+            gevent.sleep(GAP_TIMEOUT_MIN_MS / 8000)
+            sock.sendall(build.encode_chunk(b":"))
+
+    def resume_late(sock, request):
+        gevent.sleep(SILENCE_S)
+        resume_stream(sock, request)
+
+    harness = start([trickle, resume_late], route=build_stream_route())
+    harness.call()
+    check_whole_stream(harness)
+
+
+def test_replacement_goes_on_when_the_silent_server_breaks_off(start):
+    first_ended = gevent.event.Event()
+
+    def break_off_late(sock, _request):
+        sock.sendall(HEAD + encode_events(range(3)))
+        gevent.sleep(SILENCE_S)
+        first_ended.set()
+        return False
+
+    def resume_after_that(sock, request):
+        first_ended.wait()
+        gevent.sleep(0.1)
+        resume_stream(sock, request)
+
+    harness = start([break_off_late, resume_after_that], route=build_stream_route())
+    harness.call()
+    check_whole_stream(harness)
+
+
+@pytest.mark.parametrize("first", [pause_in_stream, never_answer])
+def test_caller_that_leaves_ends_both_runs(start, first):
+    harness = start([first, never_answer], route=build_stream_route())
+    caller = gevent.spawn(harness.call)
+    while not harness.servers[1].requests:
+        gevent.sleep(0.01)
+    caller.kill()
+    assert [member.in_flight_count for member in harness.members] == [0, 0]
+    assert not harness.dispatcher._transport._pool._idle
+
+
+def test_request_that_may_run_once_waits_for_its_silent_server(start):
+    route = build.build_booking_route(target_ms=TARGET_MS, timeout_ms=5_000.0)
+    harness = start([pause_before_answer, resume_stream], route=route)
+    harness.call()
+    assert harness.responder.body == b"done"
+    assert not harness.servers[1].requests
+
+
+def test_silent_run_that_was_kept_counts_as_one_run(start):
+    harness = start([pause_in_stream, refuse], route=build_stream_route())
+    harness.call()
+    sample = harness.telemetry.registry.get_sample_value
+    runs = "nutmegdeal_failed_runs_total"
+    assert sample(runs, {"fate": "not_run", "verdict": "keep"}) == 1
+    assert sample("nutmegdeal_silent_runs_total", {"replacement": "ready"}) == 1
+    assert harness.members[0].history.failure_rate_at_update == 0.0
+
+
+def test_replaced_run_is_recorded_for_its_own_server(start):
+    harness = start([never_answer, resume_stream], route=build_stream_route())
+    harness.call()
+    sample = harness.telemetry.registry.get_sample_value
+    runs = "nutmegdeal_failed_runs_total"
+    assert sample(runs, {"fate": "silent", "verdict": "retry"}) == 1
+    rates = [item.history.failure_rate_at_update for item in harness.members]
+    assert rates[0] > 0 and rates[1] == 0
--- a/nutmegdeal/tests/test_gateway_transport.py
+++ b/nutmegdeal/tests/test_gateway_transport.py
@@ -57,12 +57,11 @@
         self.responder = RecordingResponder()
         self.progress = AnswerProgress(self.responder)
 
-    def run(self, route=None, request_id="q-1", deadline_in_ms=CALL_MS, **changes):
+    def run(self, route=None, request_id="q-1", deadline_in_ms=CALL_MS):
         request = build.build_request(
             route, time.monotonic() * 1000 + deadline_in_ms, request_id=request_id
         )
-        may_repeat = changes.pop("may_repeat", False)
-        return self.transport.run(request, self.member, None, self.progress, may_repeat)
+        return self.transport.run(request, self.member, None, self.progress)
 
 
 @pytest.fixture
