Gateway: an abandoned run no longer counts at its server

A run that another one replaced kept its place in the load and the adapter's use of its silent server until the replacement had ended, as the replacement runs inside it. Both end now when the connection is closed. A success that cannot be passed on (no signature, no id) does not end the replacement either; it is checked as soon as its head is read. Both tests are new; not run against the code before.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -177,7 +177,7 @@
         link = self._links.link_to(member) if adapter else None
         if link is not None:
             link.record_started(adapter)
-        takeover = self._build_takeover(request, member, progress)
+        takeover = self._build_takeover(request, member, progress, link)
         request.tried_ids.add(member.backend_id)
         version = self._required_version(adapter, member)
         now_ms = self._board.clock.monotonic_ms()
@@ -189,7 +189,8 @@
         finally:
             if takeover is not None:
                 takeover.close()
-            if link is not None:
+            has_replaced = takeover is not None and takeover.has_replaced
+            if link is not None and not has_replaced:
                 link.record_ended(adapter)
         if link is not None and outcome.longest_gap_ms:
             link.record_gap(outcome.longest_gap_ms)
@@ -199,7 +200,7 @@
         self._telemetry.record_failed_run(request, member, outcome, RetryDecision.RETRY)
         return outcome.replacement
 
-    def _build_takeover(self, request, member, progress):
+    def _build_takeover(self, request, member, progress, link):
         """Return the Takeover of a run, None if no other server may run the request."""
         if not may_run_beside(request):
             return None
@@ -212,6 +213,7 @@
             request,
             member,
             progress,
+            link,
         )
 
     def record_unresponsive(self, member, now_ms):
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -18,7 +18,6 @@
     wait_until_readable,
 )
 from nutmegdeal.platform import headers as platform_headers
-from nutmegdeal.site_configuration import RouteKind
 
 # Limit on an answer's body: four times the largest body that a caller may send.
 # Answers are a few KB.
@@ -60,6 +59,10 @@
             None if the silent run goes on.
         """
 
+    @abc.abstractmethod
+    def record_abandoned(self):
+        """Record that the silent run has ended, as another has taken over."""
+
 
 @attrs.define
 class AnswerProgress:
@@ -260,9 +263,11 @@
         self._is_at_end = True
 
     def abandon(self):
-        """Close the connection, as another exchange has taken over."""
+        """Close the connection and free its place, as another run has taken over."""
         self.is_abandoned = True
         self._connection.close()
+        self._member.in_flight_count -= 1
+        self._silence_handler.record_abandoned()
 
     def _wait_beside_rival(self, deadline_ms):
         """Wait for bytes of this exchange, and for parts of the rival's answer."""
@@ -304,6 +309,7 @@
         )
         if pause_ms is not None:
             self._membership.record_pause(self._member, pause_ms, now_ms)
+        _check_success(head)
         return head
 
     def _record_leaving(self, head):
@@ -315,11 +321,7 @@
         """Forward a successful answer to the caller; keep a failure in the outcome."""
         if not _is_success(head):
             return self._hold_answer(head)
-        if find_header(head.headers, platform_headers.SIGNATURE) is None:
-            raise BrokenAnswerError("the successful answer has no signature")
-        if find_header(head.headers, platform_headers.REQUEST_ID) is None:
-            raise BrokenAnswerError("the successful answer has no request id")
-        if self._request.route.kind is RouteKind.STREAM:
+        if self._request.is_stream:
             return self._forward_events(head)
         body = self._connection.read_body(self._request.deadline_ms, ANSWER_BYTES_MAX)
         self._take_over()
@@ -423,6 +425,16 @@
         return min(self._request.deadline_ms, max(silent_at_ms, recheck_at_ms))
 
 
+def _check_success(head):
+    """Raise a BrokenAnswerError for a success that cannot be passed on."""
+    if not _is_success(head):
+        return
+    if find_header(head.headers, platform_headers.SIGNATURE) is None:
+        raise BrokenAnswerError("the successful answer has no signature")
+    if find_header(head.headers, platform_headers.REQUEST_ID) is None:
+        raise BrokenAnswerError("the successful answer has no request id")
+
+
 def _is_success(head):
     """Return whether the status of an answer is 2xx."""
     return 200 <= head.status_code < 300
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -20,10 +20,26 @@
     member : Member
         The server that runs the request.
     progress : AnswerProgress
+    link : PlacerLink or None
+        Counts the uses of the adapter.
+
+    Attributes
+    ----------
+    has_replaced : bool
+        Another run has taken over.
     """
 
     def __init__(
-        self, dispatcher, search, retries, telemetry, clock, request, member, progress
+        self,
+        dispatcher,
+        search,
+        retries,
+        telemetry,
+        clock,
+        request,
+        member,
+        progress,
+        link,
     ):
         self._dispatcher = dispatcher
         self._search = search
@@ -33,6 +49,8 @@
         self._request = request
         self._member = member
         self._progress = progress
+        self._link = link
+        self.has_replaced = False
         self._load_link = None
         self._silent_since_ms = None
 
@@ -67,6 +85,12 @@
         )
         return None
 
+    def record_abandoned(self):
+        """Record that the silent run has ended, as another has taken over."""
+        self.has_replaced = True
+        if self._link is not None:
+            self._link.record_ended(self._request.adapter)
+
     def _try_spend(self):
         return self._retries.try_replace(self._request, self._clock.monotonic_ms())
 
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -77,7 +77,8 @@
             connection.close()
             raise
         finally:
-            member.in_flight_count -= 1
+            if not exchange.is_abandoned:
+                member.in_flight_count -= 1
 
     def drop_idle_connections(self, member):
         """Close the idle connections to a member that stopped responding."""
--- a/nutmegdeal/tests/test_gateway_silence.py
+++ b/nutmegdeal/tests/test_gateway_silence.py
@@ -223,3 +223,35 @@
     assert sample(runs, {"fate": "silent", "verdict": "retry"}) == 1
     rates = [item.history.failure_rate_at_update for item in harness.members]
     assert rates[0] > 0 and rates[1] == 0
+
+
+def test_abandoned_run_no_longer_counts_at_its_server(start):
+    counts = []
+
+    def resume_and_count(sock, request):
+        first = int(request.get(b"last-event-id", b"-1")) + 1
+        sock.sendall(build.build_stream_answer("q-1", [first], is_ended=False))
+        gevent.sleep(0.1)
+        counts.extend(member.in_flight_count for member in harness.members)
+        sock.sendall(encode_events(range(first + 1, 6)) + b"0\r\n\r\n")
+
+    harness = start([never_answer, resume_and_count], route=build_stream_route())
+    harness.call()
+    check_whole_stream(harness)
+    assert counts == [0, 1]
+    assert [member.in_flight_count for member in harness.members] == [0, 0]
+
+
+def test_success_without_signature_does_not_end_the_replacement(start):
+    def answer_without_signature(sock, _request):
+        gevent.sleep(SILENCE_S)
+        sock.sendall(HEAD.replace(b"X-Response-Signature: s\r\n", b""))
+
+    def resume_late(sock, request):
+        gevent.sleep(SILENCE_S)
+        resume_stream(sock, request)
+
+    route = build_stream_route()
+    harness = start([answer_without_signature, resume_late], route=route)
+    harness.call()
+    check_whole_stream(harness)
