Logs: the prompt parts and events of a failed run

A run that broke off showed neither which prompt it had nor whether it had delivered anything, so that prompts that crash engines could not be told from engines that crash. `run_failed` has the ids of the shared parts and the number of events. No other use is made of them yet.

Tested: test_prompt_parts, test_log_events, test_gateway_transport, _telemetry, _silence and test_documents pass.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -124,6 +124,7 @@
             deadline_ms=incoming.arrived_ms + within_ms - ANSWER_MARGIN_MS,
             adapter=request_terms.adapter if service.engine else "",
             prompt_tokens=request_terms.prompt_tokens if service.engine else 0,
+            shared_parts=request_terms.shared_parts if service.engine else (),
         )
 
     def _pick_service(self, route):
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -405,6 +405,7 @@
             detail,
             is_unresponsive=is_unresponsive,
             silent_ms=silent_ms,
+            event_count=len(self._gaps_ms),
         )
 
     def _first_event_limit_ms(self):
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -58,6 +58,8 @@
         Longest gap between events of a complete stream, 0.0 for other answers.
     silent_ms : float
         For how long the server had sent nothing when the run failed.
+    event_count : int
+        Times that whole events of the run were forwarded.
     replacement : Attempt or None
         The run that took over from a silent one.
     """
@@ -68,6 +70,7 @@
     is_unresponsive: bool = False
     longest_gap_ms: float = 0.0
     silent_ms: float = 0.0
+    event_count: int = 0
     replacement: object = None
 
 
@@ -113,6 +116,8 @@
         ``""`` if the request names none.
     prompt_tokens : int
         0 if the request does not state it.
+    shared_parts : tuple of str
+        Ids of the prompt parts that other requests may have too.
     connect_count : int
         Failed attempts to open a connection for the request.
     sent_count : int
@@ -142,6 +147,7 @@
     configuration_version: int = 0
     adapter: str = ""
     prompt_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
     connect_count: int = 0
     sent_count: int = 0
     run_count: int = 0
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -192,6 +192,8 @@
             sent=request.sent_count,
             runs=request.run_count,
             silent_ms=round(outcome.silent_ms, 1),
+            events=outcome.event_count,
+            parts=list(request.shared_parts),
             failure_rate=round(member.history.failure_rate_at_update, 3),
         )
 
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -2,7 +2,7 @@
 
 docs/log-events.md is generated from this table. Every line also has ``event``,
 ``timestamp`` (ISO 8601, UTC), ``process``, ``level`` and ``module``. No line contains a
-body, a query, or a header other than the request id.
+body, a query, or a header other than the request id and the ids of prompt parts.
 """
 
 import enum
@@ -77,6 +77,10 @@
     return Field((float, int), f"{text}, from 0 to 1")
 
 
+def _names(text):
+    return Field((list,), text)
+
+
 def _flag(text):
     return Field((bool,), text)
 
@@ -130,6 +134,8 @@
             "sent": _count("backend servers that the request was sent to so far"),
             "runs": _count("backend servers that may have run the request"),
             "silent_ms": _ms("for how long the server had sent nothing"),
+            "events": _count("times that whole events of the run were forwarded"),
+            "parts": _names("ids of the prompt parts that other requests may share"),
             "failure_rate": _ratio(
                 "fraction of the server's recent answers that failed"
             ),
--- a/nutmegdeal/platform/headers.py
+++ b/nutmegdeal/platform/headers.py
@@ -46,6 +46,9 @@
 MODEL = b"x-model"
 # The announced usage: prompt tokens, then the maximum of generated tokens.
 TOKEN_USAGE = b"x-token-usage"
+# The parts of the prompt in order, as ``ID:TOKENS`` pairs. The last one belongs to the
+# request or its session; the others may be shared with other requests.
+PROMPT_PARTS = b"x-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
 # A backend server's proof that it produced the answer (a "receipt" on the platform).
 SIGNATURE = b"x-response-signature"
@@ -58,6 +61,8 @@
 # In all answers of the store.
 STORE_ERA = b"store-era"
 STATUS_UNAVAILABLE = 503
+# Most prompt parts of one request that are looked at.
+SHARED_PARTS_MAX = 32
 PRIORITY_FIRST = 0
 PRIORITY_LAST = 9
 STATUS_MISDIRECTED = 421
@@ -78,6 +83,8 @@
         ``""`` if the request names none.
     prompt_tokens : int
         0 if the request does not state it.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may have too, in order.
     """
 
     request_id: str
@@ -86,6 +93,7 @@
     model: str = ""
     adapter: str = ""
     prompt_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
 
 
 def decode_request_terms(headers):
@@ -108,6 +116,7 @@
         model=model,
         adapter=adapter,
         prompt_tokens=_decode_prompt_tokens(headers),
+        shared_parts=_decode_shared_parts(headers),
     )
 
 
@@ -116,6 +125,14 @@
     return int(value) if value.isdigit() else 0
 
 
+def _decode_shared_parts(headers):
+    """Return the ids of the shared prompt parts, without repetitions."""
+    value = (find_header(headers, PROMPT_PARTS) or b"").decode("latin-1")
+    parts = [item.partition(":")[0].strip().lower() for item in value.split(",")]
+    shared = [part for part in parts[:-1] if part]
+    return tuple(dict.fromkeys(shared[:SHARED_PARTS_MAX]))
+
+
 def build_backend_headers(
     headers, remaining_ms, backend_id, priority, version, last_event_id
 ):
