--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -96,8 +96,9 @@
             random_state,
         )
 
-    def call(self, deadline_in_ms=20_000.0):
+    def call(self, deadline_in_ms=20_000.0, prompt_parts=b""):
         """Serve one request; what the caller receives is in `responder`."""
+        self.responder = RecordingResponder()
         arrived_ms = time.monotonic() * 1000
         incoming = build.build_incoming(
             path=self.route.prefix.encode() + b"1",
@@ -107,6 +108,7 @@
                 (b"x-request-id", b"q-1"),
                 (b"x-model", b"model/a7"),
                 (b"x-deadline-ms", b"%d" % deadline_in_ms),
+                (b"x-prompt-prefix", prompt_parts),
             ],
         )
         self.dispatcher(incoming, self.responder)
--- a/nutmegdeal/tests/scripted_server.py
+++ b/nutmegdeal/tests/scripted_server.py
@@ -68,6 +68,11 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
+    def stop_listening(self):
+        """Refuse new connections."""
+        self._greenlets[0].kill()
+        self._listener.close()
+
     def close(self):
         """Stop listening and stop serving all connections."""
         gevent.killall(self._greenlets)
--- a/scripts/write_events_page.py
+++ b/scripts/write_events_page.py
@@ -16,9 +16,9 @@
 
 Lines of `nutmegdeal-gateway` and `nutmegdeal-placer` on the users' platform: JSON
 objects with `event`, `timestamp` (ISO 8601, UTC), `process`, `level`, `module` and the
-fields below. No line has a body, a query, or a header other than the ids of the request and of its prompt parts. What
-to do about them is told in [operations](OPERATIONS.md). This page is written by
-`scripts/write_events_page.py`.
+fields below. No line has a body, a query, or a header other than the ids of the request
+and of its prompt parts. What to do about them is told in [operations](OPERATIONS.md).
+This page is written by `scripts/write_events_page.py`.
 """
 TYPE_NAMES = {
     str: "text",
