--- a/nutmegdeal/tests/conftest.py
+++ b/nutmegdeal/tests/conftest.py
@@ -8,6 +8,7 @@
 
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.tests.process_site import Site
+from nutmegdeal.tests.transport_harness import TransportHarness
 
 KNUSEPOOL = pathlib.Path(__file__).parents[2] / "examples/knusepool/questionnaire.ini"
 
@@ -35,3 +36,17 @@
             running.start_entry()
         running.wait_until_ready()
         yield running
+
+
+@pytest.fixture
+def start_harness():
+    """Return a function that starts a TransportHarness with an answer."""
+    harnesses = []
+
+    def make(answer):
+        harnesses.append(TransportHarness(answer))
+        return harnesses[-1]
+
+    yield make
+    for harness in harnesses:
+        harness.server.close()
