Tests: answers that end with their connection, or break off there

Ruled out: an unframed plain answer taken for broken, or one that was reset taken for whole; an unframed stream that ends between events (after a pause too) taken for cut; one that ends inside an event, or by a reset, taken for whole; a stream resumed by a run with another framing, whose second head reaches the caller; a connection used again after an unframed answer; chunks with Connection: close; a failure whose body breaks off; an answer that follows an unframed one to another request.

--- a/nutmegdeal/tests/platform_builders.py
+++ b/nutmegdeal/tests/platform_builders.py
@@ -263,6 +263,28 @@
     return head.encode() + body
 
 
+def build_unframed_answer(request_id, body, status="200 OK", extra="", minor=1):
+    """Return the bytes of an answer whose body ends with the connection.
+
+    Parameters
+    ----------
+    request_id, body, status, extra
+        As in `build_plain_answer`.
+    minor : int
+        The minor version of HTTP.
+    """
+    head = (
+        f"HTTP/1.{minor} {status}\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Response-Signature: s\r\n{extra}\r\n"
+    )
+    return head.encode() + body
+
+
+def build_events(numbers):
+    """Return the bytes of the events with the ids `numbers`."""
+    return b"".join(map(build_event, numbers))
+
+
 def encode_registration(**changes):
     """Return the value (bytes) of a backend server's registration row."""
     values = {
--- /dev/null
+++ b/nutmegdeal/tests/test_backend_answers.py
@@ -0,0 +1,130 @@
+"""Answers of backend servers that end with their connection, or break off."""
+
+import gevent
+import pytest
+
+from nutmegdeal.gateway.requests import RunFate
+from nutmegdeal.tests import platform_builders as build
+from nutmegdeal.tests.transport_harness import reset
+
+
+def close(sock):
+    """Tell a scripted server to close its connection."""
+    return False
+
+
+def answer_once(data, end=close):
+    """Return an answer that sends bytes and ends the connection."""
+
+    def answer(sock, _request):
+        sock.sendall(data)
+        return end(sock)
+
+    return answer
+
+
+def unframed_stream(first, *pieces, end=close):
+    """Return an answer of an unframed stream, sent in pieces with pauses between."""
+
+    def answer(sock, _request):
+        sock.sendall(build.build_unframed_answer("q-1", first))
+        for piece in pieces:
+            gevent.sleep(0.03)
+            sock.sendall(piece)
+        return end(sock)
+
+    return answer
+
+
+@pytest.mark.parametrize("minor", [0, 1])
+def test_unframed_plain_answer_is_whole_when_its_connection_ends(start_harness, minor):
+    data = build.build_unframed_answer("q-1", b"seat 4", minor=minor)
+    harness = start_harness(answer_once(data))
+    assert harness.run(build.build_booking_route()).fate is RunFate.COMPLETED
+    assert harness.responder.body == b"seat 4"
+
+
+def test_unframed_plain_answer_that_is_reset_is_not_forwarded(start_harness):
+    data = build.build_unframed_answer("q-1", b"seat 4")
+    harness = start_harness(answer_once(data, reset))
+    assert harness.run(build.build_booking_route()).fate is RunFate.MAYBE_RAN
+    assert not harness.responder.has_started
+
+
+def test_connection_is_not_reused_after_an_unframed_answer(start_harness):
+    harness = start_harness(answer_once(build.build_unframed_answer("q-1", b"seat 4")))
+    harness.run(build.build_booking_route())
+    assert not any(harness.pool._idle.values())
+
+
+@pytest.mark.parametrize("pieces", [(), (build.build_events([2]), b"", b"\n")])
+def test_unframed_stream_is_whole_when_it_ends_between_events(start_harness, pieces):
+    answer = unframed_stream(build.build_events(range(2)), *pieces)
+    harness = start_harness(answer)
+    assert harness.run().fate is RunFate.COMPLETED
+    assert harness.responder.is_finished
+    forwarded = harness.responder.body
+    assert forwarded == build.build_events(range(3 if pieces else 2))
+
+
+@pytest.mark.parametrize("end", [close, reset])
+@pytest.mark.parametrize("piece", [b"id: 2\nda", b"id: 2\ndata: piece 2\n"])
+def test_unframed_stream_that_ends_inside_an_event_is_cut(start_harness, piece, end):
+    answer = unframed_stream(build.build_events(range(2)), piece, end=end)
+    harness = start_harness(answer)
+    assert harness.run().fate is RunFate.CUT
+    assert not harness.responder.is_finished
+    assert harness.responder.body == build.build_events(range(2))
+
+
+def test_unframed_stream_that_is_reset_between_events_is_cut(start_harness):
+    answer = unframed_stream(build.build_events(range(2)), end=reset)
+    harness = start_harness(answer)
+    assert harness.run().fate is RunFate.CUT
+    assert not harness.responder.is_finished
+
+
+@pytest.mark.parametrize("is_first_unframed", [True, False])
+def test_stream_resumes_with_another_framing(start_harness, is_first_unframed):
+    def answer(sock, request):
+        last = request.get(b"last-event-id")
+        numbers = range(3) if last is None else range(int(last) + 1, 6)
+        if (last is None) is is_first_unframed:
+            data = build.build_unframed_answer("q-1", build.build_events(numbers))
+        else:
+            data = build.build_stream_answer("q-1", numbers, is_ended=last is not None)
+        if last is None and is_first_unframed:
+            data += b"id: 3\nda"
+        sock.sendall(data)
+        return False
+
+    harness = start_harness(answer)
+    assert harness.run().fate is RunFate.CUT
+    assert harness.run().fate is RunFate.COMPLETED
+    assert harness.responder.body == build.build_events(range(6))
+    names = {name for name, _ in harness.responder.headers}
+    assert not names & {b"transfer-encoding", b"content-length", b"connection"}
+
+
+def test_chunks_with_connection_close_are_whole_only_with_their_last(start_harness):
+    whole = build.build_stream_answer("q-1", range(3))
+    whole = whole.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
+    for data, fate in ((whole, RunFate.COMPLETED), (whole[:-5], RunFate.CUT)):
+        harness = start_harness(answer_once(data))
+        assert harness.run().fate is fate
+        assert not any(harness.pool._idle.values())
+
+
+def test_failure_whose_body_breaks_off_is_not_forwarded(start_harness):
+    data = build.build_plain_answer("q-1", b"failed", "500 Internal Server Error")
+    harness = start_harness(answer_once(data[:-2]))
+    outcome = harness.run(build.build_booking_route())
+    assert outcome.fate is RunFate.MAYBE_RAN
+    assert outcome.answer is None
+
+
+def test_answer_after_an_unframed_one_to_another_request_is_not_used(start_harness):
+    late = build.build_unframed_answer("q-0", b"late")
+    harness = start_harness(answer_once(late + build.build_plain_answer("q-1")))
+    assert harness.run(build.build_booking_route()).fate is RunFate.MAYBE_RAN
+    assert not harness.responder.has_started
