Transport: the head of a refusal suffices to know that a request did not run

What callers saw: a booking that its server had refused (503 with X-Not-Executed, 421) got 502 instead of a retry at another server or 503, if the body of the refusal broke off or was reset. A refusal whose body did not come held the request to its deadline.

Cause: DirectTransport read the body of every failure to its end before it looked at the head, so an error in the body made the run MAYBE_RAN or TIMED_OUT. Nobody uses the body of a refusal: the caller gets the gateway's own 503.

Evidence, before the change: 7 cases of three tests failed, among them assert <RunFate.MAYBE_RAN: 'maybe_ran'> is <RunFate.NOT_RUN: 'not_run'> (detail='ConnectionResetError: [Errno 104] Connection reset by peer') and for the body that does not come assert <RunFate.TIMED_OUT: 'timed_out'> is <RunFate.NOT_RUN: 'not_run'>

Ruled out: an unframed refusal that ends with a plain close was NOT_RUN before. A failure without X-Not-Executed still needs its whole body, which goes to the caller.

Now the body of a refusal is discarded within UNUSED_BODY_TIMEOUT_MS and UNUSED_BODY_BYTES_MAX, only so that the connection can be reused; if it is incomplete, the connection is closed and the run stays NOT_RUN.

--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -238,13 +238,17 @@
         return RunOutcome(RunFate.COMPLETED)
 
     def _hold_answer(self, head):
-        body = self._connection.read_body(self._request.deadline_ms, ANSWER_BYTES_MAX)
-        answer = HeldAnswer(
-            head.status_code, platform_headers.filter_answer_headers(head.headers), body
-        )
-        is_run = not platform_headers.is_not_executed(head.status_code, head.headers)
-        fate = RunFate.FAILED if is_run else RunFate.NOT_RUN
-        return RunOutcome(fate, f"HTTP {head.status_code}", answer)
+        deadline_ms = self._request.deadline_ms
+        headers = platform_headers.filter_answer_headers(head.headers)
+        detail = f"HTTP {head.status_code}"
+        if platform_headers.is_not_executed(head.status_code, head.headers):
+            # The head states it, whatever becomes of the body.
+            self._connection.discard_body(deadline_ms)
+            answer = HeldAnswer(head.status_code, headers, b"")
+            return RunOutcome(RunFate.NOT_RUN, detail, answer)
+        body = self._connection.read_body(deadline_ms, ANSWER_BYTES_MAX)
+        answer = HeldAnswer(head.status_code, headers, body)
+        return RunOutcome(RunFate.FAILED, detail, answer)
 
     def _forward_events(self, head):
         progress = self._progress
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -11,6 +11,10 @@
 import gevent.socket
 import h11
 
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
+
 # Most bytes read by one call; a response has a few KB.
 RECEIVE_BYTES = 65_536
 # A round trip within a zone takes less than 5 ms, and the operating system retransmits
@@ -29,6 +33,10 @@
 DEFAULT_KEEP_ALIVE_MS = 600.0
 # Fraction of the server's Keep-Alive timeout that is used, to allow for network delay.
 KEEP_ALIVE_FRACTION = 0.6
+# Timeout and limit for a body that is read only so that its connection can be reused.
+# It arrives together with its head and holds a short text.
+UNUSED_BODY_TIMEOUT_MS = 50.0
+UNUSED_BODY_BYTES_MAX = 16_384
 
 
 class ConnectError(OSError):
@@ -192,6 +200,23 @@
                 raise BrokenAnswerError(f"the answer exceeds {bytes_max} bytes")
         return bytes(body)
 
+    def discard_body(self, deadline_ms):
+        """Discard the body of the response, of which only the head is used.
+
+        If the body is broken, late or long, the connection is closed: the head is valid
+        nevertheless.
+        """
+        deadline_ms = min(deadline_ms, time.monotonic() * 1000 + UNUSED_BODY_TIMEOUT_MS)
+        try:
+            self.read_body(deadline_ms, UNUSED_BODY_BYTES_MAX)
+        except (OSError, BrokenAnswerError) as error:
+            logger.debug(
+                "unused_body_incomplete",
+                peer=f"{self.address[0]}:{self.address[1]}",
+                error=f"{type(error).__name__}: {error}",
+            )
+            self.close()
+
     def skip_response(self, deadline_ms, bytes_max):
         """Discard a response to an earlier request, and wait for the next response."""
         self.read_body(deadline_ms, bytes_max)
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -326,6 +326,12 @@
         "order without an answer, which may still be carried out later",
         {"peer": _PEER, "error": _ERROR},
     ),
+    LogEvent(
+        "unused_body_incomplete",
+        Process.BOTH,
+        "answer used by its head alone, whose body broke off or was late (level debug)",
+        {"peer": _PEER, "error": _ERROR},
+    ),
     LogEvent(
         "report_failed",
         Process.PLACER,
--- a/nutmegdeal/tests/test_backend_answers.py
+++ b/nutmegdeal/tests/test_backend_answers.py
@@ -7,6 +7,11 @@
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.transport_harness import reset
 
+REFUSALS = [
+    ("503 Service Unavailable", "X-Not-Executed: 1\r\n"),
+    ("421 Misdirected Request", ""),
+]
+
 
 def close(sock):
     """Tell a scripted server to close its connection."""
@@ -115,6 +120,48 @@
         assert not any(harness.pool._idle.values())
 
 
+@pytest.mark.parametrize(("status", "extra"), REFUSALS)
+@pytest.mark.parametrize("end", [close, reset])
+def test_refusal_counts_as_not_run_although_its_body_is_unframed(
+    start_harness, status, extra, end
+):
+    """A booking that did not run was answered 502 if the refusal was reset.
+
+    The head alone states that the server did not run the request.
+    """
+    data = build.build_unframed_answer("q-1", b"full", status, extra)
+    harness = start_harness(answer_once(data, end))
+    outcome = harness.run(build.build_booking_route())
+    assert outcome.fate is RunFate.NOT_RUN
+    assert outcome.answer.status_code == int(status[:3])
+    assert not any(harness.pool._idle.values())
+
+
+@pytest.mark.parametrize(("status", "extra"), REFUSALS)
+@pytest.mark.parametrize("end", [close, reset])
+def test_refusal_counts_as_not_run_although_its_body_breaks_off(
+    start_harness, status, extra, end
+):
+    """A booking that did not run was answered 502 if the refusal broke off."""
+    data = build.build_plain_answer("q-1", b"full", status, extra)[:-2]
+    harness = start_harness(answer_once(data, end))
+    assert harness.run(build.build_booking_route()).fate is RunFate.NOT_RUN
+    assert not any(harness.pool._idle.values())
+
+
+def test_refusal_whose_body_does_not_come_does_not_hold_the_request(start_harness):
+    """A request that did not run waited for the rest of its refusal to the deadline."""
+
+    def answer(sock, _request):
+        status, extra = REFUSALS[0]
+        sock.sendall(build.build_plain_answer("q-1", b"full", status, extra)[:-2])
+        gevent.sleep(60)
+
+    harness = start_harness(answer)
+    outcome = harness.run(build.build_booking_route(), deadline_in_ms=3_000.0)
+    assert outcome.fate is RunFate.NOT_RUN
+
+
 def test_failure_whose_body_breaks_off_is_not_forwarded(start_harness):
     data = build.build_plain_answer("q-1", b"failed", "500 Internal Server Error")
     harness = start_harness(answer_once(data[:-2]))
