HTTP connections: an answer that ends its connection is not skipped

What callers saw: a request waited to its deadline (504, or 502), although its answer could not come any more: on its connection the answer to another request had arrived, without length and chunks, and the server kept the connection open. Such an answer takes up the rest of the connection.

Cause: skip_response read the other answer to its end, whatever its framing, and noticed only then that the connection was over.

Evidence, before the change: test_unframed_answer_to_another_request_ends_the_run (HTTP/1.0 and 1.1) assert <RunFate.TIMED_OUT: 'timed_out'> is <RunFate.MAYBE_RAN: 'maybe_ran'>

Ruled out: the request getting bytes of the other answer, or an answer behind it (test_answer_after_an_unframed_one_to_another_request_is_not_used passed before).

ResponseHead.ends_connection says whether another response can follow: not after HTTP/1.0, `Connection: close`, or a body without length. The run then ends at once as MAYBE_RAN and closes the connection. finish() uses the same property.

--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -38,6 +38,9 @@
 UNUSED_BODY_TIMEOUT_MS = 50.0
 UNUSED_BODY_BYTES_MAX = 16_384
 
+# Responses with these status codes have no body, so they need no length.
+STATUS_CODES_WITHOUT_BODY = (204, 304)
+
 
 class ConnectError(OSError):
     """The connection could not be opened, so no request was sent."""
@@ -56,10 +59,26 @@
     status_code : int
     headers : list of (bytes, bytes)
         Names are lower case.
+    http_version : bytes
     """
 
     status_code: int
     headers: list
+    http_version: bytes = b"1.1"
+
+    @property
+    def ends_connection(self):
+        """Return whether the connection can carry no further response."""
+        if self.http_version < b"1.1":
+            return True
+        if b"close" in (find_header(self.headers, b"connection") or b"").lower():
+            return True
+        if self.status_code in STATUS_CODES_WITHOUT_BODY:
+            return False
+        return (
+            find_header(self.headers, b"content-length") is None
+            and find_header(self.headers, b"transfer-encoding") is None
+        )
 
 
 def find_header(headers, name):
@@ -130,6 +149,7 @@
         configure_socket(self._socket)
         self._protocol = h11.Connection(h11.CLIENT)
         self._request = None
+        self._head = None
 
     def send(self, method, target, headers, body=b""):
         """Send a whole request.
@@ -173,7 +193,10 @@
         while True:
             event = self._next_event(deadline_ms)
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
+                self._head = ResponseHead(
+                    event.status_code, list(event.headers), event.http_version
+                )
+                return self._head
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("the connection ended before an answer")
 
@@ -218,7 +241,15 @@
             self.close()
 
     def skip_response(self, deadline_ms, bytes_max):
-        """Discard a response to an earlier request, and wait for the next response."""
+        """Discard a response to an earlier request, and wait for the next response.
+
+        Raises
+        ------
+        OSError, BrokenAnswerError
+            If no other response can follow on the connection.
+        """
+        if self._head.ends_connection:
+            raise BrokenAnswerError("the connection ends with another answer")
         self.read_body(deadline_ms, bytes_max)
         trailing, has_ended = self._protocol.trailing_data
         if has_ended or self._protocol.their_state is not h11.DONE:
@@ -263,7 +294,7 @@
         now_ms : float
             On the monotonic clock.
         """
-        if b"close" in (find_header(head.headers, b"connection") or b"").lower():
+        if head.ends_connection:
             return False
         if self._protocol.trailing_data != (b"", False):
             return False
--- a/nutmegdeal/tests/test_backend_answers.py
+++ b/nutmegdeal/tests/test_backend_answers.py
@@ -170,6 +170,23 @@
     assert outcome.answer is None
 
 
+@pytest.mark.parametrize("minor", [0, 1])
+def test_unframed_answer_to_another_request_ends_the_run(start_harness, minor):
+    """A request waited to its deadline for an answer that could not follow.
+
+    The unframed answer to another request takes up the rest of the connection.
+    """
+
+    def answer(sock, _request):
+        sock.sendall(build.build_unframed_answer("q-0", b"late", minor=minor))
+        gevent.sleep(60)
+
+    harness = start_harness(answer)
+    outcome = harness.run(build.build_booking_route(), deadline_in_ms=3_000.0)
+    assert outcome.fate is RunFate.MAYBE_RAN
+    assert not harness.responder.has_started
+
+
 def test_answer_after_an_unframed_one_to_another_request_is_not_used(start_harness):
     late = build.build_unframed_answer("q-0", b"late")
     harness = start_harness(answer_once(late + build.build_plain_answer("q-1")))
