--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -10,6 +10,7 @@
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import ChannelClient
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.connection_pool import ConnectionPool
 from nutmegdeal.draining import wait_until_idle
 from nutmegdeal.gateway.backend_selection import EngineSelector
 from nutmegdeal.gateway.blackboard import Blackboard
@@ -22,7 +23,6 @@
 from nutmegdeal.gateway.transport import DirectTransport
 from nutmegdeal.gateway.versions import AdapterVersions
 from nutmegdeal.gateway.watching import BackendsWatcher, OperatorWatcher
-from nutmegdeal.http_connections import ConnectionPool
 from nutmegdeal.http_listener import CallerListener, MetricsApplication
 from nutmegdeal.log import get_logger
 from nutmegdeal.platform.store import StoreClient
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -8,6 +8,7 @@
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.channel import ChannelServer
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.connection_pool import ConnectionPool
 from nutmegdeal.engine_messages import (
     AdapterUnwanted,
     AdapterUses,
@@ -19,7 +20,6 @@
     PromptCancelled,
     PromptGranted,
 )
-from nutmegdeal.http_connections import ConnectionPool
 from nutmegdeal.http_listener import CallerListener, MetricsApplication
 from nutmegdeal.log import get_logger
 from nutmegdeal.placer.engine import EngineClient, OrderResult
--- a/nutmegdeal/tests/transport_harness.py
+++ b/nutmegdeal/tests/transport_harness.py
@@ -5,9 +5,9 @@
 import time
 
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.connection_pool import ConnectionPool
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.transport import AnswerProgress, DirectTransport
-from nutmegdeal.http_connections import ConnectionPool
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.scripted_server import ScriptedServer
 
