HTTP connections: a bounded number of interim heads before an answer

What callers saw: a request to a server that sent interim (1xx) heads without end waited to its deadline and got 504. Nothing else ran in the process while the heads came fast.

Cause: read_head skipped interim heads without a bound.

Evidence, before the change: test_endless_answer_ends_before_the_deadline[interim-heads] assert <RunFate.TIMED_OUT: 'timed_out'> is <RunFate.MAYBE_RAN: 'maybe_ran'>

Ruled out: a single head without end, which h11 bounds (case "head"), and heads that trickle, which the deadline ends (test_deadline_ends_a_head_that_trickles).

After INTERIM_RESPONSES_MAX heads the run ends as MAYBE_RAN and the connection is closed, so the server stops.

--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -38,6 +38,8 @@
 UNUSED_BODY_TIMEOUT_MS = 50.0
 UNUSED_BODY_BYTES_MAX = 16_384
 
+# Most interim (1xx) responses before a response; servers send one or two.
+INTERIM_RESPONSES_MAX = 8
 # Responses with these status codes have no body, so they need no length.
 STATUS_CODES_WITHOUT_BODY = (204, 304)
 
@@ -190,7 +192,7 @@
         OSError, BrokenAnswerError
             If no response arrives; TimeoutError at the deadline.
         """
-        while True:
+        for _ in range(INTERIM_RESPONSES_MAX + 1):
             event = self._next_event(deadline_ms)
             if isinstance(event, h11.Response):
                 self._head = ResponseHead(
@@ -199,6 +201,7 @@
                 return self._head
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("the connection ended before an answer")
+        raise BrokenAnswerError(f"over {INTERIM_RESPONSES_MAX} interim answers")
 
     def read_data(self, deadline_ms):
         """Return the next bytes of the body, or None at its end."""
--- a/nutmegdeal/tests/test_endless_answers.py
+++ b/nutmegdeal/tests/test_endless_answers.py
@@ -41,6 +41,7 @@
 @pytest.mark.parametrize(
     ("start", "then"),
     [
+        (b"", INTERIM_HEAD),
         (b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n"),
         (b"", DATA),
         (encode_head(LONG), DATA),
@@ -51,6 +52,7 @@
         (encode_head(LONG, "q-1", "500 Internal Server Error"), DATA),
     ],
     ids=[
+        "interim-heads",
         "head",
         "no-answer",
         "body",
@@ -93,6 +95,13 @@
     assert ended.wait(10)
 
 
+def test_interim_heads_before_an_answer_are_skipped(start_harness):
+    answer = build.build_plain_answer("q-1", b"seat 4")
+    harness = start_harness(lambda sock, _: sock.sendall(INTERIM_HEAD * 2 + answer))
+    assert harness.run(build.build_booking_route()).fate is RunFate.COMPLETED
+    assert harness.responder.body == b"seat 4"
+
+
 @pytest.mark.parametrize("data", [b"HTTP/1.1 200 OK\r\nX-M", INTERIM_HEAD[:-2]])
 def test_deadline_ends_a_head_that_trickles(start_harness, data):
     def answer(sock, _request):
