HTTP connections: a bounded number of skipped answers to other requests

What callers saw: a request to a server that sent complete answers to other requests without end waited to its deadline and got 504.

Cause: read_matching_head skips each answer with another request id; each was bounded in its size, their number was not.

Evidence, before the change: test_endless_answer_ends_before_the_deadline[other-answers] assert <RunFate.TIMED_OUT: 'timed_out'> is <RunFate.MAYBE_RAN: 'maybe_ran'>

Ruled out: one such answer with a body without end (cases "other-body" and "other-chunked-body").

After SKIPPED_RESPONSES_MAX answers, counted in the connection for each request, the run ends as MAYBE_RAN and the connection is closed. A late answer or three are skipped as before (test_some_answers_to_other_requests_are_skipped).

--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -40,6 +40,9 @@
 
 # Most interim (1xx) responses before a response; servers send one or two.
 INTERIM_RESPONSES_MAX = 8
+# Most responses to other requests that are skipped before the response to one request.
+# A connection carries one request at a time, so there is rarely more than one.
+SKIPPED_RESPONSES_MAX = 8
 # Responses with these status codes have no body, so they need no length.
 STATUS_CODES_WITHOUT_BODY = (204, 304)
 
@@ -152,6 +155,7 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._request = None
         self._head = None
+        self._skipped_count = 0
 
     def send(self, method, target, headers, body=b""):
         """Send a whole request.
@@ -165,6 +169,7 @@
         if method in (b"GET", b"HEAD") and not body:
             headers.pop()
         self.has_response_started = False
+        self._skipped_count = 0
         self._request = h11.Request(method=method, target=target, headers=headers)
         self._socket.sendall(self._encode_request(body))
         self.last_active_ms = time.monotonic() * 1000
@@ -249,10 +254,13 @@
         Raises
         ------
         OSError, BrokenAnswerError
-            If no other response can follow on the connection.
+            If no other response can follow on the connection, or after too many.
         """
         if self._head.ends_connection:
             raise BrokenAnswerError("the connection ends with another answer")
+        self._skipped_count += 1
+        if self._skipped_count > SKIPPED_RESPONSES_MAX:
+            raise BrokenAnswerError(f"over {SKIPPED_RESPONSES_MAX} other answers")
         self.read_body(deadline_ms, bytes_max)
         trailing, has_ended = self._protocol.trailing_data
         if has_ended or self._protocol.their_state is not h11.DONE:
--- a/nutmegdeal/tests/test_endless_answers.py
+++ b/nutmegdeal/tests/test_endless_answers.py
@@ -42,6 +42,7 @@
     ("start", "then"),
     [
         (b"", INTERIM_HEAD),
+        (b"", build.build_plain_answer("q-0", b"late")),
         (b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n"),
         (b"", DATA),
         (encode_head(LONG), DATA),
@@ -53,6 +54,7 @@
     ],
     ids=[
         "interim-heads",
+        "other-answers",
         "head",
         "no-answer",
         "body",
@@ -95,6 +97,14 @@
     assert ended.wait(10)
 
 
+def test_some_answers_to_other_requests_are_skipped(start_harness):
+    late = build.build_plain_answer("q-0", b"late")
+    answer = build.build_plain_answer("q-1", b"seat 4")
+    harness = start_harness(lambda sock, _: sock.sendall(late * 3 + answer))
+    assert harness.run(build.build_booking_route()).fate is RunFate.COMPLETED
+    assert harness.responder.body == b"seat 4"
+
+
 def test_interim_heads_before_an_answer_are_skipped(start_harness):
     answer = build.build_plain_answer("q-1", b"seat 4")
     harness = start_harness(lambda sock, _: sock.sendall(INTERIM_HEAD * 2 + answer))
