HTTP connections: a fast endless answer does not hold up the other requests

What callers saw: while one server sent without end, no other request of the process got anywhere until the deadline of that run, 12 s on streams: neither answers nor refusals, nor the notice of callers that left.

Cause: gevent's recv and sendall switch to other greenlets only if they have to wait. A server that sends faster than h11 parses never makes them wait.

Tried first: gevent.sleep(0).

Ruled out: events without end ending the run early; they are valid, and the deadline bounds them.

Now a connection pauses for SWITCH_PAUSE_S after BYTES_PER_SWITCH or EVENTS_PER_SWITCH of one answer. A row page of the store of 1 MB gets some 20 pauses.

--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -8,6 +8,7 @@
 import time
 
 import attrs
+import gevent
 import gevent.socket
 import h11
 
@@ -43,6 +44,13 @@
 # Most responses to other requests that are skipped before the response to one request.
 # A connection carries one request at a time, so there is rarely more than one.
 SKIPPED_RESPONSES_MAX = 8
+# Other greenlets get to run after this much of a response. Receiving switches only if
+# it has to wait, so a server that sends fast would keep all other requests of the
+# process from being served.
+BYTES_PER_SWITCH = 65_536
+EVENTS_PER_SWITCH = 64
+# The pause is longer than 0, so that the event loop polls all sockets in it.
+SWITCH_PAUSE_S = 0.001
 # Responses with these status codes have no body, so they need no length.
 STATUS_CODES_WITHOUT_BODY = (204, 304)
 
@@ -156,6 +164,8 @@
         self._request = None
         self._head = None
         self._skipped_count = 0
+        self._unswitched_bytes = 0
+        self._unswitched_events = 0
 
     def send(self, method, target, headers, body=b""):
         """Send a whole request.
@@ -170,6 +180,8 @@
             headers.pop()
         self.has_response_started = False
         self._skipped_count = 0
+        self._unswitched_bytes = 0
+        self._unswitched_events = 0
         self._request = h11.Request(method=method, target=target, headers=headers)
         self._socket.sendall(self._encode_request(body))
         self.last_active_ms = time.monotonic() * 1000
@@ -275,9 +287,22 @@
         if trailing:
             self._protocol.receive_data(trailing)
 
+    def _let_others_run(self):
+        is_due = (
+            self._unswitched_events >= EVENTS_PER_SWITCH
+            or self._unswitched_bytes >= BYTES_PER_SWITCH
+        )
+        if not is_due:
+            return
+        self._unswitched_bytes = 0
+        self._unswitched_events = 0
+        gevent.sleep(SWITCH_PAUSE_S)
+
     def _next_event(self, deadline_ms):
         try:
             while True:
+                self._let_others_run()
+                self._unswitched_events += 1
                 event = self._protocol.next_event()
                 if event is not h11.NEED_DATA:
                     return event
@@ -291,6 +316,7 @@
             raise TimeoutError("the deadline passed")
         self._socket.settimeout(remaining_s)
         data = self._socket.recv(RECEIVE_BYTES)
+        self._unswitched_bytes += len(data)
         self.has_response_started = self.has_response_started or bool(data)
         self.last_active_ms = time.monotonic() * 1000
         return data
--- a/nutmegdeal/tests/test_endless_answers.py
+++ b/nutmegdeal/tests/test_endless_answers.py
@@ -4,6 +4,7 @@
 
 import gevent
 import gevent.event
+import gevent.socket
 import pytest
 
 from nutmegdeal.gateway.requests import RunFate
@@ -12,6 +13,90 @@
 INTERIM_HEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+# A deadline that the tests do not reach: an endless answer ends before it.
+FAR_MS = 60_000.0
+# Receives after which an endless answer is reset, for tests of what runs meanwhile.
+RECEIVES_MAX = 2_000
+
+
+class SaturatedSocket:
+    """A socket of a client that always has data: a receive never waits.
+
+    Parameters
+    ----------
+    sock : socket
+    pieces : iterable of bytes
+        The received data; at their end the connection is reset.
+    """
+
+    def __init__(self, sock, pieces):
+        self._sock_of_server = sock
+        self._pieces = iter(pieces)
+        self.receive_count = 0
+
+    def __getattr__(self, name):
+        return getattr(self._sock_of_server, name)
+
+    def recv(self, _bytes_max):
+        self.receive_count += 1
+        try:
+            return next(self._pieces)
+        except StopIteration:
+            raise ConnectionResetError("reset by the test") from None
+
+
+class EchoCounter:
+    """Counts round trips between two greenlets, each of which waits for its socket.
+
+    Greenlets that are ready to run would not show that the sockets of other requests
+    are polled.
+    """
+
+    def __init__(self):
+        self.count = 0
+        self._near, self._far = gevent.socket.socketpair()
+        self._greenlets = [gevent.spawn(self._ask), gevent.spawn(self._echo)]
+
+    def _ask(self):
+        while True:
+            self._near.sendall(b"m")
+            self._near.recv(1)
+            self.count += 1
+
+    def _echo(self):
+        while True:
+            self._far.sendall(self._far.recv(1))
+
+    def stop(self):
+        gevent.killall(self._greenlets)
+        self._near.close()
+        self._far.close()
+
+
+@pytest.fixture
+def echoes():
+    counter = EchoCounter()
+    gevent.sleep(0.01)
+    yield counter
+    counter.stop()
+
+
+@pytest.fixture
+def run_saturated(start_harness, echoes):
+    """Return a function that runs a request on a connection that never waits."""
+
+    def run(pieces, route=None, **options):
+        harness = start_harness(lambda sock, _: None)
+        connection = harness.pool.acquire(harness.server.address)
+        connection._socket = SaturatedSocket(connection._socket, pieces)
+        harness.pool.acquire = lambda *_: connection
+        echoes.count = 0
+        outcome = harness.run(route, deadline_in_ms=FAR_MS, **options)
+        return harness, outcome, connection._socket.receive_count
+
+    return run
+
+
 def send_without_end(*starts, then):
     """Return an answer that sends `starts`, and `then` until the client closes."""
     ended = gevent.event.Event()
@@ -125,3 +210,49 @@
     harness = start_harness(answer)
     outcome = harness.run(build.build_booking_route(), deadline_in_ms=400.0)
     assert outcome.fate is RunFate.TIMED_OUT
+
+
+def generate_events(encode):
+    """Yield the head of a stream, and its events without end."""
+    yield encode_head(CHUNKED)
+    for number in range(RECEIVES_MAX):
+        yield encode(build.build_event(number))
+
+
+def encode_bytewise(data):
+    """Return the chunks of some data, one for each byte."""
+    return b"".join(build.encode_chunk(bytes([byte])) for byte in data)
+
+
+@pytest.mark.parametrize("encode", [build.encode_chunk, encode_bytewise])
+def test_endless_stream_lets_other_greenlets_run(run_saturated, echoes, encode):
+    """One server that sends fast kept a whole process from serving anybody else."""
+    _, outcome, receive_count = run_saturated(generate_events(encode))
+    assert outcome.fate is RunFate.CUT
+    assert receive_count > RECEIVES_MAX
+    assert echoes.count >= receive_count // 256
+
+
+@pytest.mark.parametrize(
+    "pieces",
+    [
+        [encode_head(LONG)] + [bytes(1_024)] * 1_000,
+        [encode_head(CHUNKED)] + [encode_bytewise(b"m" * 1_000)] * 10,
+        [encode_head(LONG, "q-0")] + [bytes(1_024)] * 1_000,
+        [bytes([byte]) for byte in b"HTTP/1.1 200 OK\r\nX-M: " + b"m" * 1_000],
+    ],
+    ids=["body", "small-chunks", "other-body", "bytewise-head"],
+)
+def test_long_answer_lets_other_greenlets_run(run_saturated, echoes, pieces):
+    """One server that sends fast kept a whole process from serving anybody else."""
+    run_saturated(pieces, build.build_booking_route())
+    assert echoes.count >= 3
+
+
+def test_usual_answer_is_read_without_a_switch(run_saturated, echoes):
+    body = bytes(8_192)
+    pieces = [build.build_plain_answer("q-1", body)]
+    harness, outcome, _ = run_saturated(pieces, build.build_booking_route())
+    assert outcome.fate is RunFate.COMPLETED
+    assert harness.responder.body == body
+    assert echoes.count == 0
