Events: a run that is resumed continues after the last event the caller has

What callers saw: a stream with events missing, that looked complete. Its first server had sent several events at once, among them one whose id did not increase.

Cause: EventSplitter.feed advanced last_event_id event by event, and raised at the bad one before the good ones were forwarded; the next run then asked for the events after them. A server that sends its answer without chunks sends several events in one piece more often.

Evidence, before the change: test_stream_resumes_after_the_last_event_that_was_forwarded AssertionError: assert b'id: 2\ndata...: piece 3\n\n' == b'id: 0\ndata...: piece 3\n\n'

Ruled out: the same after a break inside an event (test_stream_resumes_with_another _framing), where whole events are forwarded before the break is noticed.

The id changes only with the events that feed returns.

--- a/nutmegdeal/gateway/events.py
+++ b/nutmegdeal/gateway/events.py
@@ -50,16 +50,20 @@
             return b""
         end += len(EVENT_END)
         whole, self._pending = buffered[:end], buffered[end:]
-        for found in _EVENT_ID.finditer(whole):
-            self._advance(int(found.group(1)))
+        # Not changed by events that are not passed on: a new run would continue after
+        # them.
+        self.last_event_id = self._check_order(whole)
         return whole
 
-    def _advance(self, event_id):
-        if self.last_event_id is not None and event_id <= self.last_event_id:
-            raise BrokenStreamError(
-                f"event {event_id} after event {self.last_event_id}"
-            )
-        self.last_event_id = event_id
+    def _check_order(self, events):
+        """Return the id of the last event (int or None)."""
+        last_event_id = self.last_event_id
+        for found in _EVENT_ID.finditer(events):
+            event_id = int(found.group(1))
+            if last_event_id is not None and event_id <= last_event_id:
+                raise BrokenStreamError(f"event {event_id} after event {last_event_id}")
+            last_event_id = event_id
+        return last_event_id
 
     def restart(self):
         """Discard the incomplete event: a new run resumes after the last whole one."""
--- a/nutmegdeal/tests/test_backend_answers.py
+++ b/nutmegdeal/tests/test_backend_answers.py
@@ -111,6 +111,27 @@
     assert not names & {b"transfer-encoding", b"content-length", b"connection"}
 
 
+def test_stream_resumes_after_the_last_event_that_was_forwarded(start_harness):
+    """Events were missing for a caller whose stream had been resumed.
+
+    They arrived together with one that broke the order, so none of them was forwarded,
+    but the next run was asked to continue after them.
+    """
+
+    def answer(sock, request):
+        last = request.get(b"last-event-id")
+        first = 0 if last is None else int(last) + 1
+        numbers = [0, 1, 1, 2] if len(harness.server.requests) == 1 else range(first, 4)
+        sock.sendall(build.build_unframed_answer("q-1", build.build_events(numbers)))
+        return False
+
+    harness = start_harness(answer)
+    assert harness.run().fate is RunFate.MAYBE_RAN
+    assert not harness.responder.has_started
+    assert harness.run().fate is RunFate.COMPLETED
+    assert harness.responder.body == build.build_events(range(4))
+
+
 def test_chunks_with_connection_close_are_whole_only_with_their_last(start_harness):
     whole = build.build_stream_answer("q-1", range(3))
     whole = whole.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
