Transport: smaller limits on the bodies of answers

What callers would see: some twenty servers (or one, asked twenty times) that send bodies without end use up the memory of the process; at its limit of 300 MB it is killed with all its requests.

Cause: each request held up to 16 MiB of an answer, also of a failure and of an answer to another request, of which nothing is used.

Ruled out: an endless head (h11 keeps 16 KB at most) and a refusal's body, which is discarded.

What answers need: the largest answers of plain services have a few KB, a failure a short text. ANSWER_BYTES_MAX is now 1 MiB, FAILURE_BYTES_MAX 64 KiB, and the answers to other requests are discarded as they come. An answer above the limit ends as MAYBE_RAN, as before.

--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -13,9 +13,10 @@
 from nutmegdeal.platform import headers as platform_headers
 from nutmegdeal.site_configuration import RouteKind
 
-# Limit on an answer's body: four times the largest body that a caller may send.
-# Answers are a few KB.
-ANSWER_BYTES_MAX = 16_777_216
+# Limits on the body of an answer, which is held until it is whole. Answers are a few
+# KB; many of them at once have to fit into the memory of the process.
+ANSWER_BYTES_MAX = 1_048_576
+FAILURE_BYTES_MAX = 65_536
 # Timeout for a connection to a backend server, which takes 1 to 3 ms. After it another
 # server can be tried, since nothing was sent.
 CONNECT_WITHIN_MS = 250.0
@@ -246,7 +247,7 @@
             self._connection.discard_body(deadline_ms)
             answer = HeldAnswer(head.status_code, headers, b"")
             return RunOutcome(RunFate.NOT_RUN, detail, answer)
-        body = self._connection.read_body(deadline_ms, ANSWER_BYTES_MAX)
+        body = self._connection.read_body(deadline_ms, FAILURE_BYTES_MAX)
         answer = HeldAnswer(head.status_code, headers, body)
         return RunOutcome(RunFate.FAILED, detail, answer)
 
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -251,7 +251,7 @@
         """
         deadline_ms = min(deadline_ms, time.monotonic() * 1000 + UNUSED_BODY_TIMEOUT_MS)
         try:
-            self.read_body(deadline_ms, UNUSED_BODY_BYTES_MAX)
+            self._discard_data(deadline_ms, UNUSED_BODY_BYTES_MAX)
         except (OSError, BrokenAnswerError) as error:
             logger.debug(
                 "unused_body_incomplete",
@@ -260,6 +260,13 @@
             )
             self.close()
 
+    def _discard_data(self, deadline_ms, bytes_max):
+        discarded_bytes = 0
+        while (data := self.read_data(deadline_ms)) is not None:
+            discarded_bytes += len(data)
+            if discarded_bytes > bytes_max:
+                raise BrokenAnswerError(f"the answer exceeds {bytes_max} bytes")
+
     def skip_response(self, deadline_ms, bytes_max):
         """Discard a response to an earlier request, and wait for the next response.
 
@@ -273,7 +280,7 @@
         self._skipped_count += 1
         if self._skipped_count > SKIPPED_RESPONSES_MAX:
             raise BrokenAnswerError(f"over {SKIPPED_RESPONSES_MAX} other answers")
-        self.read_body(deadline_ms, bytes_max)
+        self._discard_data(deadline_ms, bytes_max)
         trailing, has_ended = self._protocol.trailing_data
         if has_ended or self._protocol.their_state is not h11.DONE:
             raise BrokenAnswerError("the connection ended after another answer")
--- a/nutmegdeal/tests/test_endless_answers.py
+++ b/nutmegdeal/tests/test_endless_answers.py
@@ -249,6 +249,33 @@
     assert echoes.count >= 3
 
 
+@pytest.mark.parametrize(
+    ("head", "route", "bytes_max"),
+    [
+        (encode_head(LONG), build.build_booking_route(), 1_048_576),
+        (encode_head(""), build.build_booking_route(), 1_048_576),
+        (encode_head(LONG, "q-0"), build.build_booking_route(), 1_048_576),
+        (
+            encode_head(LONG, "q-1", "500 Internal Server Error"),
+            build.build_booking_route(),
+            65_536,
+        ),
+        (
+            encode_head(LONG, "q-1", "421 Misdirected Request"),
+            build.build_booking_route(),
+            65_536,
+        ),
+    ],
+    ids=["body", "unframed-body", "other-body", "failure", "refusal"],
+)
+def test_endless_answer_holds_little_memory(run_saturated, head, route, bytes_max):
+    """A few endless answers at once used up the memory of the process."""
+    pieces = itertools.chain([head], itertools.repeat(b"m" * 4_096, 10_000))
+    _, _, receive_count = run_saturated(pieces, route)
+    # The piece that exceeds the limit is received, and so is the head.
+    assert (receive_count - 2) * 4_096 <= bytes_max
+
+
 def test_usual_answer_is_read_without_a_switch(run_saturated, echoes):
     body = bytes(8_192)
     pieces = [build.build_plain_answer("q-1", body)]
