Events: a growing event is neither copied nor searched anew for each piece

What callers would see: all requests of a process stand still while one server sends an event without end in small pieces, as each piece is one step between two switches.

Cause: EventSplitter joined and searched the whole incomplete event for each piece, up to 1 MiB of it.

Ruled out: an endless event holding the request past its bound (test_endless_event_ends_the_run).

The buffer grows in place and only what is new is searched; data that is whole events, as usual, is not buffered. Events are under 1 KB, so EVENT_BYTES_MAX is now 64 KiB. test_events_that_arrive_in_single_bytes_are_passed_on_when_whole guards the search from where the last one ended.

--- a/nutmegdeal/gateway/events.py
+++ b/nutmegdeal/gateway/events.py
@@ -7,7 +7,7 @@
 EVENT_END = b"\n\n"
 # Limit on one event. Events hold a few tokens and are under 1 KB, so a longer one means
 # that the stream is broken.
-EVENT_BYTES_MAX = 1_048_576
+EVENT_BYTES_MAX = 65_536
 _EVENT_ID = re.compile(rb"(?m)^id: ?(\d+)\r?$")
 
 
@@ -26,7 +26,7 @@
     """
 
     last_event_id: int | None = None
-    _pending: bytes = b""
+    _pending: bytearray = attrs.field(factory=bytearray)
 
     @property
     def is_between_events(self):
@@ -41,18 +41,27 @@
         BrokenStreamError
             If an event id does not increase, or if an event exceeds EVENT_BYTES_MAX.
         """
-        buffered = self._pending + data if self._pending else data
-        end = buffered.rfind(EVENT_END)
+        whole = data
+        if self._pending or not data.endswith(EVENT_END):
+            whole = self._append(data)
+        # Not changed by events that are not passed on: a new run would continue after
+        # them.
+        self.last_event_id = self._check_order(whole)
+        return whole
+
+    def _append(self, data):
+        """Add received bytes to the buffer; return the whole events (bytes) in it."""
+        # What was searched before needs no second search, except for half of an end.
+        searched_bytes = max(0, len(self._pending) - len(EVENT_END) + 1)
+        self._pending += data
+        end = self._pending.rfind(EVENT_END, searched_bytes)
         if end < 0:
-            if len(buffered) > EVENT_BYTES_MAX:
+            if len(self._pending) > EVENT_BYTES_MAX:
                 raise BrokenStreamError(f"an event exceeds {EVENT_BYTES_MAX} bytes")
-            self._pending = buffered
             return b""
         end += len(EVENT_END)
-        whole, self._pending = buffered[:end], buffered[end:]
-        # Not changed by events that are not passed on: a new run would continue after
-        # them.
-        self.last_event_id = self._check_order(whole)
+        whole = bytes(self._pending[:end])
+        del self._pending[:end]
         return whole
 
     def _check_order(self, events):
@@ -67,4 +76,4 @@
 
     def restart(self):
         """Discard the incomplete event: a new run resumes after the last whole one."""
-        self._pending = b""
+        self._pending.clear()
--- a/nutmegdeal/tests/test_endless_answers.py
+++ b/nutmegdeal/tests/test_endless_answers.py
@@ -265,8 +265,9 @@
             build.build_booking_route(),
             65_536,
         ),
+        (encode_head(""), build.build_route(), 65_536),
     ],
-    ids=["body", "unframed-body", "other-body", "failure", "refusal"],
+    ids=["body", "unframed-body", "other-body", "failure", "refusal", "event"],
 )
 def test_endless_answer_holds_little_memory(run_saturated, head, route, bytes_max):
     """A few endless answers at once used up the memory of the process."""
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -312,6 +312,13 @@
     return [data[start:end] for start, end in zip(ends, ends[1:], strict=False)]
 
 
+def test_events_that_arrive_in_single_bytes_are_passed_on_when_whole():
+    splitter = EventSplitter()
+    stream = b"".join(map(build.build_event, range(3)))
+    passed = [splitter.feed(bytes([byte])) for byte in stream]
+    assert [part for part in passed if part] == list(map(build.build_event, range(3)))
+
+
 def test_repeated_event_id_breaks_the_stream():
     splitter = EventSplitter(last_event_id=4)
     with pytest.raises(BrokenStreamError):
