--- a/nutmegdeal/tests/scripted_server.py
+++ b/nutmegdeal/tests/scripted_server.py
@@ -1,6 +1,11 @@
 """A backend server whose answers are given by a test."""
 
+import itertools
+import socket
+import struct
+
 import gevent
+import gevent.event
 import gevent.socket
 import h11
 
@@ -72,3 +77,32 @@
         """Stop listening and stop serving all connections."""
         gevent.killall(self._greenlets)
         self._listener.close()
+
+
+def send_without_end(*starts, then):
+    """Return an answer that sends `starts`, and `then` until the client closes.
+
+    Returns
+    -------
+    tuple of callable and gevent.event.Event
+        The answer, and an event that is set when the client has closed.
+    """
+    ended = gevent.event.Event()
+
+    def answer(sock, _request):
+        try:
+            for data in itertools.chain(starts, itertools.repeat(then)):
+                sock.sendall(data)
+                gevent.sleep(0)
+        except OSError:
+            ended.set()
+        return False
+
+    return answer, ended
+
+
+def reset(sock):
+    """Close a connection of a scripted server with a TCP reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+    return False
--- a/nutmegdeal/tests/test_backend_answers.py
+++ b/nutmegdeal/tests/test_backend_answers.py
@@ -5,7 +5,7 @@
 
 from nutmegdeal.gateway.requests import RunFate
 from nutmegdeal.tests import platform_builders as build
-from nutmegdeal.tests.transport_harness import reset
+from nutmegdeal.tests.scripted_server import reset
 
 REFUSALS = [
     ("503 Service Unavailable", "X-Not-Executed: 1\r\n"),
--- a/nutmegdeal/tests/test_endless_answers.py
+++ b/nutmegdeal/tests/test_endless_answers.py
@@ -3,12 +3,12 @@
 import itertools
 
 import gevent
-import gevent.event
 import gevent.socket
 import pytest
 
 from nutmegdeal.gateway.requests import RunFate
 from nutmegdeal.tests import platform_builders as build
+from nutmegdeal.tests.scripted_server import send_without_end
 
 INTERIM_HEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -97,22 +97,6 @@
     return run
 
 
-def send_without_end(*starts, then):
-    """Return an answer that sends `starts`, and `then` until the client closes."""
-    ended = gevent.event.Event()
-
-    def answer(sock, _request):
-        try:
-            for data in itertools.chain(starts, itertools.repeat(then)):
-                sock.sendall(data)
-                gevent.sleep(0)
-        except OSError:
-            ended.set()
-        return False
-
-    return answer, ended
-
-
 def encode_head(extra, request_id="q-1", status="200 OK"):
     """Return the head of an answer with some framing."""
     return build.build_unframed_answer(request_id, b"", status, extra)
--- a/nutmegdeal/tests/transport_harness.py
+++ b/nutmegdeal/tests/transport_harness.py
@@ -1,7 +1,5 @@
 """A transport beside a scripted backend server, over loopback."""
 
-import socket
-import struct
 import time
 
 from nutmegdeal.clock import SystemClock
@@ -60,10 +58,3 @@
         )
         may_repeat = changes.pop("may_repeat", False)
         return self.transport.run(request, self.member, None, self.progress, may_repeat)
-
-
-def reset(sock):
-    """Close a connection of a scripted server with a TCP reset."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-    return False
