HTTP connections: sending a request is bounded by its deadline

What callers saw: a request with a long body got 502 (or took a retry) because its server paused for a moment before it read the body.

Cause: send set no timeout, so that of the socket's last use applied: the one of the connect (250 ms), or on a reused connection what was left to the request before, which can be a millisecond.

It needs a body longer than the socket buffers.

Ruled out: a send without end.

send takes the deadline, as receiving does.

--- a/nutmegdeal/connection_pool.py
+++ b/nutmegdeal/connection_pool.py
@@ -87,7 +87,7 @@
         deadline_ms = self._clock.monotonic_ms() + timeout_ms
         connection = self.acquire(address, min(connect_timeout_ms, timeout_ms))
         try:
-            connection.send(method, target, headers, body)
+            connection.send(method, target, headers, body, deadline_ms)
             head = connection.read_head(deadline_ms)
             response_body = connection.read_body(deadline_ms, bytes_max)
         except BaseException:
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -189,7 +189,13 @@
             version,
             self._progress.splitter.last_event_id,
         )
-        self._connection.send(incoming.method, incoming.target, headers, incoming.body)
+        self._connection.send(
+            incoming.method,
+            incoming.target,
+            headers,
+            incoming.body,
+            request.deadline_ms,
+        )
         self._sent_ms = self._clock.monotonic_ms()
 
     def read_matching_head(self):
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -167,13 +167,21 @@
         self._unswitched_bytes = 0
         self._unswitched_events = 0
 
-    def send(self, method, target, headers, body=b""):
+    def send(self, method, target, headers, body=b"", deadline_ms=None):
         """Send a whole request.
 
+        Parameters
+        ----------
+        method, target : bytes
+        headers : list of (bytes, bytes)
+        body : bytes
+        deadline_ms : float or None
+            On the monotonic clock; None to wait as long as the server is reachable.
+
         Raises
         ------
         OSError
-            If the connection broke; the request may have arrived.
+            If the connection broke, or at the deadline; the request may have arrived.
         """
         headers = [*headers, (b"content-length", b"%d" % len(body))]
         if method in (b"GET", b"HEAD") and not body:
@@ -183,6 +191,7 @@
         self._unswitched_bytes = 0
         self._unswitched_events = 0
         self._request = h11.Request(method=method, target=target, headers=headers)
+        self._set_timeout(deadline_ms)
         self._socket.sendall(self._encode_request(body))
         self.last_active_ms = time.monotonic() * 1000
 
@@ -317,11 +326,17 @@
         except h11.RemoteProtocolError as error:
             raise BrokenAnswerError(describe_protocol_error(error)) from error
 
-    def _receive(self, deadline_ms):
+    def _set_timeout(self, deadline_ms):
+        if deadline_ms is None:
+            self._socket.settimeout(None)
+            return
         remaining_s = deadline_ms / 1000 - time.monotonic()
         if remaining_s <= 0:
             raise TimeoutError("the deadline passed")
         self._socket.settimeout(remaining_s)
+
+    def _receive(self, deadline_ms):
+        self._set_timeout(deadline_ms)
         data = self._socket.recv(RECEIVE_BYTES)
         self._unswitched_bytes += len(data)
         self.has_response_started = self.has_response_started or bool(data)
--- a/nutmegdeal/tests/scripted_server.py
+++ b/nutmegdeal/tests/scripted_server.py
@@ -25,12 +25,15 @@
         All requests received, with the target under ``b":target"``.
     ended_count : int
         Connections that the client closed.
+    read_pause_s : float
+        Pause before each request is read.
     """
 
     def __init__(self, answer):
         self._answer = answer
         self.requests = []
         self.ended_count = 0
+        self.read_pause_s = 0.0
         self._listener = gevent.socket.socket()
         self._listener.bind(("127.0.0.1", 0))
         self._listener.listen(16)
@@ -57,6 +60,7 @@
             protocol = h11.Connection(h11.SERVER)
 
     def _read(self, sock, protocol):
+        gevent.sleep(self.read_pause_s)
         request = None
         while True:
             event = protocol.next_event()
--- a/nutmegdeal/tests/test_gateway_transport.py
+++ b/nutmegdeal/tests/test_gateway_transport.py
@@ -4,10 +4,16 @@
 import pytest
 
 from nutmegdeal.gateway.requests import RunFate
-from nutmegdeal.gateway.transport import NON_REPEATABLE_IDLE_MAX_MS
+from nutmegdeal.gateway.transport import (
+    CONNECT_WITHIN_MS,
+    NON_REPEATABLE_IDLE_MAX_MS,
+)
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.transport_harness import CALL_MS
 
+# More than the socket buffers hold while the server does not read.
+LONG_BODY_BYTES = 16_777_216
+
 
 def test_stream_is_forwarded_completely(start_harness):
     harness = start_harness(
@@ -141,6 +147,26 @@
     assert connection in harness.pool._idle[harness.server.address]
 
 
+def test_request_waits_for_a_server_that_reads_it_late(start_harness):
+    """A request failed because its server paused before it read the body.
+
+    The body exceeded the socket buffers, and the timeout of the connect, or of the
+    last receive on the connection, still applied while it was sent.
+    """
+    answer = build.build_plain_answer("q-1", b"seat 4")
+    harness = start_harness(lambda sock, _: sock.sendall(answer))
+    long_request = build.build_incoming(body=bytes(LONG_BODY_BYTES))
+    route = build.build_lookup_route()
+    harness.server.read_pause_s = 2 * CONNECT_WITHIN_MS / 1000
+    assert harness.run(route, incoming=long_request).fate is RunFate.COMPLETED
+    # On the same connection, as after a request whose deadline was near.
+    (connection,) = harness.pool._idle[harness.server.address]
+    connection._socket.settimeout(0.01)
+    assert harness.run(route, incoming=long_request).fate is RunFate.COMPLETED
+    assert connection.is_reused
+    assert len(harness.server.requests) == 2
+
+
 def test_backend_receives_remaining_time_and_its_own_id(start_harness):
     harness = start_harness(
         lambda sock, _: sock.sendall(build.build_stream_answer("q-1", [0]))
--- a/nutmegdeal/tests/transport_harness.py
+++ b/nutmegdeal/tests/transport_harness.py
@@ -53,8 +53,9 @@
         self.progress = AnswerProgress(self.responder)
 
     def run(self, route=None, request_id="q-1", deadline_in_ms=CALL_MS, **changes):
+        may_repeat = changes.pop("may_repeat", False)
+        deadline_ms = time.monotonic() * 1000 + deadline_in_ms
         request = build.build_request(
-            route, time.monotonic() * 1000 + deadline_in_ms, request_id=request_id
+            route, deadline_ms, request_id=request_id, **changes
         )
-        may_repeat = changes.pop("may_repeat", False)
         return self.transport.run(request, self.member, None, self.progress, may_repeat)
