HTTP connections: silence is counted from the start of a failed send

What the log said: run_failed with a silence as long as the machine had been up, when sending the request itself had failed on a new connection.

Cause: last_active_ms was set only after the whole request had been sent; before, it was 0.0 or the time of the request before.

Evidence, before the change: test_time_of_silence_is_counted_from_the_start_of_a_failed_send AssertionError: assert 1212732.859009 < 20000.0

It is now set when the send begins, too.

--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -191,6 +191,7 @@
         self._unswitched_bytes = 0
         self._unswitched_events = 0
         self._request = h11.Request(method=method, target=target, headers=headers)
+        self.last_active_ms = time.monotonic() * 1000
         self._set_timeout(deadline_ms)
         self._socket.sendall(self._encode_request(body))
         self.last_active_ms = time.monotonic() * 1000
--- a/nutmegdeal/tests/test_gateway_transport.py
+++ b/nutmegdeal/tests/test_gateway_transport.py
@@ -167,6 +167,16 @@
     assert len(harness.server.requests) == 2
 
 
+def test_time_of_silence_is_counted_from_the_start_of_a_failed_send(start_harness):
+    """The log said that a server had been silent since the machine was started."""
+    harness = start_harness(lambda sock, _: None)
+    harness.server.read_pause_s = 60.0
+    long_request = build.build_incoming(body=bytes(LONG_BODY_BYTES))
+    outcome = harness.run(deadline_in_ms=100.0, incoming=long_request)
+    assert outcome.fate is RunFate.TIMED_OUT
+    assert outcome.silent_ms < CALL_MS
+
+
 def test_backend_receives_remaining_time_and_its_own_id(start_harness):
     harness = start_harness(
         lambda sock, _: sock.sendall(build.build_stream_answer("q-1", [0]))
