--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -19,9 +19,10 @@
 )
 from nutmegdeal.platform import headers as platform_headers
 
-# Limit on an answer's body: four times the largest body that a caller may send.
-# Answers are a few KB.
-ANSWER_BYTES_MAX = 16_777_216
+# Limits on the body of an answer, which is held until it is whole. Answers are a few
+# KB; many of them at once have to fit into the memory of the process.
+ANSWER_BYTES_MAX = 1_048_576
+FAILURE_BYTES_MAX = 65_536
 # Time without a head or a first event after which a server counts as silent, as a
 # multiple of the latency target. Callers abandon a stream after four targets.
 FIRST_EVENT_TIMEOUT_TARGETS = 2.0
@@ -190,7 +191,13 @@
             version,
             self._progress.splitter.last_event_id,
         )
-        self._connection.send(incoming.method, incoming.target, headers, incoming.body)
+        self._connection.send(
+            incoming.method,
+            incoming.target,
+            headers,
+            incoming.body,
+            request.deadline_ms,
+        )
         self._sent_ms = self._active_ms = self._clock.monotonic_ms()
         if self._rival is not None:
             self._connection.wait_for_data = self._wait_beside_rival
@@ -332,13 +339,17 @@
         return RunOutcome(RunFate.COMPLETED)
 
     def _hold_answer(self, head):
-        body = self._connection.read_body(self._request.deadline_ms, ANSWER_BYTES_MAX)
-        answer = HeldAnswer(
-            head.status_code, platform_headers.filter_answer_headers(head.headers), body
-        )
-        is_run = not platform_headers.is_not_executed(head.status_code, head.headers)
-        fate = RunFate.FAILED if is_run else RunFate.NOT_RUN
-        return RunOutcome(fate, f"HTTP {head.status_code}", answer)
+        deadline_ms = self._request.deadline_ms
+        headers = platform_headers.filter_answer_headers(head.headers)
+        detail = f"HTTP {head.status_code}"
+        if platform_headers.is_not_executed(head.status_code, head.headers):
+            # The head states it, whatever becomes of the body.
+            self._connection.discard_body(deadline_ms)
+            answer = HeldAnswer(head.status_code, headers, b"")
+            return RunOutcome(RunFate.NOT_RUN, detail, answer)
+        body = self._connection.read_body(deadline_ms, FAILURE_BYTES_MAX)
+        answer = HeldAnswer(head.status_code, headers, body)
+        return RunOutcome(RunFate.FAILED, detail, answer)
 
     def _forward_events(self, head):
         progress = self._progress
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client connections and a connection pool, based on h11.
+"""HTTP/1.1 client connections, based on h11.
 
 This module controls connection reuse, timeouts and keepalive itself, because the
 callers have to know whether a failed request may have reached the server and run.
@@ -8,10 +8,15 @@
 import time
 
 import attrs
+import gevent
 import gevent.select
 import gevent.socket
 import h11
 
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
+
 # Most bytes read by one call; a response has a few KB.
 RECEIVE_BYTES = 65_536
 # A round trip within a zone takes less than 5 ms, and the operating system retransmits
@@ -30,6 +35,25 @@
 DEFAULT_KEEP_ALIVE_MS = 600.0
 # Fraction of the server's Keep-Alive timeout that is used, to allow for network delay.
 KEEP_ALIVE_FRACTION = 0.6
+# Timeout and limit for a body that is read only so that its connection can be reused.
+# It arrives together with its head and holds a short text.
+UNUSED_BODY_TIMEOUT_MS = 50.0
+UNUSED_BODY_BYTES_MAX = 16_384
+
+# Most interim (1xx) responses before a response; servers send one or two.
+INTERIM_RESPONSES_MAX = 8
+# Most responses to other requests that are skipped before the response to one request.
+# A connection carries one request at a time, so there is rarely more than one.
+SKIPPED_RESPONSES_MAX = 8
+# Other greenlets get to run after this much of a response. Receiving switches only if
+# it has to wait, so a server that sends fast would keep all other requests of the
+# process from being served.
+BYTES_PER_SWITCH = 65_536
+EVENTS_PER_SWITCH = 64
+# The pause is longer than 0, so that the event loop polls all sockets in it.
+SWITCH_PAUSE_S = 0.001
+# Responses with these status codes have no body, so they need no length.
+STATUS_CODES_WITHOUT_BODY = (204, 304)
 
 
 class ConnectError(OSError):
@@ -49,10 +73,26 @@
     status_code : int
     headers : list of (bytes, bytes)
         Names are lower case.
+    http_version : bytes
     """
 
     status_code: int
     headers: list
+    http_version: bytes = b"1.1"
+
+    @property
+    def ends_connection(self):
+        """Return whether the connection can carry no further response."""
+        if self.http_version < b"1.1":
+            return True
+        if b"close" in (find_header(self.headers, b"connection") or b"").lower():
+            return True
+        if self.status_code in STATUS_CODES_WITHOUT_BODY:
+            return False
+        return (
+            find_header(self.headers, b"content-length") is None
+            and find_header(self.headers, b"transfer-encoding") is None
+        )
 
 
 def find_header(headers, name):
@@ -126,20 +166,37 @@
         configure_socket(self._socket)
         self._protocol = h11.Connection(h11.CLIENT)
         self._request = None
+        self._head = None
+        self._skipped_count = 0
+        self._unswitched_bytes = 0
+        self._unswitched_events = 0
 
-    def send(self, method, target, headers, body=b""):
+    def send(self, method, target, headers, body=b"", deadline_ms=None):
         """Send a whole request.
 
+        Parameters
+        ----------
+        method, target : bytes
+        headers : list of (bytes, bytes)
+        body : bytes
+        deadline_ms : float or None
+            On the monotonic clock; None to wait as long as the server is reachable.
+
         Raises
         ------
         OSError
-            If the connection broke; the request may have arrived.
+            If the connection broke, or at the deadline; the request may have arrived.
         """
         headers = [*headers, (b"content-length", b"%d" % len(body))]
         if method in (b"GET", b"HEAD") and not body:
             headers.pop()
         self.has_response_started = False
+        self._skipped_count = 0
+        self._unswitched_bytes = 0
+        self._unswitched_events = 0
         self._request = h11.Request(method=method, target=target, headers=headers)
+        self.last_active_ms = time.monotonic() * 1000
+        self._set_timeout(deadline_ms)
         self._socket.sendall(self._encode_request(body))
         self.last_active_ms = time.monotonic() * 1000
 
@@ -166,12 +223,16 @@
         OSError, BrokenAnswerError
             If no response arrives; TimeoutError at the deadline.
         """
-        while True:
+        for _ in range(INTERIM_RESPONSES_MAX + 1):
             event = self._next_event(deadline_ms)
             if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
+                self._head = ResponseHead(
+                    event.status_code, list(event.headers), event.http_version
+                )
+                return self._head
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("the connection ended before an answer")
+        raise BrokenAnswerError(f"over {INTERIM_RESPONSES_MAX} interim answers")
 
     def read_data(self, deadline_ms):
         """Return the next bytes of the body, or None at its end."""
@@ -196,9 +257,44 @@
                 raise BrokenAnswerError(f"the answer exceeds {bytes_max} bytes")
         return bytes(body)
 
+    def discard_body(self, deadline_ms):
+        """Discard the body of the response, of which only the head is used.
+
+        If the body is broken, late or long, the connection is closed: the head is valid
+        nevertheless.
+        """
+        deadline_ms = min(deadline_ms, time.monotonic() * 1000 + UNUSED_BODY_TIMEOUT_MS)
+        try:
+            self._discard_data(deadline_ms, UNUSED_BODY_BYTES_MAX)
+        except (OSError, BrokenAnswerError) as error:
+            logger.debug(
+                "unused_body_incomplete",
+                peer=f"{self.address[0]}:{self.address[1]}",
+                error=f"{type(error).__name__}: {error}",
+            )
+            self.close()
+
+    def _discard_data(self, deadline_ms, bytes_max):
+        discarded_bytes = 0
+        while (data := self.read_data(deadline_ms)) is not None:
+            discarded_bytes += len(data)
+            if discarded_bytes > bytes_max:
+                raise BrokenAnswerError(f"the answer exceeds {bytes_max} bytes")
+
     def skip_response(self, deadline_ms, bytes_max):
-        """Discard a response to an earlier request, and wait for the next response."""
-        self.read_body(deadline_ms, bytes_max)
+        """Discard a response to an earlier request, and wait for the next response.
+
+        Raises
+        ------
+        OSError, BrokenAnswerError
+            If no other response can follow on the connection, or after too many.
+        """
+        if self._head.ends_connection:
+            raise BrokenAnswerError("the connection ends with another answer")
+        self._skipped_count += 1
+        if self._skipped_count > SKIPPED_RESPONSES_MAX:
+            raise BrokenAnswerError(f"over {SKIPPED_RESPONSES_MAX} other answers")
+        self._discard_data(deadline_ms, bytes_max)
         trailing, has_ended = self._protocol.trailing_data
         if has_ended or self._protocol.their_state is not h11.DONE:
             raise BrokenAnswerError("the connection ended after another answer")
@@ -212,9 +308,22 @@
         if trailing:
             self._protocol.receive_data(trailing)
 
+    def _let_others_run(self):
+        is_due = (
+            self._unswitched_events >= EVENTS_PER_SWITCH
+            or self._unswitched_bytes >= BYTES_PER_SWITCH
+        )
+        if not is_due:
+            return
+        self._unswitched_bytes = 0
+        self._unswitched_events = 0
+        gevent.sleep(SWITCH_PAUSE_S)
+
     def _next_event(self, deadline_ms):
         try:
             while True:
+                self._let_others_run()
+                self._unswitched_events += 1
                 event = self._protocol.next_event()
                 if event is not h11.NEED_DATA:
                     return event
@@ -222,14 +331,21 @@
         except h11.RemoteProtocolError as error:
             raise BrokenAnswerError(describe_protocol_error(error)) from error
 
-    def _receive(self, deadline_ms):
-        if self.wait_for_data is not None:
-            self.wait_for_data(deadline_ms)
+    def _set_timeout(self, deadline_ms):
+        if deadline_ms is None:
+            self._socket.settimeout(None)
+            return
         remaining_s = deadline_ms / 1000 - time.monotonic()
         if remaining_s <= 0:
             raise TimeoutError("the deadline passed")
         self._socket.settimeout(remaining_s)
+
+    def _receive(self, deadline_ms):
+        if self.wait_for_data is not None:
+            self.wait_for_data(deadline_ms)
+        self._set_timeout(deadline_ms)
         data = self._socket.recv(RECEIVE_BYTES)
+        self._unswitched_bytes += len(data)
         self.has_response_started = self.has_response_started or bool(data)
         self.last_active_ms = time.monotonic() * 1000
         return data
@@ -244,7 +360,7 @@
         now_ms : float
             On the monotonic clock.
         """
-        if b"close" in (find_header(head.headers, b"connection") or b"").lower():
+        if head.ends_connection:
             return False
         if self._protocol.trailing_data != (b"", False):
             return False
@@ -314,130 +430,3 @@
         if name.lower() == b"timeout" and number.isdigit():
             return int(number) * 1000 * KEEP_ALIVE_FRACTION
     return DEFAULT_KEEP_ALIVE_MS
-
-
-class ConnectionPool:
-    """A pool of idle connections, by address.
-
-    Parameters
-    ----------
-    clock : Clock
-    idle_count_max : int
-        Most idle connections kept per address.
-    """
-
-    def __init__(self, clock, idle_count_max=64):
-        self._clock = clock
-        self._idle_count_max = idle_count_max
-        self._idle = {}
-
-    def acquire(
-        self,
-        address,
-        connect_timeout_ms=CONNECT_TIMEOUT_MS,
-        idle_max_ms=float("inf"),
-    ):
-        """Return a ClientConnection: a reusable idle one, or else a new one.
-
-        Parameters
-        ----------
-        address : tuple of str and int
-        connect_timeout_ms : float
-        idle_max_ms : float
-            A connection that has been idle for longer is not reused: the server may
-            have dropped it without closing it.
-
-        Raises
-        ------
-        ConnectError
-        """
-        idle = self._idle.get(address, [])
-        now_ms = self._clock.monotonic_ms()
-        while idle and now_ms - idle[-1].idle_since_ms <= idle_max_ms:
-            connection = idle.pop()
-            if connection.reusable_until_ms > now_ms and connection.is_clean():
-                return connection
-            connection.close()
-        return ClientConnection(address, connect_timeout_ms)
-
-    def call(
-        self,
-        address,
-        method,
-        target,
-        headers,
-        body,
-        timeout_ms,
-        bytes_max,
-        connect_timeout_ms=CONNECT_TIMEOUT_MS,
-    ):
-        """Send a request once and read its whole response.
-
-        Parameters
-        ----------
-        address : tuple of str and int
-        method, target : bytes
-        headers : list of (bytes, bytes)
-        body : bytes
-        timeout_ms : float
-            Longest wait for the whole response.
-        bytes_max : int
-            Most bytes of the response body.
-        connect_timeout_ms : float
-
-        Returns
-        -------
-        tuple of ResponseHead and bytes
-            Head and body.
-
-        Raises
-        ------
-        ConnectError
-            If nothing was sent.
-        OSError, BrokenAnswerError
-            If the request may have arrived.
-        """
-        deadline_ms = self._clock.monotonic_ms() + timeout_ms
-        connection = self.acquire(address, min(connect_timeout_ms, timeout_ms))
-        try:
-            connection.send(method, target, headers, body)
-            head = connection.read_head(deadline_ms)
-            response_body = connection.read_body(deadline_ms, bytes_max)
-        except BaseException:
-            connection.close()
-            raise
-        self.release(connection, head)
-        return head, response_body
-
-    def release(self, connection, head):
-        """Return a connection to the pool after its response was read to its end.
-
-        The connection is closed if it cannot be reused or the pool is full.
-        """
-        idle = self._idle.setdefault(connection.address, [])
-        is_kept = len(idle) < self._idle_count_max and connection.finish(
-            head, self._clock.monotonic_ms()
-        )
-        if not is_kept:
-            connection.close()
-            return
-        idle.append(connection)
-
-    def close_idle(self):
-        """Close the idle connections that may no longer be reused."""
-        now_ms = self._clock.monotonic_ms()
-        for address, idle in list(self._idle.items()):
-            kept = []
-            for connection in idle:
-                if connection.reusable_until_ms > now_ms:
-                    kept.append(connection)
-                else:
-                    connection.close()
-            self._idle[address] = kept
-            if not kept:
-                del self._idle[address]
-
-    def drop(self, address):
-        """Close all idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            connection.close()
--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -4,6 +4,7 @@
 import time
 
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.connection_pool import ConnectionPool
 from nutmegdeal.gateway.backend_selection import EngineSelector
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.dispatch import Dispatcher
@@ -13,11 +14,10 @@
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
 from nutmegdeal.gateway.transport import DirectTransport
 from nutmegdeal.gateway.versions import AdapterVersions
-from nutmegdeal.http_connections import ConnectionPool
 from nutmegdeal.retry_budget import WindowedRetryBudget
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.scripted_server import ScriptedServer
-from nutmegdeal.tests.test_gateway_transport import RecordingResponder
+from nutmegdeal.tests.transport_harness import RecordingResponder
 
 ADAPTER = "a7@1"
 VERSION_MS = 5_000.0
--- a/nutmegdeal/tests/test_gateway_transport.py
+++ b/nutmegdeal/tests/test_gateway_transport.py
@@ -1,80 +1,18 @@
 """Tests of one run of a request at a backend server, over loopback."""
 
-import time
-
 import gevent
 import pytest
 
-from nutmegdeal.clock import SystemClock
-from nutmegdeal.gateway.exchange import AnswerProgress
-from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.requests import RunFate
-from nutmegdeal.gateway.transport import NON_REPEATABLE_IDLE_MAX_MS, DirectTransport
-from nutmegdeal.http_connections import ConnectionPool
+from nutmegdeal.gateway.transport import (
+    CONNECT_WITHIN_MS,
+    NON_REPEATABLE_IDLE_MAX_MS,
+)
 from nutmegdeal.tests import platform_builders as build
-from nutmegdeal.tests.scripted_server import ScriptedServer
-
-CALL_MS = 20_000.0
-
-
-class RecordingResponder:
-    """Records what would be sent to the caller."""
-
-    def __init__(self):
-        self.status_code = 0
-        self.headers = []
-        self.body = b""
-        self.is_finished = False
-
-    @property
-    def has_started(self):
-        return self.status_code != 0
-
-    def start(self, status_code, headers):
-        self.status_code, self.headers = status_code, headers
-
-    def send(self, data):
-        self.body += data
-
-    def finish(self):
-        self.is_finished = True
-
-    def reply(self, status_code, headers, body):
-        self.start(status_code, headers)
-        self.send(body)
-        self.finish()
-
-
-class TransportHarness:
-    """A transport, a scripted server and a record of what the caller receives."""
-
-    def __init__(self, answer):
-        self.server = ScriptedServer(answer)
-        self.pool = ConnectionPool(SystemClock())
-        self.transport = DirectTransport(self.pool, SystemClock(), Membership())
-        host, port = self.server.address
-        self.member = build.build_member(host=host, port=port)
-        self.responder = RecordingResponder()
-        self.progress = AnswerProgress(self.responder)
+from nutmegdeal.tests.transport_harness import CALL_MS
 
-    def run(self, route=None, request_id="q-1", deadline_in_ms=CALL_MS):
-        request = build.build_request(
-            route, time.monotonic() * 1000 + deadline_in_ms, request_id=request_id
-        )
-        return self.transport.run(request, self.member, None, self.progress)
-
-
-@pytest.fixture
-def start_harness():
-    harnesses = []
-
-    def make(answer):
-        harnesses.append(TransportHarness(answer))
-        return harnesses[-1]
-
-    yield make
-    for harness in harnesses:
-        harness.server.close()
+# More than the socket buffers hold while the server does not read.
+LONG_BODY_BYTES = 16_777_216
 
 
 def test_stream_is_forwarded_completely(start_harness):
@@ -209,6 +147,36 @@
     assert connection in harness.pool._idle[harness.server.address]
 
 
+def test_request_waits_for_a_server_that_reads_it_late(start_harness):
+    """A request failed because its server paused before it read the body.
+
+    The body exceeded the socket buffers, and the timeout of the connect, or of the
+    last receive on the connection, still applied while it was sent.
+    """
+    answer = build.build_plain_answer("q-1", b"seat 4")
+    harness = start_harness(lambda sock, _: sock.sendall(answer))
+    long_request = build.build_incoming(body=bytes(LONG_BODY_BYTES))
+    route = build.build_lookup_route()
+    harness.server.read_pause_s = 2 * CONNECT_WITHIN_MS / 1000
+    assert harness.run(route, incoming=long_request).fate is RunFate.COMPLETED
+    # On the same connection, as after a request whose deadline was near.
+    (connection,) = harness.pool._idle[harness.server.address]
+    connection._socket.settimeout(0.01)
+    assert harness.run(route, incoming=long_request).fate is RunFate.COMPLETED
+    assert connection.is_reused
+    assert len(harness.server.requests) == 2
+
+
+def test_time_of_silence_is_counted_from_the_start_of_a_failed_send(start_harness):
+    """The log said that a server had been silent since the machine was started."""
+    harness = start_harness(lambda sock, _: None)
+    harness.server.read_pause_s = 60.0
+    long_request = build.build_incoming(body=bytes(LONG_BODY_BYTES))
+    outcome = harness.run(deadline_in_ms=100.0, incoming=long_request)
+    assert outcome.fate is RunFate.TIMED_OUT
+    assert outcome.silent_ms < CALL_MS
+
+
 def test_backend_receives_remaining_time_and_its_own_id(start_harness):
     harness = start_harness(
         lambda sock, _: sock.sendall(build.build_stream_answer("q-1", [0]))
