Logs: path of a crashed request, and whether its response had begun

`request_crashed` named neither the request nor what its caller had received. It now has `path` (without query) and `has_started`. An exception outside of a request, which said `request_crashed` too, is now `connection_crashed`. What callers get is unchanged.

Tested: test_http_listener, test_log_events and test_documents pass.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -155,9 +155,7 @@
         except (CallerLeftError, OSError):
             logger.debug("caller_left")
         except Exception:
-            # Closed without an end of message, so that a partial response does not
-            # look complete.
-            logger.exception("request_crashed")
+            logger.exception("connection_crashed")
         finally:
             self._stop_watching()
             self._socket.close()
@@ -201,6 +199,15 @@
         self._start_watching()
         try:
             self._listener.application(request, responder)
+        except (CallerLeftError, OSError):
+            raise
+        except Exception:
+            # Closed without an end of message, so that a partial response does not
+            # look complete.
+            logger.exception(
+                "request_crashed", path=request.path, has_started=responder.has_started
+            )
+            return False
         finally:
             self._stop_watching()
         if self._has_caller_left or not responder.is_finished or self.is_closing:
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -426,6 +426,16 @@
         "request_crashed",
         Process.GATEWAY,
         "unexpected exception while a request was served",
+        {
+            "path": _text("path of the request, without the query"),
+            "has_started": _flag("the response had begun"),
+            "exception": _text("traceback"),
+        },
+    ),
+    LogEvent(
+        "connection_crashed",
+        Process.GATEWAY,
+        "unexpected exception on a caller's connection outside of a request",
         {"exception": _text("traceback")},
     ),
     LogEvent(
