--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -17,6 +17,7 @@
     describe_protocol_error,
 )
 from nutmegdeal.log import get_logger
+from nutmegdeal.responders import Responder
 
 logger = get_logger(__name__)
 
@@ -57,63 +58,6 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
-class Responder:
-    """Sends the response to one request.
-
-    Parameters
-    ----------
-    connection : CallerConnection
-
-    Attributes
-    ----------
-    status_code : int
-        0 before `start`.
-    is_finished : bool
-        True once the whole response was sent.
-    """
-
-    def __init__(self, connection):
-        self._connection = connection
-        self._unsent_head = b""
-        self.status_code = 0
-        self.is_finished = False
-
-    @property
-    def has_started(self):
-        """Return whether `start` was called, even if nothing was sent yet."""
-        return self.status_code != 0
-
-    def start(self, status_code, headers):
-        """Begin the response; the head is sent with the first bytes of the body."""
-        if self._connection.is_closing:
-            headers = [*headers, (b"connection", b"close")]
-        event = h11.Response(status_code=status_code, headers=headers)
-        self._unsent_head = self._connection.encode(event)
-        self.status_code = status_code
-
-    def send(self, data):
-        """Send a part of the body."""
-        encoded = self._unsent_head + self._connection.encode(h11.Data(data=data))
-        self._unsent_head = b""
-        self._connection.write(encoded)
-
-    def finish(self):
-        """Send what is left and end the response."""
-        end = self._connection.encode(h11.EndOfMessage())
-        unsent_head, self._unsent_head = self._unsent_head, b""
-        if unsent_head or end:
-            self._connection.write(unsent_head + end)
-        self.is_finished = True
-
-    def reply(self, status_code, headers, body):
-        """Send a whole response."""
-        length = (b"content-length", b"%d" % len(body))
-        self.start(status_code, [*headers, length])
-        if body:
-            self.send(body)
-        self.finish()
-
-
 class CallerConnection:
     """One connection of a caller.
 
--- /dev/null
+++ b/nutmegdeal/responders.py
@@ -0,0 +1,60 @@
+"""Encoding of the response to one request of a caller, based on h11."""
+
+import h11
+
+
+class Responder:
+    """Sends the response to one request.
+
+    Parameters
+    ----------
+    connection : CallerConnection
+
+    Attributes
+    ----------
+    status_code : int
+        0 before `start`.
+    is_finished : bool
+        True once the whole response was sent.
+    """
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._unsent_head = b""
+        self.status_code = 0
+        self.is_finished = False
+
+    @property
+    def has_started(self):
+        """Return whether `start` was called, even if nothing was sent yet."""
+        return self.status_code != 0
+
+    def start(self, status_code, headers):
+        """Begin the response; the head is sent with the first bytes of the body."""
+        if self._connection.is_closing:
+            headers = [*headers, (b"connection", b"close")]
+        event = h11.Response(status_code=status_code, headers=headers)
+        self._unsent_head = self._connection.encode(event)
+        self.status_code = status_code
+
+    def send(self, data):
+        """Send a part of the body."""
+        encoded = self._unsent_head + self._connection.encode(h11.Data(data=data))
+        self._unsent_head = b""
+        self._connection.write(encoded)
+
+    def finish(self):
+        """Send what is left and end the response."""
+        end = self._connection.encode(h11.EndOfMessage())
+        unsent_head, self._unsent_head = self._unsent_head, b""
+        if unsent_head or end:
+            self._connection.write(unsent_head + end)
+        self.is_finished = True
+
+    def reply(self, status_code, headers, body):
+        """Send a whole response."""
+        length = (b"content-length", b"%d" % len(body))
+        self.start(status_code, [*headers, length])
+        if body:
+            self.send(body)
+        self.finish()
