Answered HEAD requests with a body-less response instead of a crash

A HEAD request that the gateway refused (404, 503, 502, 504, 400 with a reason as body) was closed without a status: h11 refuses to encode a body for HEAD, so `reply` raised LocalProtocolError.

`reply` now leaves the body out for HEAD and keeps its length in the head.

Ruled out: 204, 205 and streams without data, for GET and HEAD, over HTTP/1.1 and 1.0; these tests passed before and stay.

Tested: test_caller_responses, test_caller_crashes and test_http_listener pass.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -139,7 +139,7 @@
             return False
         if request is None:
             return False
-        responder = Responder(self)
+        responder = Responder(self, request.method)
         self._start_watching()
         try:
             self._listener.application(request, responder)
--- a/nutmegdeal/responders.py
+++ b/nutmegdeal/responders.py
@@ -16,6 +16,8 @@
     Parameters
     ----------
     connection : CallerConnection
+    method : bytes
+        Of the request.
 
     Attributes
     ----------
@@ -27,8 +29,9 @@
         True once the whole response was sent.
     """
 
-    def __init__(self, connection):
+    def __init__(self, connection, method):
         self._connection = connection
+        self._method = method
         self._unsent_head = b""
         self.status_code = 0
         self.is_head_sent = False
@@ -66,10 +69,10 @@
         self._connection.write(data)
 
     def reply(self, status_code, headers, body):
-        """Send a whole response."""
+        """Send a whole response, to a HEAD request without its body."""
         length = (b"content-length", b"%d" % len(body))
         self.start(status_code, [*headers, length])
-        if body:
+        if body and self._method != b"HEAD":
             self.send(body)
         self.finish()
 
