Sent no length with 204 and 304 responses

`reply` added "content-length: 0" to each response without a body. RFC 9110 forbids the header in a 204, and in a 304 it states the length of another response; a strict caller may break off there. Evidence, before the fix: "assert b'content-length' not in {b'x-a': b'1', b'content-length': b'0', b'connection': b'close'}" for 204 and 304, GET and HEAD. No caller was seen to mind.

Tested: test_caller_responses, test_caller_crashes and test_http_listener pass.

--- a/nutmegdeal/responders.py
+++ b/nutmegdeal/responders.py
@@ -9,6 +9,10 @@
     b"Connection: close\r\n\r\n"
 )
 
+# Responses with these status codes have no body, and the length in their head would be
+# that of another response.
+STATUS_CODES_WITHOUT_BODY = (204, 304)
+
 
 class Responder:
     """Sends the response to one request.
@@ -69,10 +73,12 @@
         self._connection.write(data)
 
     def reply(self, status_code, headers, body):
-        """Send a whole response, to a HEAD request without its body."""
-        length = (b"content-length", b"%d" % len(body))
-        self.start(status_code, [*headers, length])
-        if body and self._method != b"HEAD":
+        """Send a whole response, without the body where the protocol allows none."""
+        has_body = status_code not in STATUS_CODES_WITHOUT_BODY
+        if has_body:
+            headers = [*headers, (b"content-length", b"%d" % len(body))]
+        self.start(status_code, headers)
+        if body and has_body and self._method != b"HEAD":
             self.send(body)
         self.finish()
 
--- a/nutmegdeal/tests/test_caller_responses.py
+++ b/nutmegdeal/tests/test_caller_responses.py
@@ -40,6 +40,18 @@
     assert (b"content-length", b"6") in response.headers
 
 
+@pytest.mark.parametrize("status_code", [204, 304])
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+def test_response_without_content_has_no_length(start_listener, status_code, method):
+    listener = start_listener(
+        lambda _, responder: responder.reply(status_code, [(b"x-a", b"1")], b"")
+    )
+    response, body = exchange(listener, method)
+    assert (response.status_code, body) == (status_code, b"")
+    assert (b"x-a", b"1") in response.headers
+    assert b"content-length" not in dict(response.headers)
+
+
 def test_response_205_is_whole(start_listener):
     listener = start_listener(lambda _, responder: responder.reply(205, [], b""))
     response, body = exchange(listener, b"GET")
