Reset the connection of a cut response that only its close would end

A caller of HTTP/1.0 gets a stream without length or chunks; its end is the end of the connection. A stream that was cut (given up, crashed, too slow a caller) was closed in the same way, so it looked complete. Evidence, before the fix: "Failed: DID NOT RAISE ConnectionResetError" for a crash and for an application that returns midway.

Such a response now ends with a reset. Chunked responses and those with a length are closed as before: they lack their last chunk or bytes.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -18,6 +18,7 @@
 )
 from nutmegdeal.log import get_logger
 from nutmegdeal.responders import Responder
+from nutmegdeal.socket_closing import reset_on_close
 
 logger = get_logger(__name__)
 
@@ -89,6 +90,11 @@
         """Return whether the connection is closed after the next response."""
         return self._listener.is_draining
 
+    @property
+    def accepts_chunks(self):
+        """Return whether the caller understands chunked responses."""
+        return self._protocol.their_http_version != b"1.0"
+
     def run(self):
         """Serve requests until either side closes the connection."""
         self._greenlet = gevent.getcurrent()
@@ -151,6 +157,8 @@
             self._handle_crash(request, responder)
         finally:
             self._stop_watching()
+            if responder.is_cut_unnoticed:
+                reset_on_close(self._socket)
         if self._has_caller_left or not responder.is_finished or self.is_closing:
             return False
         return self._start_next_request()
--- a/nutmegdeal/responders.py
+++ b/nutmegdeal/responders.py
@@ -37,6 +37,7 @@
         self._connection = connection
         self._method = method
         self._unsent_head = b""
+        self._ends_with_connection = False
         self.status_code = 0
         self.is_head_sent = False
         self.is_finished = False
@@ -46,11 +47,19 @@
         """Return whether `start` was called, even if nothing was sent yet."""
         return self.status_code != 0
 
+    @property
+    def is_cut_unnoticed(self):
+        """Return whether a part was sent that an end of stream would complete."""
+        is_cut = self.is_head_sent and not self.is_finished
+        return is_cut and self._ends_with_connection
+
     def start(self, status_code, headers):
         """Begin the response; the head is sent with the first bytes of the body."""
         if self._connection.is_closing:
             headers = [*headers, (b"connection", b"close")]
         event = h11.Response(status_code=status_code, headers=headers)
+        has_length = any(name == b"content-length" for name, _ in event.headers)
+        self._ends_with_connection = not (has_length or self._connection.accepts_chunks)
         self._unsent_head = self._connection.encode(event)
         self.status_code = status_code
 
@@ -87,4 +96,5 @@
 
         The connection has to be closed afterwards.
         """
+        self._ends_with_connection = False
         self._write(INTERNAL_ERROR_RESPONSE)
--- a/nutmegdeal/tests/test_caller_crashes.py
+++ b/nutmegdeal/tests/test_caller_crashes.py
@@ -118,6 +118,38 @@
     assert not data.endswith(b"0\r\n\r\n")
 
 
+def send_part_and_crash(_request, responder):
+    responder.start(200, [])
+    responder.send(b"part")
+    raise RaisedByTestError
+
+
+def send_part_only(_request, responder):
+    responder.start(200, [])
+    responder.send(b"part")
+
+
+@pytest.mark.parametrize("application", [send_part_and_crash, send_part_only])
+def test_response_that_ends_with_its_connection_is_reset_when_cut(
+    start_listener, application
+):
+    sock = connect(start_listener(application))
+    sock.sendall(REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    with pytest.raises(ConnectionResetError):
+        read_all(sock)
+
+
+def test_whole_response_that_ends_with_its_connection_is_not_reset(start_listener):
+    def send_all(_request, responder):
+        responder.start(200, [])
+        responder.send(b"whole")
+        responder.finish()
+
+    sock = connect(start_listener(send_all))
+    sock.sendall(REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    assert read_all(sock).endswith(b"whole")
+
+
 def test_crash_after_the_whole_response_keeps_the_connection(start_listener):
     def crash_after_reply(request, responder):
         reply_ok(request, responder)
