Refused requests of a route without a positive weight with 503

Callers of a route whose split has no positive weight got a closed connection without a status (a 500 since crashes are answered). Cause: random.choices raises. Evidence, before the fix: "ValueError: Total of weights must be greater than zero" (weights 0 or negative), "Total of weights must be finite" (nan, inf), "IndexError: list index out of range" (no targets), in 14 of the 18 cases of test_gateway_dispatch that failed; in the other four a single target without a positive weight was chosen.

Only targets with a positive, finite weight are drawn from now. Without one the request gets 503 `no_service` with a Retry-After, as if its service were missing: it has not run, and the next configuration may serve it.

Ruled out: a service that is gone before a request is admitted (503 before, too); X-Deadline-Ms of nan, inf, -inf, 1e400, 5,000 digits or other bytes: admitted with a deadline within that of the route, or 400. A request that waits holds its Route and Service, so neither can vanish from it (read in requests.py, search.py, retries.py).

Tested: test_gateway_dispatch, test_gateway_decisions, test_platform_rows pass.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -126,10 +126,14 @@
         )
 
     def _pick_service(self, route):
-        if len(route.targets) == 1:
-            return route.targets[0].service
-        weights = [target.weight for target in route.targets]
-        (chosen,) = self._random.choices(route.targets, weights)
+        """Return the name of the service that runs a request, None if there is none."""
+        targets = [item for item in route.targets if 0.0 < item.weight < math.inf]
+        if not targets:
+            return None
+        if len(targets) == 1:
+            return targets[0].service
+        weights = [target.weight for target in targets]
+        (chosen,) = self._random.choices(targets, weights)
         return chosen.service
 
     def _serve(self, request, progress):
