Kept a placer's stream closed while its service has no engines

If a configuration took a service or its engines away, each new stream to its placers raised "AttributeError: 'NoneType' object has no attribute 'model'" in PlacerLink._serve (`placer_link_crashed`, ten times a second for each placer). The stream stayed open without a reader, and the link kept it as its session: a prompt of a request that was admitted before waited there for a grant that nobody would read, up to 1.5 latency targets.

Evidence, before the fix: "gevent.timeout.Timeout: 20.0 seconds" in the six cases of test_gateway_links (no stream is closed, limits are never sent), and "AttributeError: 'NoneType' object has no attribute 'routes'" in shortest_gap_target_ms without a configuration.

The link now logs `placer_unused` once and opens no stream until the service has engines in the configuration; a stream that was opened meanwhile is closed before it becomes the link's session.

Tested: test_gateway_links, test_log_events, test_documents, test_platform_site pass.

--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -93,6 +93,8 @@
 
         0.0 if no route of the service has a gap target.
         """
+        if self.configuration is None:
+            return 0.0
         gaps_ms = [
             route.gap_target_ms
             for route in self.configuration.routes
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -76,6 +76,7 @@
         started_ms = self._board.clock.monotonic_ms()
         try:
             while True:
+                self._wait_for_engine()
                 session = self._client.connect(self._address, CONNECT_WITHIN_MS)
                 if isinstance(session, Failure):
                     pause_ms = min(pause_ms * 2, RECONNECT_MAX_MS)
@@ -90,6 +91,28 @@
             if self._session is not None:
                 self._session.close()
 
+    def _wait_for_engine(self):
+        """Wait until the member's service has engines in the configuration."""
+        if self._build_limits() is not None:
+            return
+        logger.info("placer_unused", backend=self.member.backend_id)
+        while self._build_limits() is None:
+            gevent.sleep(RECONNECT_MAX_MS / 1000)
+
+    def _build_limits(self):
+        """Return the EngineLimits in force, None if the service has no engines."""
+        backend = self.member.backend
+        capacity = self._board.engine_capacity_for(backend.service)
+        if capacity is None:
+            return None
+        return EngineLimits(
+            model=capacity.model,
+            adapter_slots_max=capacity.adapter_slots_max,
+            gap_target_ms=self._board.shortest_gap_target_ms(backend.service),
+            backend_id=self.member.backend_id,
+            backend_started_unix_ms=backend.started_unix_ms,
+        )
+
     def _trust_registration(self):
         """Use the registered adapters until a placer reports the loaded ones."""
         member = self.member
@@ -107,18 +130,14 @@
             logger.exception("placer_link_crashed", backend=self.member.backend_id)
 
     def _serve(self, session):
+        limits = self._build_limits()
+        if limits is None:
+            # The configuration changed while the stream was opened.
+            session.close()
+            return
         self._session = session
         self._follows_changes = False
         session.heartbeats_enabled = True
-        capacity = self._board.engine_capacity_for(self.member.backend.service)
-        gap_ms = self._board.shortest_gap_target_ms(self.member.backend.service)
-        limits = EngineLimits(
-            model=capacity.model,
-            adapter_slots_max=capacity.adapter_slots_max,
-            gap_target_ms=gap_ms,
-            backend_id=self.member.backend_id,
-            backend_started_unix_ms=self.member.backend.started_unix_ms,
-        )
         session.send(limits)
         logger.info("placer_connected", backend=self.member.backend_id)
         try:
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -240,6 +240,13 @@
         "opened stream to a placer",
         {"backend": _BACKEND},
     ),
+    LogEvent(
+        "placer_unused",
+        Process.GATEWAY,
+        "no stream to a placer is opened, as its service has no engines in the "
+        "configuration",
+        {"backend": _BACKEND},
+    ),
     LogEvent(
         "placer_lost",
         Process.GATEWAY,
