Served a request that has arrived when idle connections are closed

At the end of the time in which a draining gateway accepts connections, it closed each connection of which it had read no byte, also if a whole request was in the kernel's receive buffer. The caller got a reset, and the drain did not wait for the request. Evidence, before the fix: "assert 0 == 1" for `open_count`, then "ConnectionResetError: [Errno 104]" in test_close_idle_serves_a_request_that_has_arrived.

The receive buffer is now looked at (MSG_PEEK) twice: when the close is asked for, so that the request counts as in progress at once, and again right before the close. One that arrives later crosses the close.

Tested: test_caller_closing, test_http_listener, test_platform_site (drain) pass.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -18,7 +18,7 @@
 )
 from nutmegdeal.log import get_logger
 from nutmegdeal.responders import Responder
-from nutmegdeal.socket_closing import reset_on_close
+from nutmegdeal.socket_closing import has_unread_bytes, reset_on_close
 
 logger = get_logger(__name__)
 
@@ -111,12 +111,17 @@
             self._socket.close()
 
     def close_if_idle(self):
-        """Close the connection unless a request has begun."""
+        """Close the connection unless a request has begun or arrived."""
+        if self.is_idle and has_unread_bytes(self._socket):
+            # A drain has to wait for this request before it is read.
+            self.is_idle = False
         gevent.get_hub().loop.run_callback(self._throw_if_idle)
 
     def _throw_if_idle(self):
         # Runs in the hub, so that no request can begin between the check and the throw.
-        if self.is_idle and self._greenlet is not None and not self._greenlet.dead:
+        if not self.is_idle or has_unread_bytes(self._socket):
+            return
+        if self._greenlet is not None and not self._greenlet.dead:
             self._greenlet.throw(CallerLeftError)
 
     def encode(self, event):
