Served the requests that follow on a connection when a drain begins

A request that a caller had sent behind the current one was in h11's buffer or in the kernel when the drain began. The response before said "Connection: close", or began before the drain and said nothing, and the connection was closed with the request read and unanswered.

Only a response behind which no request has arrived now says "Connection: close" and ends the connection. This holds a drain no longer than the requests take, and GatewayProcess.run cuts off what is left before the kill, as before. The head of a request that had begun behind another one had the idle timeout to arrive; it now has the header timeout, so that half a request cannot hold the drain for longer (408 then).

Ruled out by reading: a response sent while its caller still sends the body. `_read_request` returns a request only at h11's EndOfMessage, and the application is called after that; only refusals are sent sooner.

Tested: test_caller_closing, test_http_listener, test_platform_site (drain) pass.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -87,8 +87,11 @@
 
     @property
     def is_closing(self):
-        """Return whether the connection is closed after the next response."""
-        return self._listener.is_draining
+        """Return whether a response that starts now is the connection's last one."""
+        return self._listener.is_draining and not self._has_next_request()
+
+    def _has_next_request(self):
+        return bool(self._protocol.trailing_data[0]) or has_unread_bytes(self._socket)
 
     @property
     def accepts_chunks(self):
@@ -190,6 +193,10 @@
         limits = self._listener.limits()
         head, arrived_ms = None, 0.0
         deadline_s = time.monotonic() + limits.idle_timeout_ms / 1000
+        if not self.is_idle:
+            # Its first bytes arrived during the request before.
+            arrived_ms = time.monotonic() * 1000
+            deadline_s = time.monotonic() + limits.header_timeout_ms / 1000
         body = bytearray()
         while True:
             event = self._protocol.next_event()
--- a/nutmegdeal/tests/test_caller_closing.py
+++ b/nutmegdeal/tests/test_caller_closing.py
@@ -1,8 +1,10 @@
 """Tests of requests that arrive while their connection is about to be closed."""
 
+import attrs
 import gevent
 import gevent.event
 
+from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
 from nutmegdeal.tests.caller_sockets import (
     REQUEST,
     TIMEOUT_S,
@@ -63,3 +65,89 @@
     assert data.startswith(b"HTTP/1.1 200") and data.endswith(b"ok")
     assert b"connection: close" in data.lower()
     wait_until_idle(listener)
+
+
+class ReleasedApplication:
+    """Responds after a release, with a chunked response if `is_stream`.
+
+    The head of a stream is sent before the release.
+    """
+
+    def __init__(self, is_stream=False):
+        self._is_stream = is_stream
+        self.released = gevent.event.Event()
+        self.served_count = 0
+
+    def __call__(self, request, responder):
+        self.served_count += 1
+        if not self._is_stream:
+            self.released.wait(TIMEOUT_S)
+            reply_ok(request, responder)
+            return
+        responder.start(200, [])
+        responder.send(b"first,")
+        self.released.wait(TIMEOUT_S)
+        responder.send(b"last")
+        responder.finish()
+
+
+def test_drain_serves_the_requests_that_were_pipelined_before(start_listener):
+    application = ReleasedApplication()
+    listener = start_listener(application)
+    sock = connect(listener)
+    sock.sendall(REQUEST * 3)
+    wait_until_busy(listener)
+    gevent.sleep(0.05)
+    listener.is_draining = True
+    listener.close_idle()
+    application.released.set()
+    data = read_all(sock)
+    assert data.count(b"HTTP/1.1 200") == 3
+    assert data.lower().count(b"connection: close") == 1
+    assert b"connection: close" in data.lower().rpartition(b"http/1.1 200")[2]
+
+
+def begin_stream(start_listener):
+    """Return a listener, its application and a caller that has half of a stream."""
+    application = ReleasedApplication(is_stream=True)
+    listener = start_listener(application)
+    sock = connect(listener)
+    sock.sendall(REQUEST)
+    data = read_response(sock, b"first,\r\n")
+    assert b"connection: close" not in data.lower()
+    return listener, application, sock
+
+
+STREAM_END = b"last\r\n0\r\n\r\n"
+
+
+def test_request_that_arrives_during_the_last_stream_of_a_drain_is_served(
+    start_listener,
+):
+    listener, application, sock = begin_stream(start_listener)
+    listener.is_draining = True
+    listener.close_idle()
+    send_without_switching(sock, REQUEST)
+    application.released.set()
+    data = read_all(sock)
+    assert data.count(STREAM_END) == 2
+    assert data.lower().count(b"connection: close") == 1
+    assert application.served_count == 2
+
+
+def test_incomplete_pipelined_request_holds_a_drain_for_the_header_timeout_only(
+    start_listener,
+):
+    limits = attrs.evolve(DEFAULT_CALLER_LIMITS, header_timeout_ms=100.0)
+    application = ReleasedApplication()
+    listener = start_listener(application, limits)
+    sock = connect(listener)
+    sock.sendall(REQUEST + REQUEST[:-2])
+    wait_until_busy(listener)
+    gevent.sleep(0.05)
+    listener.is_draining = True
+    listener.close_idle()
+    application.released.set()
+    _, _, last = read_all(sock).rpartition(b"HTTP/1.1 ")
+    assert last.startswith(b"408")
+    wait_until_idle(listener)
