Kept a connection open after a response that began before the drain

A response that began before a drain does not say "Connection: close"; its connection was closed right after it all the same, and a next request crossed the close. Evidence, before the fix: an empty answer ("assert False ... b''.endswith") to a request sent after the end of such a stream.

Weighed: to serve one more request with "Connection: close" whenever it comes would hold a connection for the idle timeout, and would accept requests late in the grace period that can't be finished. To close at once is the fault. A response that ends after that closes its connection unless a next request has already arrived. What arrives later crosses the close and was not read.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -167,7 +167,7 @@
             self._stop_watching()
             if responder.is_cut_unnoticed:
                 reset_on_close(self._socket)
-        if self._has_caller_left or not responder.is_finished or self.is_closing:
+        if self._has_caller_left or not responder.is_finished:
             return False
         return self._start_next_request()
 
@@ -185,6 +185,10 @@
             return False
         if self._protocol.their_state is not h11.DONE:
             return False
+        # A response that began before the drain lacks "Connection: close", so the
+        # connection waits for its next request until the idle ones are closed.
+        if self._listener.has_closed_idle and not self._has_next_request():
+            return False
         self._protocol.start_next_cycle()
         return True
 
--- a/nutmegdeal/http_listener.py
+++ b/nutmegdeal/http_listener.py
@@ -40,13 +40,17 @@
     Attributes
     ----------
     is_draining : bool
-        Set to True to close each connection after its next response.
+        Set to True to close each connection after its next response that has not
+        begun.
+    has_closed_idle : bool
+        True once connections without a request are no longer kept open.
     """
 
     def __init__(self, address, application, limits):
         self.application = application
         self.limits = limits
         self.is_draining = False
+        self.has_closed_idle = False
         self._connections = set()
         self._server = StreamServer(address, self._handle, backlog=LISTEN_BACKLOG)
 
@@ -69,7 +73,8 @@
         self._server.close()
 
     def close_idle(self):
-        """Close the connections without a request in progress."""
+        """Close the connections without a request in progress, now and later."""
+        self.has_closed_idle = True
         for connection in list(self._connections):
             connection.close_if_idle()
 
--- a/nutmegdeal/tests/test_caller_closing.py
+++ b/nutmegdeal/tests/test_caller_closing.py
@@ -121,6 +121,37 @@
 STREAM_END = b"last\r\n0\r\n\r\n"
 
 
+def test_stream_that_began_before_a_drain_keeps_its_connection(start_listener):
+    listener, application, sock = begin_stream(start_listener)
+    listener.is_draining = True
+    application.released.set()
+    read_response(sock, STREAM_END)
+    sock.sendall(REQUEST)
+    data = read_all(sock)
+    assert data.endswith(STREAM_END)
+    assert b"connection: close" in data.lower()
+
+
+def test_stream_that_began_before_a_drain_does_not_hold_it(start_listener):
+    listener, application, sock = begin_stream(start_listener)
+    listener.is_draining = True
+    application.released.set()
+    read_response(sock, STREAM_END)
+    wait_until_idle(listener)
+    listener.close_idle()
+    assert sock.recv(1) == b""
+
+
+def test_stream_that_ends_after_close_idle_closes_its_connection(start_listener):
+    listener, application, sock = begin_stream(start_listener)
+    listener.is_draining = True
+    listener.close_idle()
+    application.released.set()
+    read_response(sock, STREAM_END)
+    assert sock.recv(1) == b""
+    wait_until_idle(listener)
+
+
 def test_request_that_arrives_during_the_last_stream_of_a_drain_is_served(
     start_listener,
 ):
