Served a request that arrives together with the idle timeout

A connection was closed at its idle timeout without a look at the receive buffer. A request that was already there got a reset. Evidence, before the fix: "ConnectionResetError: [Errno 104]" in test_idle_timeout_serves_a_request_that_arrives_together_with_it.

The timeouts of a head and a body that have begun are unchanged (408).

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -209,6 +209,9 @@
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     self.write(self.encode(interim))
                 data = self._receive(deadline_s)
+                if data is None and not arrived_ms and has_unread_bytes(self._socket):
+                    # A request that arrived together with the idle timeout.
+                    data = self._socket.recv(RECEIVE_BYTES)
                 if data is None:
                     return self._refuse_timed_out(head, arrived_ms)
                 if not arrived_ms:
--- a/nutmegdeal/tests/test_caller_closing.py
+++ b/nutmegdeal/tests/test_caller_closing.py
@@ -67,6 +67,43 @@
     wait_until_idle(listener)
 
 
+def block_until_idle_timeout():
+    """Keep the event loop from running until the idle timeout has passed."""
+    loop = gevent.get_hub().loop
+    loop.update_now()
+    end_s = loop.now() + 2 * IDLE_TIMEOUT_MS / 1000
+    while loop.now() < end_s:
+        loop.update_now()
+
+
+def connect_idle_with_timeout(start_listener):
+    limits = attrs.evolve(DEFAULT_CALLER_LIMITS, idle_timeout_ms=IDLE_TIMEOUT_MS)
+    return connect_idle(start_listener(reply_ok, limits))
+
+
+def test_idle_timeout_serves_a_request_that_has_arrived(start_listener):
+    sock = connect_idle_with_timeout(start_listener)
+    send_without_switching(sock, REQUEST)
+    block_until_idle_timeout()
+    assert read_response(sock).startswith(b"HTTP/1.1 200")
+
+
+def test_idle_timeout_serves_a_request_that_arrives_together_with_it(start_listener):
+    sock = connect_idle_with_timeout(start_listener)
+    # Runs after the event loop has looked for arrived bytes, and before the timeout,
+    # which has a lower priority.
+    timer = gevent.get_hub().loop.timer(IDLE_TIMEOUT_MS / 1000)
+    timer.start(send_without_switching, sock, REQUEST)
+    block_until_idle_timeout()
+    assert read_response(sock).startswith(b"HTTP/1.1 200")
+    timer.close()
+
+
+def test_idle_connection_is_closed_at_the_idle_timeout(start_listener):
+    sock = connect_idle_with_timeout(start_listener)
+    assert sock.recv(1) == b""
+
+
 class ReleasedApplication:
     """Responds after a release, with a chunked response if `is_stream`.
 
