Kept the reset of unread bytes from destroying a refusal

A refusal of a request that was not read whole (400, 413, 431) and a 500 with pipelined bytes behind its request were followed by a close with unread bytes, which sends a reset. The reset destroys what the caller has not received. Evidence, before the fix: a reset after the answer in five cases of test_caller_closing, such as "b'HTTP/1.1 413 \r\ncontent-length: 0\r\nconnection: close\r\n\r\n(reset)'". On loopback the answer itself arrived each time, before the reset; that it is lost on a slower path follows from TCP and was not run.

The sending side is now shut down first, then what arrives is read and dropped until the caller closes, for at most 1 s and 4 MiB (DISCARD_TIMEOUT_S, DISCARD_BYTES_MAX). Such a connection counts as in progress, so it holds a drain for 1 s at most. A cut response is never followed by this: the end of stream could make it look complete.

Ruled out: a 408 in a body whose caller sends the rest after the answer (the test passed before and stays).

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -18,7 +18,11 @@
 )
 from nutmegdeal.log import get_logger
 from nutmegdeal.responders import Responder
-from nutmegdeal.socket_closing import has_unread_bytes, reset_on_close
+from nutmegdeal.socket_closing import (
+    discard_until_closed,
+    has_unread_bytes,
+    reset_on_close,
+)
 
 logger = get_logger(__name__)
 
@@ -83,6 +87,8 @@
         self._greenlet = None
         self._watcher = None
         self._has_caller_left = False
+        # Set once a response was sent to a caller that may still be sending.
+        self._discards_rest = False
         self.is_idle = True
 
     @property
@@ -105,6 +111,8 @@
             configure_socket(self._socket)
             while self._serve_request():
                 pass
+            if self._discards_rest:
+                discard_until_closed(self._socket)
         except (CallerLeftError, OSError):
             logger.debug("caller_left")
         except Exception:
@@ -179,6 +187,7 @@
         # complete.
         if not responder.is_head_sent:
             responder.reply_internal_error()
+            self._discards_rest = True
 
     def _start_next_request(self):
         if self._protocol.our_state is not h11.DONE:
@@ -265,6 +274,7 @@
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
         response = h11.Response(status_code=status_code, headers=headers)
         self.write(self.encode(response) + self.encode(h11.EndOfMessage()))
+        self._discards_rest = True
 
     def _start_watching(self):
         """Call `_on_readable` from the event loop when the caller sends or closes."""
--- a/nutmegdeal/tests/test_caller_closing.py
+++ b/nutmegdeal/tests/test_caller_closing.py
@@ -3,7 +3,10 @@
 import attrs
 import gevent
 import gevent.event
+import gevent.socket
+import pytest
 
+from nutmegdeal import socket_closing
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
 from nutmegdeal.tests.caller_sockets import (
     REQUEST,
@@ -219,3 +222,95 @@
     _, _, last = read_all(sock).rpartition(b"HTTP/1.1 ")
     assert last.startswith(b"408")
     wait_until_idle(listener)
+
+
+def read_until_closed(sock):
+    """Return the bytes received until the connection ends, by a reset or not."""
+    data = b""
+    try:
+        while chunk := sock.recv(65_536):
+            data += chunk
+    except ConnectionResetError:
+        data += b"(reset)"
+    return data
+
+
+HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
+UNREAD = b"x" * 300_000
+# Status code of the refusal, and what the caller has sent when it is refused.
+REFUSED = [
+    (413, HEAD + b"Content-Length: 300000\r\n\r\n" + UNREAD),
+    (400, HEAD + b"no header\r\n\r\n" + UNREAD),
+    (400, HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + UNREAD),
+    (431, HEAD + b"X: " + UNREAD),
+]
+
+
+@pytest.mark.parametrize(("status_code", "request_bytes"), REFUSED)
+def test_refusal_of_a_request_that_was_not_read_whole_arrives(
+    start_listener, status_code, request_bytes
+):
+    limits = attrs.evolve(DEFAULT_CALLER_LIMITS, body_bytes_max=1_000)
+    sock = connect(start_listener(reply_ok, limits))
+    sock.sendall(request_bytes)
+    data = read_until_closed(sock)
+    assert data.startswith(b"HTTP/1.1 %d" % status_code)
+    assert data.endswith(b"\r\n\r\n")
+
+
+def test_refusal_after_a_timeout_arrives_before_the_rest_of_the_request(
+    start_listener,
+):
+    limits = attrs.evolve(DEFAULT_CALLER_LIMITS, idle_timeout_ms=IDLE_TIMEOUT_MS)
+    sock = connect(start_listener(reply_ok, limits))
+    sock.sendall(HEAD + b"Content-Length: 300000\r\n\r\n")
+    gevent.sleep(3 * IDLE_TIMEOUT_MS / 1000)
+    sock.sendall(UNREAD)
+    data = read_until_closed(sock)
+    assert data.startswith(b"HTTP/1.1 408") and data.endswith(b"\r\n\r\n")
+
+
+def test_500_arrives_although_pipelined_bytes_are_not_read(start_listener):
+    def crash_after_more_has_arrived(_request, _responder):
+        gevent.sleep(0.1)
+        raise RuntimeError("raised by the test")
+
+    sock = connect(start_listener(crash_after_more_has_arrived))
+    sock.sendall(REQUEST + UNREAD)
+    data = read_until_closed(sock)
+    assert data.startswith(b"HTTP/1.1 500") and data.endswith(b"\r\n\r\n")
+
+
+class TestDiscardUntilClosed:
+    """What bounds the reading from a caller that does not close its connection."""
+
+    def test_end_of_stream_ends_it(self, monkeypatch):
+        monkeypatch.setattr(socket_closing, "DISCARD_TIMEOUT_S", TIMEOUT_S)
+        ours, theirs = gevent.socket.socketpair()
+        theirs.sendall(UNREAD[:1_000])
+        theirs.close()
+        with gevent.Timeout(TIMEOUT_S / 2):
+            socket_closing.discard_until_closed(ours)
+
+    def test_sending_side_is_shut_down_first(self):
+        ours, theirs = gevent.socket.socketpair()
+        greenlet = gevent.spawn(socket_closing.discard_until_closed, ours)
+        assert theirs.recv(1) == b""
+        theirs.close()
+        greenlet.get(timeout=TIMEOUT_S)
+
+    def test_timeout_bounds_it(self, monkeypatch):
+        monkeypatch.setattr(socket_closing, "DISCARD_TIMEOUT_S", 0.05)
+        ours, theirs = gevent.socket.socketpair()
+        with gevent.Timeout(TIMEOUT_S):
+            socket_closing.discard_until_closed(ours)
+        theirs.close()
+
+    def test_count_of_bytes_bounds_it(self, monkeypatch):
+        monkeypatch.setattr(socket_closing, "DISCARD_TIMEOUT_S", 10 * TIMEOUT_S)
+        monkeypatch.setattr(socket_closing, "DISCARD_BYTES_MAX", 1_000)
+        ours, theirs = gevent.socket.socketpair()
+        theirs.sendall(UNREAD[:2_000])
+        with gevent.Timeout(TIMEOUT_S):
+            socket_closing.discard_until_closed(ours)
+        theirs.close()
