--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -17,6 +17,12 @@
     describe_protocol_error,
 )
 from nutmegdeal.log import get_logger
+from nutmegdeal.responders import Responder
+from nutmegdeal.socket_closing import (
+    discard_until_closed,
+    has_unread_bytes,
+    reset_on_close,
+)
 
 logger = get_logger(__name__)
 
@@ -57,63 +63,6 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
-class Responder:
-    """Sends the response to one request.
-
-    Parameters
-    ----------
-    connection : CallerConnection
-
-    Attributes
-    ----------
-    status_code : int
-        0 before `start`.
-    is_finished : bool
-        True once the whole response was sent.
-    """
-
-    def __init__(self, connection):
-        self._connection = connection
-        self._unsent_head = b""
-        self.status_code = 0
-        self.is_finished = False
-
-    @property
-    def has_started(self):
-        """Return whether `start` was called, even if nothing was sent yet."""
-        return self.status_code != 0
-
-    def start(self, status_code, headers):
-        """Begin the response; the head is sent with the first bytes of the body."""
-        if self._connection.is_closing:
-            headers = [*headers, (b"connection", b"close")]
-        event = h11.Response(status_code=status_code, headers=headers)
-        self._unsent_head = self._connection.encode(event)
-        self.status_code = status_code
-
-    def send(self, data):
-        """Send a part of the body."""
-        encoded = self._unsent_head + self._connection.encode(h11.Data(data=data))
-        self._unsent_head = b""
-        self._connection.write(encoded)
-
-    def finish(self):
-        """Send what is left and end the response."""
-        end = self._connection.encode(h11.EndOfMessage())
-        unsent_head, self._unsent_head = self._unsent_head, b""
-        if unsent_head or end:
-            self._connection.write(unsent_head + end)
-        self.is_finished = True
-
-    def reply(self, status_code, headers, body):
-        """Send a whole response."""
-        length = (b"content-length", b"%d" % len(body))
-        self.start(status_code, [*headers, length])
-        if body:
-            self.send(body)
-        self.finish()
-
-
 class CallerConnection:
     """One connection of a caller.
 
@@ -138,12 +87,22 @@
         self._greenlet = None
         self._watcher = None
         self._has_caller_left = False
+        # Set once a response was sent to a caller that may still be sending.
+        self._discards_rest = False
         self.is_idle = True
 
     @property
     def is_closing(self):
-        """Return whether the connection is closed after the next response."""
-        return self._listener.is_draining
+        """Return whether a response that starts now is the connection's last one."""
+        return self._listener.is_draining and not self._has_next_request()
+
+    def _has_next_request(self):
+        return bool(self._protocol.trailing_data[0]) or has_unread_bytes(self._socket)
+
+    @property
+    def accepts_chunks(self):
+        """Return whether the caller understands chunked responses."""
+        return self._protocol.their_http_version != b"1.0"
 
     def run(self):
         """Serve requests until either side closes the connection."""
@@ -152,23 +111,28 @@
             configure_socket(self._socket)
             while self._serve_request():
                 pass
+            if self._discards_rest:
+                discard_until_closed(self._socket)
         except (CallerLeftError, OSError):
             logger.debug("caller_left")
         except Exception:
-            # Closed without an end of message, so that a partial response does not
-            # look complete.
-            logger.exception("request_crashed")
+            logger.exception("connection_crashed")
         finally:
             self._stop_watching()
             self._socket.close()
 
     def close_if_idle(self):
-        """Close the connection unless a request has begun."""
+        """Close the connection unless a request has begun or arrived."""
+        if self.is_idle and has_unread_bytes(self._socket):
+            # A drain has to wait for this request before it is read.
+            self.is_idle = False
         gevent.get_hub().loop.run_callback(self._throw_if_idle)
 
     def _throw_if_idle(self):
         # Runs in the hub, so that no request can begin between the check and the throw.
-        if self.is_idle and self._greenlet is not None and not self._greenlet.dead:
+        if not self.is_idle or has_unread_bytes(self._socket):
+            return
+        if self._greenlet is not None and not self._greenlet.dead:
             self._greenlet.throw(CallerLeftError)
 
     def encode(self, event):
@@ -197,21 +161,43 @@
             return False
         if request is None:
             return False
-        responder = Responder(self)
+        responder = Responder(self, request.method)
         self._start_watching()
         try:
             self._listener.application(request, responder)
+        except CallerLeftError:
+            raise
+        except Exception:
+            # Any OSError is of another connection: `write` turns those of the caller's
+            # into CallerLeftError.
+            self._handle_crash(request, responder)
         finally:
             self._stop_watching()
-        if self._has_caller_left or not responder.is_finished or self.is_closing:
+            if responder.is_cut_unnoticed:
+                reset_on_close(self._socket)
+        if self._has_caller_left or not responder.is_finished:
             return False
         return self._start_next_request()
 
+    def _handle_crash(self, request, responder):
+        logger.exception(
+            "request_crashed", path=request.path, has_started=responder.is_head_sent
+        )
+        # A response that has begun is left without its end, so that it does not look
+        # complete.
+        if not responder.is_head_sent:
+            responder.reply_internal_error()
+            self._discards_rest = True
+
     def _start_next_request(self):
         if self._protocol.our_state is not h11.DONE:
             return False
         if self._protocol.their_state is not h11.DONE:
             return False
+        # A response that began before the drain lacks "Connection: close", so the
+        # connection waits for its next request until the idle ones are closed.
+        if self._listener.has_closed_idle and not self._has_next_request():
+            return False
         self._protocol.start_next_cycle()
         return True
 
@@ -220,6 +206,10 @@
         limits = self._listener.limits()
         head, arrived_ms = None, 0.0
         deadline_s = time.monotonic() + limits.idle_timeout_ms / 1000
+        if not self.is_idle:
+            # Its first bytes arrived during the request before.
+            arrived_ms = time.monotonic() * 1000
+            deadline_s = time.monotonic() + limits.header_timeout_ms / 1000
         body = bytearray()
         while True:
             event = self._protocol.next_event()
@@ -228,6 +218,9 @@
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     self.write(self.encode(interim))
                 data = self._receive(deadline_s)
+                if data is None and not arrived_ms and has_unread_bytes(self._socket):
+                    # A request that arrived together with the idle timeout.
+                    data = self._socket.recv(RECEIVE_BYTES)
                 if data is None:
                     return self._refuse_timed_out(head, arrived_ms)
                 if not arrived_ms:
@@ -281,6 +274,7 @@
         headers = [(b"content-length", b"0"), (b"connection", b"close")]
         response = h11.Response(status_code=status_code, headers=headers)
         self.write(self.encode(response) + self.encode(h11.EndOfMessage()))
+        self._discards_rest = True
 
     def _start_watching(self):
         """Call `_on_readable` from the event loop when the caller sends or closes."""
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -262,6 +262,13 @@
         "opened stream to a placer",
         {"backend": _BACKEND},
     ),
+    LogEvent(
+        "placer_unused",
+        Process.GATEWAY,
+        "no stream to a placer is opened, as its service has no engines in the "
+        "configuration",
+        {"backend": _BACKEND},
+    ),
     LogEvent(
         "placer_lost",
         Process.GATEWAY,
@@ -454,6 +461,18 @@
         "request_crashed",
         Process.GATEWAY,
         "unexpected exception while a request was served",
+        {
+            "path": _text("path of the request, without the query"),
+            "has_started": _flag(
+                "a part of the response was sent; else the caller got 500"
+            ),
+            "exception": _text("traceback"),
+        },
+    ),
+    LogEvent(
+        "connection_crashed",
+        Process.GATEWAY,
+        "unexpected exception on a caller's connection outside of a request",
         {"exception": _text("traceback")},
     ),
     LogEvent(
