Ignored registrations whose id or address no request can be sent with

A request for a server whose id is no header value raised in the gateway ("h11._util.LocalProtocolError: Illegal header value b'i\n1'", "UnicodeEncodeError: 'latin-1' codec can't encode character"), and one whose host name has an empty or too long label did so at the connect ("UnicodeError: encoding with 'idna' codec failed", which is no OSError). The caller got a closed connection, a 500 since crashes are answered. A port of 70000 was accepted, too, and stands for another port.

Such a row is malformed now (`row_malformed`) and names no server to use. Host names stay allowed. What transport.py should do with an error while it encodes is not part of this.

Tested: test_platform_rows, test_platform_site and test_gateway_watching pass.

--- a/nutmegdeal/platform/rows.py
+++ b/nutmegdeal/platform/rows.py
@@ -29,6 +29,8 @@
 VERSION_KEY_PREFIX = "version/"
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
+PORT_MAX = 65_535
+
 _ROUTE_KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -129,15 +131,19 @@
 def decode_backend(key, value):
     """Return the Backend in a registration row."""
     data = json.loads(value)
-    host, _, port = data["address"].rpartition(":")
-    if not host or not isinstance(data["service"], str):
+    host, _, port_text = data["address"].rpartition(":")
+    port = int(port_text)
+    # Raises a ValueError for a host that no name or address can have.
+    host.encode("idna")
+    is_valid = host and 0 < port <= PORT_MAX and isinstance(data["service"], str)
+    if not is_valid or not _is_header_value(key):
         raise ValueError(f"not a registration: {key}")
     return Backend(
         backend_id=key,
         service=data["service"],
         zone=str(data["zone"]),
         host=host,
-        port=int(port),
+        port=port,
         slots=int(data["slots"]),
         state=BackendState(data["state"]),
         adapters=decode_adapters(data.get("models") or ()),
@@ -146,6 +152,12 @@
     )
 
 
+def _is_header_value(text):
+    """Return whether a text can be sent as the value of a header."""
+    is_encodable = text.isascii() and text.isprintable()
+    return bool(text) and is_encodable and text == text.strip()
+
+
 def decode_adapters(models):
     """Return the adapters of a list of models, a frozenset of ``name@version``."""
     return frozenset(
--- a/nutmegdeal/tests/test_platform_rows.py
+++ b/nutmegdeal/tests/test_platform_rows.py
@@ -108,6 +108,11 @@
         encode_registration(service=7),
         encode_registration(address=None),
         encode_registration(address="8080"),
+        encode_registration(address="10.1.0.9:70000"),
+        encode_registration(address="10.1.0.9:0"),
+        encode_registration(address="10.1.0.9:-1"),
+        encode_registration(address="a..b:8080"),
+        encode_registration(address="a" * 70 + ":8080"),
         encode_registration(slots="many"),
         encode_registration(models=[{"adapters": ["a3"]}]),
         encode_registration(models=[{"adapters": [5]}]),
@@ -120,6 +125,12 @@
         rows.decode_backend("i-1", value)
 
 
+@pytest.mark.parametrize("key", ["", "i\n1", "i-\u2603", "i-1 ", " i-1", "i\x001"])
+def test_registration_whose_id_fits_no_header_raises_a_decode_error(key):
+    with pytest.raises(rows.DECODE_ERRORS):
+        rows.decode_backend(key, encode_registration())
+
+
 def test_rows_are_decoded():
     value = base64.b64encode(b"x").decode()
     row = rows.decode_row({"key": "k", "value": value, "ver": 3})
