Took infinite numbers and deep nesting in store rows for malformed

A row with an infinite number, or with JSON nested too deeply, raised errors that are not in DECODE_ERRORS. The watcher ended (`controller_crashed`) before it had recorded its position, and read the same row again each time it was restarted: by reading, no later change of that table came into force. Evidence, before the fix: "OverflowError: cannot convert float infinity to integer" and "RecursionError: maximum recursion depth exceeded" in test_platform_rows. The restarts were not run.

Both errors are in DECODE_ERRORS now, which the watchers, the store client and the decoding of an engine's report catch.

Tested: test_platform_rows, test_platform_site and test_gateway_watching pass.

--- a/nutmegdeal/platform/rows.py
+++ b/nutmegdeal/platform/rows.py
@@ -27,7 +27,15 @@
 BACKENDS_TABLE = "servers"
 CONFIGURATION_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# The last two are of infinite numbers and of JSON that is nested too deeply.
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 PORT_MAX = 65_535
 
