Ignored impossible numbers in the headers of a server's answer

A reported load of 400 digits was recorded, and each selection among the service's servers then raised "OverflowError: int too large to convert to float" (run by hand) for as long as the report counted. A Retry-After of 1e306 s became infinite ms; by reading, math.ceil raises on it in the refusal of a service whose servers are all paused. A negative load attracted requests. Evidence, before the fix: "assert ServerLoad( running_count=-9, ...) is None" and "assert inf is None" in four cases of test_platform_rows.

Such headers now count as missing, as malformed ones did.

Tested: test_platform_rows, test_gateway_decisions and test_caller_responses pass.

--- a/nutmegdeal/platform/headers.py
+++ b/nutmegdeal/platform/headers.py
@@ -58,6 +58,8 @@
 # In all answers of the store.
 STORE_ERA = b"store-era"
 STATUS_UNAVAILABLE = 503
+# Larger counts in a reported load are a mistake of the server.
+LOAD_COUNT_MAX = 1_000_000
 PRIORITY_FIRST = 0
 PRIORITY_LAST = 9
 STATUS_MISDIRECTED = 421
@@ -180,9 +182,11 @@
     if value is None:
         return None
     try:
-        return ServerLoad(*map(int, value.split(b",")))
+        counts = tuple(map(int, value.split(b",")))
+        load = ServerLoad(*counts)
     except (TypeError, ValueError):
         return None
+    return load if all(0 <= count <= LOAD_COUNT_MAX for count in counts) else None
 
 
 def is_server_leaving(headers):
@@ -205,10 +209,10 @@
     if status_code != STATUS_UNAVAILABLE or value is None:
         return None
     try:
-        seconds = float(value)
+        pause_ms = float(value) * 1000
     except ValueError:
         return None
-    return seconds * 1000 if math.isfinite(seconds) and seconds > 0 else None
+    return pause_ms if math.isfinite(pause_ms) and pause_ms > 0 else None
 
 
 def decode_store_era(headers):
--- a/nutmegdeal/tests/test_platform_rows.py
+++ b/nutmegdeal/tests/test_platform_rows.py
@@ -11,7 +11,11 @@
 from nutmegdeal.placer.orders import Order
 from nutmegdeal.platform import rows
 from nutmegdeal.platform.engine import decode_report, encode_order, encode_order_headers
-from nutmegdeal.platform.headers import decode_request_terms, decode_server_load
+from nutmegdeal.platform.headers import (
+    decode_request_terms,
+    decode_retry_after_ms,
+    decode_server_load,
+)
 from nutmegdeal.platform.settings import load_node_settings
 from nutmegdeal.site_configuration import BackendState, RouteKind
 from nutmegdeal.tests.platform_builders import encode_registration
@@ -184,6 +188,18 @@
         decode_request_terms([(b"x-deadline-ms", b"soon")])
 
 
+@pytest.mark.parametrize(
+    "value", [b"9" * 400 + b",0,8", b"3," + b"9" * 5_000 + b",8", b"-9,0,8", b"3,0,-1"]
+)
+def test_impossible_server_load_is_none(value):
+    assert decode_server_load([(b"x-server-load", value)]) is None
+
+
+@pytest.mark.parametrize("value", [b"1e306", b"inf", b"nan", b"-1", b"0", b"soon"])
+def test_retry_after_that_is_no_finite_time_is_none(value):
+    assert decode_retry_after_ms(503, [(b"retry-after", value)]) is None
+
+
 def test_malformed_server_load_is_none():
     assert decode_server_load([(b"x-server-load", b"3,0,8")]).running_count == 3
     assert decode_server_load([(b"x-server-load", b"3,0")]) is None
