Took an event id with too many digits for a broken stream

int() refuses more than 4,300 digits. The ValueError is none of the errors that `_exchange` handles, so the request crashed instead of being resumed or marked as cut. Evidence, before the fix: "ValueError: Exceeds the limit (4300 digits) for integer string conversion" in test_gateway_decisions. It is a BrokenStreamError now.

--- a/nutmegdeal/gateway/events.py
+++ b/nutmegdeal/gateway/events.py
@@ -8,6 +8,8 @@
 # Limit on one event. Events hold a few tokens and are under 1 KB, so a longer one means
 # that the stream is broken.
 EVENT_BYTES_MAX = 1_048_576
+# Below the number of digits that int() refuses to convert.
+EVENT_ID_DIGITS_MAX = 100
 _EVENT_ID = re.compile(rb"(?m)^id: ?(\d+)\r?$")
 
 
@@ -39,7 +41,8 @@
         Raises
         ------
         BrokenStreamError
-            If an event id does not increase, or if an event exceeds EVENT_BYTES_MAX.
+            If an event id does not increase or is too long, or if an event exceeds
+            EVENT_BYTES_MAX.
         """
         buffered = self._pending + data if self._pending else data
         end = buffered.rfind(EVENT_END)
@@ -51,7 +54,10 @@
         end += len(EVENT_END)
         whole, self._pending = buffered[:end], buffered[end:]
         for found in _EVENT_ID.finditer(whole):
-            self._advance(int(found.group(1)))
+            digits = found.group(1)
+            if len(digits) > EVENT_ID_DIGITS_MAX:
+                raise BrokenStreamError(f"an event id has {len(digits)} digits")
+            self._advance(int(digits))
         return whole
 
     def _advance(self, event_id):
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -318,6 +318,12 @@
         splitter.feed(build.build_event(4))
 
 
+def test_event_id_with_too_many_digits_breaks_the_stream():
+    splitter = EventSplitter()
+    with pytest.raises(BrokenStreamError):
+        splitter.feed(b"id: " + b"9" * 5_000 + b"\n\n")
+
+
 class TestAdmission:
     """Which requests can still be served in time."""
 
