--- a/nutmegdeal/tests/test_caller_responses.py
+++ b/nutmegdeal/tests/test_caller_responses.py
@@ -68,3 +68,38 @@
 
     response, body = exchange(start_listener(respond), method, version)
     assert (response.status_code, body) == (status_code, b"")
+
+
+def parse_response(data):
+    """Return the h11.Response in received bytes, None if h11 refuses it."""
+    protocol = h11.Connection(h11.CLIENT)
+    protocol.send(h11.Request(method="GET", target="/a", headers=[("host", "h")]))
+    protocol.send(h11.EndOfMessage())
+    protocol.receive_data(data)
+    try:
+        event = protocol.next_event()
+    except h11.RemoteProtocolError:
+        return None
+    return event if isinstance(event, h11.Response) else None
+
+
+VALUES = [b"%c", b"a%ca", b"%ca", b"a%c", b"a\r\n %cc", b"a\r\n %c"]
+
+
+@pytest.mark.parametrize("value", VALUES)
+def test_each_header_value_that_is_received_can_be_sent_on(value):
+    """Guards against a response of a server that cannot be encoded for the caller."""
+    received = [
+        parse_response(b"HTTP/1.1 200 OK\r\nX-A: " + value % byte + b"\r\n\r\n")
+        for byte in range(256)
+    ]
+    accepted = [response for response in received if response is not None]
+    assert accepted
+    for response in accepted:
+        sender = h11.Connection(h11.SERVER)
+        sender.receive_data(REQUEST)
+        assert isinstance(sender.next_event(), h11.Request)
+        sent = sender.send(
+            h11.Response(status_code=200, headers=list(response.headers))
+        )
+        assert sent
