--- a/nutmegdeal/gateway/events.py
+++ b/nutmegdeal/gateway/events.py
@@ -8,6 +8,8 @@
 # Limit on one event. Events hold a few tokens and are under 1 KB, so a longer one means
 # that the stream is broken.
 EVENT_BYTES_MAX = 65_536
+# Below the number of digits that int() refuses to convert.
+EVENT_ID_DIGITS_MAX = 100
 _EVENT_ID = re.compile(rb"(?m)^id: ?(\d+)\r?$")
 
 
@@ -39,7 +41,8 @@
         Raises
         ------
         BrokenStreamError
-            If an event id does not increase, or if an event exceeds EVENT_BYTES_MAX.
+            If an event id does not increase or is too long, or if an event exceeds
+            EVENT_BYTES_MAX.
         """
         whole = data
         if self._pending or not data.endswith(EVENT_END):
@@ -68,7 +71,10 @@
         """Return the id of the last event (int or None)."""
         last_event_id = self.last_event_id
         for found in _EVENT_ID.finditer(events):
-            event_id = int(found.group(1))
+            digits = found.group(1)
+            if len(digits) > EVENT_ID_DIGITS_MAX:
+                raise BrokenStreamError(f"an event id has {len(digits)} digits")
+            event_id = int(digits)
             if last_event_id is not None and event_id <= last_event_id:
                 raise BrokenStreamError(f"event {event_id} after event {last_event_id}")
             last_event_id = event_id
--- a/nutmegdeal/tests/test_platform_rows.py
+++ b/nutmegdeal/tests/test_platform_rows.py
@@ -11,7 +11,11 @@
 from nutmegdeal.placer.orders import Order
 from nutmegdeal.platform import rows
 from nutmegdeal.platform.engine import decode_report, encode_order, encode_order_headers
-from nutmegdeal.platform.headers import decode_request_terms, decode_server_load
+from nutmegdeal.platform.headers import (
+    decode_request_terms,
+    decode_retry_after_ms,
+    decode_server_load,
+)
 from nutmegdeal.platform.settings import load_node_settings
 from nutmegdeal.site_configuration import BackendState, RouteKind
 from nutmegdeal.tests.platform_builders import encode_registration
@@ -108,7 +112,15 @@
         encode_registration(service=7),
         encode_registration(address=None),
         encode_registration(address="8080"),
+        encode_registration(address="10.1.0.9:70000"),
+        encode_registration(address="10.1.0.9:0"),
+        encode_registration(address="10.1.0.9:-1"),
+        encode_registration(address="a..b:8080"),
+        encode_registration(address="a" * 70 + ":8080"),
         encode_registration(slots="many"),
+        encode_registration(slots=float("inf")),
+        encode_registration(born=float("nan")),
+        b"[" * 100_000,
         encode_registration(models=[{"adapters": ["a3"]}]),
         encode_registration(models=[{"adapters": [5]}]),
         encode_registration(models=7),
@@ -120,6 +132,12 @@
         rows.decode_backend("i-1", value)
 
 
+@pytest.mark.parametrize("key", ["", "i\n1", "i-\u2603", "i-1 ", " i-1", "i\x001"])
+def test_registration_whose_id_fits_no_header_raises_a_decode_error(key):
+    with pytest.raises(rows.DECODE_ERRORS):
+        rows.decode_backend(key, encode_registration())
+
+
 def test_rows_are_decoded():
     value = base64.b64encode(b"x").decode()
     row = rows.decode_row({"key": "k", "value": value, "ver": 3})
@@ -170,6 +188,18 @@
         decode_request_terms([(b"x-deadline-ms", b"soon")])
 
 
+@pytest.mark.parametrize(
+    "value", [b"9" * 400 + b",0,8", b"3," + b"9" * 5_000 + b",8", b"-9,0,8", b"3,0,-1"]
+)
+def test_impossible_server_load_is_none(value):
+    assert decode_server_load([(b"x-server-load", value)]) is None
+
+
+@pytest.mark.parametrize("value", [b"1e306", b"inf", b"nan", b"-1", b"0", b"soon"])
+def test_retry_after_that_is_no_finite_time_is_none(value):
+    assert decode_retry_after_ms(503, [(b"retry-after", value)]) is None
+
+
 def test_malformed_server_load_is_none():
     assert decode_server_load([(b"x-server-load", b"3,0,8")]).running_count == 3
     assert decode_server_load([(b"x-server-load", b"3,0")]) is None
