--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -12,7 +12,7 @@
 import attrs
 import gevent.socket
 
-from nutmegdeal.fakes.platform_backend import PlatformBackend, PlatformEngine
+from nutmegdeal.fakes.platform_backend import PlatformEngine
 from nutmegdeal.fakes.platform_configuration import (
     ADAPTER_SLOTS,
     ENGINE_SERVICE,
@@ -20,6 +20,7 @@
     PLAIN_SERVICE,
     encode_configuration,
 )
+from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.platform_store import PlatformStore
 from nutmegdeal.platform.settings import SETTINGS_PATH_VARIABLE
 from nutmegdeal.soak.proxy import FaultyProxy
--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -7,12 +7,13 @@
 import gevent.socket
 
 from nutmegdeal.addresses import Address
-from nutmegdeal.fakes.platform_backend import PlatformBackend, PlatformEngine
+from nutmegdeal.fakes.platform_backend import PlatformEngine
 from nutmegdeal.fakes.platform_configuration import (
     ADAPTER_SLOTS,
     MODEL,
     encode_configuration,
 )
+from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.platform_store import PlatformStore
 from nutmegdeal.gateway import process as gateway_process
 from nutmegdeal.http_connections import BrokenAnswerError, ClientConnection
