Stand-ins: silence, answers without framing and answers without end

What: PlatformBackend and PlatformEngine get AnswerFaults: silence of one answer or of the whole server, a head that does not wait for the first event, answers without length or chunks, breaks between or inside events and by a reset, and five kinds of answers without end.

--- /dev/null
+++ b/nutmegdeal/fakes/breakable_listener.py
@@ -0,0 +1,77 @@
+"""Listener whose connections a stand-in can write to directly, reset or break off."""
+
+import socket
+import struct
+
+import attrs
+import gevent
+
+from nutmegdeal.caller_connections import WRITE_TIMEOUT_S, CallerLeftError
+from nutmegdeal.http_listener import CallerListener
+
+LINGER_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@attrs.define(eq=False)
+class ServedConnection:
+    """Connection of a client, below HTTP.
+
+    Parameters
+    ----------
+    sock : socket
+    """
+
+    sock: object
+
+    def write(self, data):
+        """Send bytes as they are.
+
+        Raises
+        ------
+        CallerLeftError
+        """
+        try:
+            self.sock.settimeout(WRITE_TIMEOUT_S)
+            self.sock.sendall(data)
+        except OSError as error:
+            raise CallerLeftError from error
+
+    def reset_on_close(self):
+        """Make the close of the connection a reset."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET_ON_CLOSE)
+
+
+class BreakableListener(CallerListener):
+    """CallerListener that gives access to its connections; parameters are the same."""
+
+    def __init__(self, address, application, limits):
+        self._served = {}
+        super().__init__(address, application, limits)
+
+    def current_connection(self):
+        """Return the ServedConnection whose request the present greenlet serves."""
+        return self._served[gevent.getcurrent()]
+
+    def break_off(self):
+        """Reset all connections, also the one of the present greenlet.
+
+        Raises
+        ------
+        CallerLeftError
+            If the present greenlet serves a request.
+        """
+        present = gevent.getcurrent()
+        for greenlet, connection in list(self._served.items()):
+            connection.reset_on_close()
+            if greenlet is not present:
+                greenlet.kill(CallerLeftError, block=False)
+        if present in self._served:
+            raise CallerLeftError
+
+    def _handle(self, sock, address):
+        greenlet = gevent.getcurrent()
+        self._served[greenlet] = ServedConnection(sock)
+        try:
+            super()._handle(sock, address)
+        finally:
+            del self._served[greenlet]
--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -45,6 +45,8 @@
         Reports get 503.
     """
 
+    _break_event = EVENT_COUNT // 2
+
     def __init__(self, address, backend_id, service, zone, model, adapter_slots):
         self.model = model
         self.has_model = True
@@ -94,6 +96,7 @@
         }
 
     def _respond(self, request, responder):
+        self.faults.wait_while_silent()
         if request.path == "/report":
             self._send_report(responder)
         elif request.path == "/order":
@@ -179,19 +182,19 @@
         super()._serve(request, responder)
 
     def _execute(self, request, request_id, responder):
-        last_event_id = find_header(request.headers, b"last-event-id")
         headers = [
             *self._common_headers(request),
             (b"x-response-signature", b"s"),
             (b"content-type", b"text/event-stream"),
         ]
-        responder.start(200, headers)
-        for number in range(
-            int(last_event_id) + 1 if last_event_id else 0, EVENT_COUNT
-        ):
+        pieces = self._make_events(request, request_id)
+        self._write_answer(responder, headers, pieces)
+
+    def _make_events(self, request, request_id):
+        """Yield the events of an answer with their numbers, at the engine's pace."""
+        last_event_id = find_header(request.headers, b"last-event-id")
+        first_number = int(last_event_id) + 1 if last_event_id else 0
+        for number in range(first_number, EVENT_COUNT):
             gevent.sleep(EVENT_INTERVAL_MS / 1000)
-            responder.send(f"id: {number}\ndata: {request_id}\n\n".encode())
-            if self.aborts_pending and number == EVENT_COUNT // 2:
-                self.aborts_pending -= 1
-                return
-        responder.finish()
+            self.faults.pause_before(number)
+            yield number, f"id: {number}\ndata: {request_id}\n\n".encode()
--- a/nutmegdeal/fakes/platform_server.py
+++ b/nutmegdeal/fakes/platform_server.py
@@ -1,13 +1,20 @@
 """Stand-in for an instance of a plain service, which records what it ran."""
 
 import collections
+import itertools
 import json
 
 import gevent
 
 from nutmegdeal.caller_connections import CallerLeftError
+from nutmegdeal.fakes.answer_faults import (
+    AnswerBreak,
+    AnswerFaults,
+    ChunkedWriter,
+    UnframedWriter,
+)
+from nutmegdeal.fakes.breakable_listener import BreakableListener
 from nutmegdeal.http_connections import find_header
-from nutmegdeal.http_listener import CallerListener
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
 
 PLAIN_WORK_MS = 20.0
@@ -40,8 +47,12 @@
         Every answer says that the server leaves; its registration is not changed.
     retry_after_s : float or None
         Sent with each refusal by 503, if not None.
+    faults : AnswerFaults
     """
 
+    # Number of the event at which a stream breaks off.
+    _break_event = 0
+
     def __init__(self, address, backend_id, service, zone="a"):
         self.backend_id = backend_id
         self.service = service
@@ -56,10 +67,8 @@
         self.incarnation = 1
         self.is_leaving = False
         self.retry_after_s = None
-        self.listener = CallerListener(
-            address, self._respond, lambda: DEFAULT_CALLER_LIMITS
-        )
-        self.listener.start()
+        self.faults = AnswerFaults()
+        self._listen(address)
         self._address = (address[0], self.listener.port)
 
     @property
@@ -67,6 +76,17 @@
         """IP address and TCP port in use."""
         return self._address
 
+    def _listen(self, address):
+        self.listener = BreakableListener(
+            address, self._respond, lambda: DEFAULT_CALLER_LIMITS
+        )
+        self.listener.start()
+
+    def close(self):
+        """Stop listening and reset all connections."""
+        self.listener.stop_accepting()
+        self.listener.break_off()
+
     def registration(self):
         """Return the value of its registration row (bytes)."""
         return json.dumps(self._registration_fields()).encode()
@@ -86,6 +106,7 @@
         }
 
     def _respond(self, request, responder):
+        self.faults.wait_while_silent()
         target_id = find_header(request.headers, b"x-target-instance")
         if target_id is not None and target_id.decode() != self.backend_id:
             self._refuse(request, responder, 421)
@@ -128,8 +149,61 @@
     def _execute(self, request, request_id, responder):
         gevent.sleep(PLAIN_WORK_MS / 1000)
         headers = [*self._common_headers(request), (b"x-response-signature", b"s")]
+        body = f"answer to {request_id}".encode()
+        self.faults.pause_before(self.faults.silence_event)
         if self.failures_pending:
             self.failures_pending -= 1
             responder.reply(500, headers, b"failed")
-            return
-        responder.reply(200, headers, f"answer to {request_id}".encode())
+        elif self._is_framed_by_length():
+            responder.reply(200, headers, body)
+        else:
+            self._write_answer(responder, headers, [(0, body)])
+
+    def _is_framed_by_length(self):
+        faults = self.faults
+        return not (faults.is_unframed or faults.breaks_pending or faults.endless)
+
+    def _write_answer(self, responder, headers, pieces):
+        """Write a successful answer with the faults that are on.
+
+        Parameters
+        ----------
+        responder : Responder
+        headers : list of (bytes, bytes)
+        pieces : iterable of (int, bytes)
+            Numbered pieces of the body.
+        """
+        connection = self.listener.current_connection()
+        if self.faults.endless is not None:
+            self._write_endless(connection, headers)
+        writer = ChunkedWriter(responder)
+        if self.faults.is_unframed:
+            writer = UnframedWriter(connection)
+        writer.start(headers)
+        if self.faults.sends_head_early:
+            writer.send(b"")
+        for number, piece in pieces:
+            break_kind = self._claim_break() if number == self._break_event else None
+            if break_kind in (None, AnswerBreak.BETWEEN_EVENTS):
+                writer.send(piece)
+            else:
+                writer.send(piece[: len(piece) // 2])
+            if break_kind is AnswerBreak.RESET:
+                connection.reset_on_close()
+            if break_kind is not None:
+                return
+        writer.finish()
+
+    def _claim_break(self):
+        if self.aborts_pending:
+            self.aborts_pending -= 1
+            return AnswerBreak.BETWEEN_EVENTS
+        return self.faults.claim_break()
+
+    def _write_endless(self, connection, headers):
+        """Write an answer until the client closes, which raises CallerLeftError."""
+        endless = self.faults.endless
+        connection.write(endless.encode_start(headers))
+        for number in itertools.count():
+            connection.write(endless.encode_piece(number))
+            gevent.sleep(self.faults.endless_interval_ms / 1000)
--- a/nutmegdeal/tests/platform_builders.py
+++ b/nutmegdeal/tests/platform_builders.py
@@ -5,7 +5,14 @@
 from nutmegdeal.addresses import Address
 from nutmegdeal.caller_connections import IncomingRequest
 from nutmegdeal.engine_messages import EngineLoad, EngineState
-from nutmegdeal.fakes.platform_configuration import ENGINE_SERVICE, PLAIN_SERVICE
+from nutmegdeal.fakes.platform_backend import PlatformEngine
+from nutmegdeal.fakes.platform_configuration import (
+    ADAPTER_SLOTS,
+    ENGINE_SERVICE,
+    MODEL,
+    PLAIN_SERVICE,
+)
+from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.gateway.members import Member
 from nutmegdeal.gateway.requests import Request
 from nutmegdeal.platform.engine import EngineReport
@@ -278,3 +285,30 @@
         "born": 1_700_000_000_000,
     }
     return json.dumps({**values, **changes}).encode()
+
+
+def start_platform_server():
+    """Return a stand-in for a plain server, which listens on a free port."""
+    return PlatformBackend(("127.0.0.1", 0), "p-1", PLAIN_SERVICE)
+
+
+def start_platform_engine():
+    """Return a stand-in for a model engine, which listens on a free port."""
+    return PlatformEngine(
+        ("127.0.0.1", 0), "e-1", ENGINE_SERVICE, "a", MODEL, ADAPTER_SLOTS
+    )
+
+
+def encode_backend_request(request_id="q-1", extra=""):
+    """Return the bytes of a request for the base model, as a gateway sends it.
+
+    Parameters
+    ----------
+    request_id : str
+    extra : str
+        Further lines of the head, each with its end.
+    """
+    return (
+        f"POST /chat/1 HTTP/1.1\r\nHost: chat.example\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Model: {MODEL}\r\n{extra}Content-Length: 0\r\n\r\n"
+    ).encode()
