Stand-ins: parts of prompts that crash a model engine

What: PlatformEngine.prompts holds the crashing parts; a request with one of them, its last part excepted, resets all connections as its answer begins. The engine then refuses connections and returns empty as a new incarnation. Crashes and the requests with such parts that reached it are recorded.

--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -5,6 +5,7 @@
 import gevent
 
 from nutmegdeal.fakes.platform_server import PlatformBackend
+from nutmegdeal.fakes.prompt_crashes import PromptCrashes
 from nutmegdeal.http_connections import find_header
 
 EVENT_INTERVAL_MS = 10.0
@@ -43,6 +44,12 @@
         Target instance and body of the orders that have got no answer.
     refuses_reports : bool
         Reports get 503.
+    prompts : PromptCrashes
+        Parts of prompts that crash the engine as it begins to write its answer.
+        Connections are then reset, and all runs count as cancelled.
+    restart_after_crash : callable
+        Called without arguments when a crashed engine accepts connections again; by
+        default `restart` under a new id.
     """
 
     _break_event = EVENT_COUNT // 2
@@ -59,6 +66,9 @@
         self.unanswered_pending = 0
         self.delayed_orders = []
         self.refuses_reports = False
+        self.prompts = PromptCrashes()
+        self.restart_after_crash = self._restart_under_new_id
+        self._return_greenlet = None
         super().__init__(address, backend_id, service, zone)
 
     def restart(self, backend_id=None):
@@ -75,6 +85,34 @@
         self.adapters, self.pending, self.order_count = {}, {}, 0
         self.has_model = False
 
+    @property
+    def is_down(self):
+        """Return whether the engine has crashed and not returned yet."""
+        return self._return_greenlet is not None
+
+    def close(self):
+        """Stop listening, also if the engine would return from a crash later."""
+        if self.is_down:
+            self._return_greenlet.kill()
+        super().close()
+
+    def _restart_under_new_id(self):
+        name = self.backend_id.partition("#")[0]
+        self.restart(f"{name}#{self.incarnation + 1}")
+
+    def _crash(self):
+        """Break off all connections, and refuse new ones for a time."""
+        self.listener.stop_accepting()
+        self._return_greenlet = gevent.spawn_later(
+            self.prompts.crash_down_ms / 1000, self._return_from_crash
+        )
+        self.listener.break_off()
+
+    def _return_from_crash(self):
+        self._return_greenlet = None
+        self.restart_after_crash()
+        self._listen(self.address)
+
     def execute_delayed_orders(self):
         """Execute the orders that got no answer and are valid now.
 
@@ -102,6 +140,8 @@
         elif request.path == "/order":
             self._apply_order(request, responder)
         else:
+            request_id = find_header(request.headers, b"x-request-id").decode()
+            self.prompts.record_arrival(_find_prompt(request), request_id)
             super()._respond(request, responder)
 
     def _send_report(self, responder):
@@ -196,5 +236,13 @@
         first_number = int(last_event_id) + 1 if last_event_id else 0
         for number in range(first_number, EVENT_COUNT):
             gevent.sleep(EVENT_INTERVAL_MS / 1000)
+            if not self.is_down and self.prompts.record_crash(
+                _find_prompt(request), request_id
+            ):
+                self._crash()
             self.faults.pause_before(number)
             yield number, f"id: {number}\ndata: {request_id}\n\n".encode()
+
+
+def _find_prompt(request):
+    return find_header(request.headers, b"x-prompt-prefix")
--- a/nutmegdeal/tests/test_platform_backend_faults.py
+++ b/nutmegdeal/tests/test_platform_backend_faults.py
@@ -3,10 +3,6 @@
 A test of the gateway under a fault proves nothing if the stand-in does not have it.
 """
 
-import time
-
-import gevent
-import gevent.socket
 import pytest
 
 from nutmegdeal.fakes.answer_faults import AnswerBreak
@@ -20,19 +16,22 @@
     OtherAnswers,
 )
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
-from nutmegdeal.http_connections import (
-    BrokenAnswerError,
-    ClientConnection,
-    find_header,
-)
+from nutmegdeal.http_connections import BrokenAnswerError, find_header
 from nutmegdeal.tests import platform_builders as build
+from nutmegdeal.tests.backend_calls import (
+    READ_MS,
+    RECEIVE_BYTES,
+    connect,
+    deadline_in,
+    read_events,
+    read_to_end,
+    send,
+)
 from nutmegdeal.tests.platform_site import wait_until
 
 # Longer than any stall of the process between an event and the read after it.
 SILENCE_MS = 1_500.0
 QUIET_READ_MS = 50.0
-READ_MS = 20_000.0
-RECEIVE_BYTES = 65_536
 PIECE_COUNT = 20
 EVENTS = [f"id: {number}\ndata: q-1\n\n".encode() for number in range(EVENT_COUNT)]
 
@@ -61,42 +60,6 @@
     return start(build.start_platform_server)
 
 
-def deadline_in(timeout_ms):
-    return time.monotonic() * 1000 + timeout_ms
-
-
-def send(backend, request_id="q-1"):
-    """Send a request; return its ClientConnection."""
-    connection = ClientConnection(backend.address)
-    headers = [
-        (b"host", b"chat.example"),
-        (b"x-request-id", request_id.encode()),
-        (b"x-model", b"model"),
-    ]
-    connection.send(b"POST", b"/chat/1", headers)
-    return connection
-
-
-def read_events(connection, count):
-    """Return the next `count` events of a stream, each of which is one chunk."""
-    return [connection.read_data(deadline_in(READ_MS)) for _ in range(count)]
-
-
-def connect(backend, **request):
-    """Send a request; return the raw socket."""
-    sock = gevent.socket.create_connection(backend.address, READ_MS / 1000)
-    sock.sendall(build.encode_backend_request(**request))
-    return sock
-
-
-def read_to_end(sock):
-    """Return the bytes that arrive until the server closes the connection."""
-    data = b""
-    while piece := sock.recv(RECEIVE_BYTES):
-        data += piece
-    return data
-
-
 @pytest.mark.parametrize("silent_event", [0, 3, EVENT_COUNT - 1])
 def test_a_silent_engine_goes_on_and_completes_its_stream(engine, silent_event):
     faults = engine.faults
