Soak: answers without framing, and answers without end

What: one engine and one plain server end their answers with the connection. Answers without end are a fault of one server; they do not excuse a gateway that gives its final answer later than the route's timeout.

--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -7,6 +7,7 @@
 import attrs
 import gevent
 
+from nutmegdeal.fakes.endless_answers import ENDLESS_ANSWERS
 from nutmegdeal.fakes.platform_store import StoreFault
 from nutmegdeal.log import get_logger
 from nutmegdeal.soak.proxy import ProxyMode
@@ -21,6 +22,8 @@
 PLANNED_ONLY_SHARE = 0.4
 # For how long a sound server may send nothing.
 SILENCE_S = (0.8, 1.6)
+ENDLESS_INTERVAL_MS = 2.0
+ENDLESS_ANSWERS_KIND = "endless_answers"
 # How often a fault is drawn, compared with the others.
 WEIGHTS = {"silence": 4}
 # Orders in a row that an engine leaves unanswered.
@@ -96,6 +99,7 @@
             ("version", self._increment_version, True),
             ("drain", self._drain_server, True),
             ("silence", self._silence_server, True),
+            (ENDLESS_ANSWERS_KIND, self._send_endless_answers, False),
         )
 
     def run(self, fault_period_s):
@@ -268,6 +272,14 @@
             gevent.sleep(silence_s)
         return backend.backend_id
 
+    def _send_endless_answers(self, duration_s):
+        backend = self._random.choice(self._site.backends)
+        backend.faults.endless = self._random.choice(ENDLESS_ANSWERS)
+        backend.faults.endless_interval_ms = ENDLESS_INTERVAL_MS
+        gevent.sleep(duration_s)
+        backend.faults.endless = None
+        return backend.backend_id
+
     def _restore_store(self, duration_s):
         store = self._site.store
         copy = store.take_copy()
--- a/nutmegdeal/soak/rule_checks.py
+++ b/nutmegdeal/soak/rule_checks.py
@@ -2,6 +2,7 @@
 
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.soak.callers import ANSWER_MARGIN_MS
+from nutmegdeal.soak.faults import ENDLESS_ANSWERS_KIND
 from nutmegdeal.soak.site import TIMEOUT_MS
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -56,8 +57,17 @@
     overlaps_fault = _overlaps(
         record, [fault for fault in faults if not fault.is_planned]
     )
+    # An endless answer of a server does not excuse a late one of the gateway.
+    overlaps_delaying_fault = _overlaps(
+        record,
+        [
+            fault
+            for fault in faults
+            if not fault.is_planned and fault.kind != ENDLESS_ANSWERS_KIND
+        ],
+    )
     took_ms = (record.ended_s - record.started_s) * 1000
-    if took_ms >= TIMEOUT_MS + ANSWER_MARGIN_MS and not overlaps_fault:
+    if took_ms >= TIMEOUT_MS + ANSWER_MARGIN_MS and not overlaps_delaying_fault:
         yield f"{name} had no final answer after {took_ms:.0f} ms"
     # A stream is cut if its server is silent until the caller's deadline.
     is_ended_by_deadline = (
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -100,6 +100,8 @@
 class SoakSite:
     """Two gateways, two engines with placers, two plain servers, a store.
 
+    The last engine and the last plain server send answers without length or chunks.
+
     Parameters
     ----------
     folder : pathlib.Path
@@ -129,6 +131,8 @@
             )
             for engine in self.engines
         ]
+        for backend in (self.engines[-1], self.servers[-1]):
+            backend.faults.is_unframed = True
         for backend in self.backends:
             self.register(backend)
         self.put_configuration()
@@ -262,8 +266,9 @@
             program.close()
         for proxy in (self.store_proxy, *self.proxies.values(), *self.link_proxies):
             proxy.close()
-        for backend in (self.store, *self.backends):
-            backend.listener.stop_accepting()
+        self.store.listener.stop_accepting()
+        for backend in self.backends:
+            backend.close()
 
 
 def _free_ports(host, count):
