Soak: prompts that crash engines, behind a switch

The soak could not show it. What: callers send the parts of their prompts. The check counts arrivals after the fifth crash, save those of a gateway that was just restarted. Off by default: gateways do not yet look at the parts.

--- a/nutmegdeal/soak/callers.py
+++ b/nutmegdeal/soak/callers.py
@@ -21,6 +21,11 @@
 # A request must have its final answer at most this long after its route's timeout_ms.
 ANSWER_MARGIN_MS = 1_500.0
 REQUEST_KINDS = ("chat", "quote", "book", "look")
+# First part of all prompts, and number of the second parts that sound ones share.
+FIRST_PART = "5c1e07a2"
+SHARED_PART_COUNT = 4
+# Share of the requests whose prompts have the crashing part while there is one.
+CRASHING_SHARE = 0.25
 
 
 @attrs.frozen
@@ -114,6 +119,7 @@
             (b"x-request-id", request_id.encode()),
             (b"x-model", f"{MODEL}/a{adapter}".encode()),
             (b"x-token-usage", b"700,50"),
+            (b"x-prompt-prefix", self._draw_prompt()),
             (b"x-deadline-ms", b"%d" % TIMEOUT_MS),
         ]
         status_code = 0
@@ -132,6 +138,14 @@
             return status_code, None, True
         return status_code, body, True
 
+    def _draw_prompt(self):
+        """Return the parts of a prompt (bytes); the last one is the request's own."""
+        second_part = f"{self._random.randrange(SHARED_PART_COUNT):08x}"
+        if self._site.crashing_part and self._random.random() < CRASHING_SHARE:
+            second_part = self._site.crashing_part
+        last_part = f"{self._random.getrandbits(32):08x}"
+        return f"{FIRST_PART}:300,{second_part}:200,{last_part}:200".encode()
+
     def _connect(self):
         if self._connection is not None and self._connection.is_clean():
             return self._connection
--- /dev/null
+++ b/nutmegdeal/soak/fault_records.py
@@ -0,0 +1,28 @@
+"""Records of the faults that were injected, for the checks of the rules."""
+
+import attrs
+
+# Kinds of faults that the checks treat apart.
+CRASHING_PROMPTS_KIND = "crashing_prompts"
+ENDLESS_ANSWERS_KIND = "endless_answers"
+SILENCE_KIND = "silence"
+
+
+@attrs.frozen
+class FaultRecord:
+    """One fault or planned change; times are of the monotonic clock.
+
+    Parameters
+    ----------
+    kind, target : str
+    started_s, ended_s : float
+    is_planned : bool
+        True for planned work and for the silence of a sound server, which must not
+        cut any request off.
+    """
+
+    kind: str
+    target: str
+    started_s: float
+    ended_s: float
+    is_planned: bool
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -1,15 +1,21 @@
 """Injects random, overlapping faults and planned changes, drawn from a seed."""
 
+import functools
 import random
 import signal
 import time
 
-import attrs
 import gevent
 
 from nutmegdeal.fakes.endless_answers import ENDLESS_ANSWERS
 from nutmegdeal.fakes.platform_store import StoreFault
 from nutmegdeal.log import get_logger
+from nutmegdeal.soak.fault_records import (
+    CRASHING_PROMPTS_KIND,
+    ENDLESS_ANSWERS_KIND,
+    SILENCE_KIND,
+    FaultRecord,
+)
 from nutmegdeal.soak.proxy import ProxyMode
 
 logger = get_logger(__name__)
@@ -23,9 +29,14 @@
 # For how long a sound server may send nothing.
 SILENCE_S = (0.8, 1.6)
 ENDLESS_INTERVAL_MS = 2.0
-ENDLESS_ANSWERS_KIND = "endless_answers"
+# For how long callers send a crashing part of prompts.
+CRASHING_PROMPTS_S = 15.0
+# Time from a crash of an engine to its return.
+CRASH_DOWN_MS = 800.0
+# Share of the crashes after which an engine has a new id.
+NEW_ID_SHARE = 0.8
 # How often a fault is drawn, compared with the others.
-WEIGHTS = {"silence": 4}
+WEIGHTS = {SILENCE_KIND: 4}
 # Orders in a row that an engine leaves unanswered.
 DELAYED_ORDERS_MAX = 5
 DELAYED_ORDER_POLL_S = 0.002
@@ -41,26 +52,6 @@
 )
 
 
-@attrs.frozen
-class FaultRecord:
-    """One fault or planned change; times are of the monotonic clock.
-
-    Parameters
-    ----------
-    kind, target : str
-    started_s, ended_s : float
-    is_planned : bool
-        True for planned work and for the silence of a sound server, which must not
-        cut any request off.
-    """
-
-    kind: str
-    target: str
-    started_s: float
-    ended_s: float
-    is_planned: bool
-
-
 class FaultInjector:
     """Draws faults and applies them to a SoakSite.
 
@@ -68,6 +59,9 @@
     ----------
     site : SoakSite
     seed : int
+    has_crashing_prompts : bool
+        Whether callers send a part of prompts that crashes engines, for
+        `CRASHING_PROMPTS_S` beside planned work.
 
     Attributes
     ----------
@@ -75,8 +69,9 @@
         Faults that have ended.
     """
 
-    def __init__(self, site, seed):
+    def __init__(self, site, seed, has_crashing_prompts=False):
         self.records = []
+        self._has_crashing_prompts = has_crashing_prompts
         self._site = site
         self._random = random.Random(seed)
         self._running = []
@@ -98,7 +93,7 @@
             ("configuration", self._change_configuration, True),
             ("version", self._increment_version, True),
             ("drain", self._drain_server, True),
-            ("silence", self._silence_server, True),
+            (SILENCE_KIND, self._silence_server, True),
             (ENDLESS_ANSWERS_KIND, self._send_endless_answers, False),
         )
 
@@ -112,6 +107,10 @@
         """
         started_s = time.monotonic()
         planned = [action for action in self._actions if action[2]]
+        if self._has_crashing_prompts:
+            crash_prompts = (CRASHING_PROMPTS_KIND, self._crash_prompts, False)
+            self._spawn(crash_prompts, CRASHING_PROMPTS_S)
+            started_s += CRASHING_PROMPTS_S
         self._start(planned, started_s + fault_period_s * PLANNED_ONLY_SHARE)
         self._start(self._actions, started_s + fault_period_s)
         gevent.joinall(self._running, raise_error=True)
@@ -121,9 +120,12 @@
         while time.monotonic() < end_s:
             (action,) = self._random.choices(actions, weights)
             duration_s = self._random.uniform(*FAULT_DURATION_S)
-            self._running.append(gevent.spawn(self._run_fault, *action, duration_s))
+            self._spawn(action, duration_s)
             gevent.sleep(self._random.uniform(*FAULT_INTERVAL_S))
 
+    def _spawn(self, action, duration_s):
+        self._running.append(gevent.spawn(self._run_fault, *action, duration_s))
+
     def _run_fault(self, kind, apply_fault, is_planned, duration_s):
         started_s = time.monotonic()
         target = apply_fault(duration_s)
@@ -206,6 +208,23 @@
         name = engine.backend_id.partition("#")[0]
         self._site.restart_engine(engine, f"{name}#{self._restart_count}")
 
+    def _crash_prompts(self, duration_s):
+        for engine in self._site.engines:
+            engine.prompts.crash_down_ms = CRASH_DOWN_MS
+            engine.restart_after_crash = functools.partial(self._return_engine, engine)
+            engine.faults.sends_head_early = self._random.random() < 0.5
+        part_id = f"{self._random.getrandbits(32):08x}"
+        self._site.set_crashing_part(part_id)
+        gevent.sleep(duration_s)
+        self._site.set_crashing_part("")
+        return part_id
+
+    def _return_engine(self, engine):
+        if self._random.random() < NEW_ID_SHARE or engine.delayed_orders:
+            self._restart_under_new_id(engine)
+        else:
+            self._site.restart_engine(engine, engine.backend_id)
+
     def _delay_orders(self, duration_s):
         engine = self._random.choice(self._site.engines)
         is_restarted = self._random.random() < 0.5
--- a/nutmegdeal/soak/rule_checks.py
+++ b/nutmegdeal/soak/rule_checks.py
@@ -2,13 +2,22 @@
 
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.soak.callers import ANSWER_MARGIN_MS
-from nutmegdeal.soak.faults import ENDLESS_ANSWERS_KIND
-from nutmegdeal.soak.site import TIMEOUT_MS
+from nutmegdeal.soak.fault_records import (
+    CRASHING_PROMPTS_KIND,
+    ENDLESS_ANSWERS_KIND,
+    SILENCE_KIND,
+)
+from nutmegdeal.soak.site import BOUNDS, TIMEOUT_MS
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # A fault may still affect requests for this long after its end: it takes probes 3 s
 # to detect a silent connection.
 FAULT_EFFECT_S = 4.0
+# From this long after so many crashes by one part of prompts, gateways may send no more
+# than so many further requests with that part to engines.
+CONTACT_S = BOUNDS["contact_ms"] / 1000
+CRASHES_MAX = 5
+LATE_ARRIVALS_MAX = 3
 
 
 def expected_body(record):
@@ -37,9 +46,55 @@
             violations.append(
                 f"{engine.backend_id} received orders from {engine.order_senders}"
             )
+    crashes = [item for engine in site.engines for item in engine.prompts.crashes]
+    arrivals = [item for engine in site.engines for item in engine.prompts.arrivals]
+    gateways = {record.request_id: record.gateway for record in records}
+    violations += find_late_arrivals(crashes, arrivals, gateways, faults)
     return violations
 
 
+def find_late_arrivals(crashes, arrivals, gateways, faults):
+    """Yield a description of each part that reached engines too often (str).
+
+    Parameters
+    ----------
+    crashes, arrivals : list of PartRecord
+        Of all engines.
+    gateways : dict of str to int
+        Numbers of the gateways that got the requests, by request id.
+    faults : list of FaultRecord
+    """
+    for part_id in sorted({crash.part_id for crash in crashes}):
+        crashed_s = sorted(
+            crash.at_ms / 1000 for crash in crashes if crash.part_id == part_id
+        )
+        if len(crashed_s) < CRASHES_MAX:
+            continue
+        known_from_s = crashed_s[CRASHES_MAX - 1] + CONTACT_S
+        late_ids = [
+            arrival.request_id
+            for arrival in arrivals
+            if arrival.part_id == part_id
+            and arrival.at_ms / 1000 > known_from_s
+            and not _is_excused(arrival, gateways.get(arrival.request_id), faults)
+        ]
+        if len(late_ids) > LATE_ARRIVALS_MAX:
+            yield (
+                f"part {part_id} reached engines {len(late_ids)} times after its "
+                f"crashes were known, {len(crashed_s)} crashes in all: {late_ids}"
+            )
+
+
+def _is_excused(arrival, gateway, faults):
+    """Return whether a gateway could not know of the crashes."""
+    return any(
+        fault.started_s <= arrival.at_ms / 1000 <= fault.ended_s + FAULT_EFFECT_S
+        for fault in faults
+        if fault.kind != CRASHING_PROMPTS_KIND
+        and (not fault.is_planned or fault.target == f"gateway-{gateway}")
+    )
+
+
 def _check_record(record, run_count, faults):
     name = f"{record.kind} {record.request_id} at gateway {record.gateway}"
     runs_at_most_once = record.kind in ("book", "quote")
@@ -73,7 +128,7 @@
     is_ended_by_deadline = (
         record.status_code == 200
         and took_ms >= TIMEOUT_MS
-        and _overlaps(record, [fault for fault in faults if fault.kind == "silence"])
+        and _overlaps(record, [fault for fault in faults if fault.kind == SILENCE_KIND])
     )
     is_whole = record.body is not None or is_ended_by_deadline
     if record.was_sent and not is_whole and not overlaps_fault:
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -26,6 +26,8 @@
     request_count, completed_count, fault_count : int
     unsent_count : int
         Requests for which no connection to a gateway could be opened.
+    crash_count : int
+        Crashes of engines by prompts.
     violations : tuple of str
     """
 
@@ -34,10 +36,11 @@
     completed_count: int
     fault_count: int
     unsent_count: int
+    crash_count: int
     violations: tuple[str, ...]
 
 
-def run_soak(seed, fault_period_s, folder):
+def run_soak(seed, fault_period_s, folder, has_crashing_prompts=False):
     """Run the programs under load and faults, and check the rules.
 
     Parameters
@@ -47,6 +50,8 @@
         Time during which faults are started.
     folder : pathlib.Path
         For settings and logs, which are kept.
+    has_crashing_prompts : bool
+        Whether callers also send prompts that crash engines.
 
     Returns
     -------
@@ -58,7 +63,7 @@
     try:
         probe = Caller("probe", site, seed, records)
         violations = _wait_until_served(probe, site)
-        fault_injector = FaultInjector(site, seed)
+        fault_injector = FaultInjector(site, seed, has_crashing_prompts)
         restart_greenlet = gevent.spawn(fault_injector.restart_ended_programs)
         callers = [
             Caller(number, site, seed, records) for number in range(CALLER_COUNT)
@@ -78,6 +83,7 @@
         ),
         fault_count=len(fault_injector.records),
         unsent_count=sum(not item.was_sent for item in records),
+        crash_count=sum(engine.prompts.crash_count for engine in site.engines),
         violations=tuple(violations),
     )
 
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -110,6 +110,11 @@
         First two octets of the loopback addresses of the machines, such as ``127.20``.
     retry_bounds : dict
         One of RETRY_BOUNDS.
+
+    Attributes
+    ----------
+    crashing_part : str
+        Part of prompts that crashes engines and that callers send, "" for none.
     """
 
     def __init__(self, folder, prefix, retry_bounds):
@@ -117,6 +122,7 @@
         self._bounds = {**BOUNDS, **retry_bounds}
         self._prefix = prefix
         self.configuration_version = 1
+        self.crashing_part = ""
         self._versions = {}
         self.store = PlatformStore((self._ip(1), 0))
         self.store_proxy = FaultyProxy((self._ip(1), 0), (self._ip(1), self.store.port))
@@ -193,6 +199,13 @@
         engine.restart(backend_id)
         self.register(engine)
 
+    def set_crashing_part(self, part_id):
+        """Make callers send a part that crashes engines, or none if it is ""."""
+        self.crashing_part = part_id
+        if part_id:
+            for engine in self.engines:
+                engine.prompts.crashing_parts.add(part_id)
+
     def put_configuration(self):
         """Store the configuration of the operator with the next version number."""
         self.configuration_version += 1
--- /dev/null
+++ b/nutmegdeal/tests/test_soak_checks.py
@@ -0,0 +1,100 @@
+"""Tests that the checks of the soak test find violations and excuse what is allowed."""
+
+import types
+
+import pytest
+
+from nutmegdeal.fakes.prompt_crashes import PartRecord
+from nutmegdeal.soak.callers import CallRecord
+from nutmegdeal.soak.fault_records import (
+    CRASHING_PROMPTS_KIND,
+    ENDLESS_ANSWERS_KIND,
+    SILENCE_KIND,
+    FaultRecord,
+)
+from nutmegdeal.soak.rule_checks import (
+    ANSWER_MARGIN_MS,
+    CONTACT_S,
+    CRASHES_MAX,
+    FAULT_EFFECT_S,
+    LATE_ARRIVALS_MAX,
+    find_late_arrivals,
+    find_violations,
+)
+from nutmegdeal.soak.site import TIMEOUT_MS
+
+EMPTY_SITE = types.SimpleNamespace(backends=[], engines=[])
+SILENCE = FaultRecord(SILENCE_KIND, "e-0", 0.0, 1.0, True)
+ENDLESS = FaultRecord(ENDLESS_ANSWERS_KIND, "e-0", 0.0, 1.0, False)
+KILL = FaultRecord("kill", "gateway-0", 0.0, 1.0, False)
+DEADLINE_S = TIMEOUT_MS / 1000
+LATE_S = (TIMEOUT_MS + ANSWER_MARGIN_MS) / 1000
+CRASHING = FaultRecord(CRASHING_PROMPTS_KIND, "bad", 0.0, 60.0, False)
+# When the fifth crash has happened, one a second.
+CRASHED_S = float(CRASHES_MAX - 1)
+
+
+def build_cut(kind="chat", ended_s=1.0, status_code=200):
+    """Return the CallRecord of an answer that was cut off."""
+    return CallRecord("c-1", kind, 0, 0.0, ended_s, status_code, None, True)
+
+
+@pytest.mark.parametrize(
+    ("record", "faults"),
+    [
+        (build_cut(), [SILENCE]),
+        (build_cut("book", status_code=0), [SILENCE]),
+        (build_cut("book", ended_s=DEADLINE_S, status_code=0), [SILENCE]),
+        (build_cut(ended_s=DEADLINE_S), []),
+        (build_cut(ended_s=LATE_S), [ENDLESS]),
+    ],
+)
+def test_an_answer_that_nothing_excuses_is_a_violation(record, faults):
+    assert find_violations([record], faults, EMPTY_SITE)
+
+
+@pytest.mark.parametrize(
+    ("record", "faults"),
+    [
+        (build_cut(), [SILENCE, KILL]),
+        (build_cut(ended_s=DEADLINE_S), [SILENCE]),
+        (build_cut(), [ENDLESS]),
+        (build_cut(ended_s=LATE_S), [KILL]),
+    ],
+)
+def test_faults_and_deadlines_excuse_a_cut_answer(record, faults):
+    assert not find_violations([record], faults, EMPTY_SITE)
+
+
+def find_late(crash_count=CRASHES_MAX, late_s=CONTACT_S + 0.1, faults=(CRASHING,)):
+    """Return what is found if one request too many is sent with a part."""
+    crashes = [PartRecord("bad", "c-0", second * 1e3) for second in range(crash_count)]
+    late_ms = (CRASHED_S + late_s) * 1e3
+    arrivals = [
+        PartRecord("bad", f"c-{number}", late_ms)
+        for number in range(LATE_ARRIVALS_MAX + 1)
+    ]
+    gateways = {arrival.request_id: 0 for arrival in arrivals}
+    return list(find_late_arrivals(crashes, arrivals, gateways, faults))
+
+
+def build_restart(gateway):
+    """Return the FaultRecord of a gateway's planned restart after the last crash."""
+    target = f"gateway-{gateway}"
+    return FaultRecord("terminate", target, CRASHED_S, CRASHED_S + 1, True)
+
+
+def test_one_arrival_too_many_after_the_crashes_is_a_violation():
+    assert len(find_late()) == 1
+    assert len(find_late(faults=(CRASHING, build_restart(gateway=1)))) == 1
+
+
+def test_arrivals_are_allowed_before_the_gateways_know_of_the_crashes():
+    assert not find_late(crash_count=CRASHES_MAX - 1)
+    assert not find_late(late_s=CONTACT_S - 0.1)
+
+
+def test_a_gateway_that_was_just_restarted_is_excused_for_a_time():
+    assert not find_late(faults=(CRASHING, build_restart(gateway=0)))
+    long_after_s = 1 + FAULT_EFFECT_S + 0.1
+    assert find_late(late_s=long_after_s, faults=(CRASHING, build_restart(gateway=0)))
--- a/nutmegdeal/tools/soak.py
+++ b/nutmegdeal/tools/soak.py
@@ -21,7 +21,14 @@
 
 
 @app.default
-def run(*, seed: int, count: int = 1, for_s: float = 15.0, folder: str = ""):
+def run(
+    *,
+    seed: int,
+    count: int = 1,
+    for_s: float = 15.0,
+    folder: str = "",
+    crashing_prompts: bool = False,
+):
     """Run the soak test with `count` consecutive seeds, starting at `seed`.
 
     Parameters
@@ -34,6 +41,9 @@
         Seconds of each run during which faults are started.
     folder
         Where settings and logs are kept; a new temporary folder by default.
+    crashing_prompts
+        Callers also send prompts that crash engines, beside planned work and before
+        the other faults.
     """
     log.configure("warning", "soak")
     base = pathlib.Path(folder or tempfile.mkdtemp(prefix="nutmegdeal-soak-"))
@@ -41,7 +51,7 @@
     for number in range(seed, seed + count):
         run_folder = base / str(number)
         run_folder.mkdir(parents=True, exist_ok=True)
-        result = run_soak(number, for_s, run_folder)
+        result = run_soak(number, for_s, run_folder, crashing_prompts)
         print(json.dumps(attrs.asdict(result)), flush=True)
         is_violated = is_violated or bool(result.violations)
     sys.exit(EXIT_RULES_VIOLATED if is_violated else 0)
