--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -12,7 +12,7 @@
 import attrs
 import gevent.socket
 
-from nutmegdeal.fakes.platform_backend import PlatformBackend, PlatformEngine
+from nutmegdeal.fakes.platform_backend import PlatformEngine
 from nutmegdeal.fakes.platform_configuration import (
     ADAPTER_SLOTS,
     ENGINE_SERVICE,
@@ -20,6 +20,7 @@
     PLAIN_SERVICE,
     encode_configuration,
 )
+from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.platform_store import PlatformStore
 from nutmegdeal.platform.settings import SETTINGS_PATH_VARIABLE
 from nutmegdeal.soak.proxy import FaultyProxy
@@ -29,19 +30,27 @@
 SERVER_COUNT = 2
 GRACE_S = 8
 HOST = "soak.example"
-# timeout_ms of every route; the backend stand-ins take less than 0.2 s for a request.
+# timeout_ms of every route; the backend stand-ins take less than 0.5 s for a request.
 TIMEOUT_MS = 6_000
-# Target latency of every route.
-TARGET_MS = 1_000
+# Target latency of every route, and the target for the time between two events of a
+# stream. With them, the gateways' timeouts for events are shorter than the silence of a
+# sound server.
+TARGET_MS = 400
+GAP_TARGET_MS = 150
+# Streams last long enough that a silence of their engine mostly meets some of them.
+EVENT_INTERVAL_MS = 40.0
 BOUNDS = {
-    "retry_budget_ratio": 0.2,
-    "budget_slack": 58,
     "budget_window_s": 10,
     "grace_s": GRACE_S,
     "drain_ms": 2000,
     "version_ms": 5000,
     "contact_ms": 3000,
 }
+# Budgets for repeated requests: the users' one, and one that is soon spent.
+RETRY_BOUNDS = (
+    {"retry_budget_ratio": 0.2, "budget_slack": 58},
+    {"retry_budget_ratio": 0.01, "budget_slack": 2},
+)
 
 
 @attrs.define
@@ -91,18 +100,29 @@
 class SoakSite:
     """Two gateways, two engines with placers, two plain servers, a store.
 
+    The last engine and the last plain server send answers without length or chunks.
+
     Parameters
     ----------
     folder : pathlib.Path
         For settings and logs.
     prefix : str
         First two octets of the loopback addresses of the machines, such as ``127.20``.
+    retry_bounds : dict
+        One of RETRY_BOUNDS.
+
+    Attributes
+    ----------
+    crashing_part : str
+        Part of prompts that crashes engines and that callers send, "" for none.
     """
 
-    def __init__(self, folder, prefix):
+    def __init__(self, folder, prefix, retry_bounds):
         self._folder = folder
+        self._bounds = {**BOUNDS, **retry_bounds}
         self._prefix = prefix
         self.configuration_version = 1
+        self.crashing_part = ""
         self._versions = {}
         self.store = PlatformStore((self._ip(1), 0))
         self.store_proxy = FaultyProxy((self._ip(1), 0), (self._ip(1), self.store.port))
@@ -117,6 +137,8 @@
             )
             for engine in self.engines
         ]
+        for backend in (self.engines[-1], self.servers[-1]):
+            backend.faults.is_unframed = True
         for backend in self.backends:
             self.register(backend)
         self.put_configuration()
@@ -148,6 +170,7 @@
         engine = PlatformEngine(
             address, f"e-{number}", ENGINE_SERVICE, "a", MODEL, ADAPTER_SLOTS
         )
+        engine.event_interval_ms = EVENT_INTERVAL_MS
         self._add_proxy(engine)
         return engine
 
@@ -176,6 +199,13 @@
         engine.restart(backend_id)
         self.register(engine)
 
+    def set_crashing_part(self, part_id):
+        """Make callers send a part that crashes engines, or none if it is ""."""
+        self.crashing_part = part_id
+        if part_id:
+            for engine in self.engines:
+                engine.prompts.crashing_parts.add(part_id)
+
     def put_configuration(self):
         """Store the configuration of the operator with the next version number."""
         self.configuration_version += 1
@@ -183,7 +213,7 @@
 
     def _write_configuration(self):
         body = encode_configuration(
-            self.configuration_version, HOST, TIMEOUT_MS, TARGET_MS
+            self.configuration_version, HOST, TIMEOUT_MS, TARGET_MS, GAP_TARGET_MS
         )
         self.store.put("op", "config", body)
 
@@ -234,7 +264,7 @@
             "zone": "a",
             "listen": listen,
             "internal_ports": [internal_port, internal_port],
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "platform": {"address": f"{host}:{port}"},
             **(extra_settings or {}),
         }
@@ -249,8 +279,9 @@
             program.close()
         for proxy in (self.store_proxy, *self.proxies.values(), *self.link_proxies):
             proxy.close()
-        for backend in (self.store, *self.backends):
-            backend.listener.stop_accepting()
+        self.store.listener.stop_accepting()
+        for backend in self.backends:
+            backend.close()
 
 
 def _free_ports(host, count):
