Places of an engine: loads into free places take none that become free

Cause. test_more_adapters_than_slots_never_overfill_an_engine failed now and then with a 503 of a caller that had 14 s left. The placer counted each load in time as if it took a place that had become free, also the first loads of an empty engine and those in place of an adapter that was idle for long. Nothing had become free yet, so the assumed least turnover stood for it (3 places / 8 s = 0.375 a second), the three first loads for 0.98 a second, and late adapters seemed to get a tenth of the least: one place in 26.7 s. A request that searched again after 400 ms and moved to the other engine was late there (its 15 s of a route of 20 s count as 2 s spent, so 2.5 s were left to its target) and was refused by that figure. Trial prints at the refusal, old code:

TRIAL excess a3 at e-3 queued_at e-2 age 408 due_in 2472 spare -1 in_time 1 interval 2667 late_interval 26667 loading [] first_event 95 excess 12350

A place is counted as taken when an adapter in use before is evicted for one that can be in time, with the age of the end of use that freed it. So what is taken is always part of what became free.

Ruled out: the caller's patience (14.5 s were left); a frozen or lost placer (its messages arrived, the figures above are its own); the recheck (400 ms is only when the figures of the placer are used first: before that the gateway holds those sent before the engine's limits were known, all 0).

Tried and dropped: to count at each end of use whether an adapter in time waits.

Three of the four new tests in TestPlacesTaken fail on the code before. The fourth keeps the other side: where adapters in time take each place, late ones get a tenth or less. test_late_adapters_get_what_the_others_leave names the evicted adapter instead of a load; its bounds and its counts are the same.

--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -91,6 +91,7 @@
             name: self._resident_since_ms.get(name, now_ms) for name in self._held
         }
         self._used &= self._held.keys()
+        self._turnover.keep(self._held)
         self._unanswered.remove_expired(now_ms)
 
     def apply_limits(self, session, limits):
@@ -241,14 +242,14 @@
         if not demanded:
             return None
         occupied = len(self.report.resident) + len(self.report.loading) + late_loads
+        adapter, version = self._most_urgent(demanded, now_ms)
         if occupied < self.limits.adapter_slots_max:
-            adapter, version = self._most_urgent(demanded, now_ms)
-            if not self._is_late(demanded[adapter], now_ms):
-                self._turnover.record_load_in_time(now_ms)
             return self._make_order(OrderKind.LOAD, adapter, version or None)
         victim = self._find_victim(now_ms)
         if victim is None or occupied - 1 > self.limits.adapter_slots_max:
             return None
+        if not self._is_late(demanded[adapter], now_ms):
+            self._turnover.record_taken_in_time(victim, now_ms)
         return self._make_order(OrderKind.UNLOAD, victim)
 
     def _make_order(self, operation, adapter="", version=None):
--- a/nutmegdeal/placer/turnover.py
+++ b/nutmegdeal/placer/turnover.py
@@ -18,7 +18,7 @@
 LATE_SHARE_MIN = 0.1
 # Keys of the counted events.
 _FREED = "freed"
-_LOADED_IN_TIME = "loaded_in_time"
+_TAKEN_IN_TIME = "taken_in_time"
 
 
 @attrs.frozen
@@ -45,15 +45,43 @@
 
 
 class PlaceTurnover:
-    """Counts how often places become free and how often adapters in time get one."""
+    """Counts how often places become free and how often adapters in time get one.
+
+    A load into a place that never was in use, or was free long before, takes none of
+    those that become free. So a place is counted as taken with the age of the end of
+    use that freed it.
+    """
 
     def __init__(self):
         self._rates = UsageRates(RATE_DECAY_MS)
         self._in_use = frozenset()
+        self._freed_ms = {}
+
+    def keep(self, held):
+        """Remove the adapters that the engine does not hold.
+
+        Parameters
+        ----------
+        held : collection of str
+        """
+        self._freed_ms = {
+            adapter: at_ms
+            for adapter, at_ms in self._freed_ms.items()
+            if adapter in held
+        }
+
+    def record_taken_in_time(self, victim, now_ms):
+        """Count a place that is taken for an adapter that can be in time.
 
-    def record_load_in_time(self, now_ms):
-        """Count a load that begins in time for the requests that wait for it."""
-        self._rates.record(_LOADED_IN_TIME, now_ms)
+        Parameters
+        ----------
+        victim : str
+            Adapter that gives its place.
+        now_ms : float
+        """
+        freed_ms = self._freed_ms.pop(victim, None)
+        if freed_ms is not None:
+            self._rates.record(_TAKEN_IN_TIME, now_ms, now_ms - freed_ms)
 
     def record_uses(self, in_use, used, now_ms):
         """Count the adapters whose use has ended.
@@ -66,8 +94,9 @@
             Adapters on which requests have started since the last report.
         now_ms : float
         """
-        for _ in (self._in_use | used) - in_use:
+        for adapter in (self._in_use | used) - in_use:
             self._rates.record(_FREED, now_ms)
+            self._freed_ms[adapter] = now_ms
         self._in_use = in_use
 
     def estimate(self, place_count, spare_count, in_time_count, now_ms):
@@ -86,6 +115,6 @@
         least_per_ms = place_count / HOLD_MAX_MS
         freed_per_ms = self._rates.rate_per_s(_FREED, now_ms) / 1_000
         freed_per_ms = max(freed_per_ms, least_per_ms)
-        in_time_per_ms = self._rates.rate_per_s(_LOADED_IN_TIME, now_ms) / 1_000
+        in_time_per_ms = self._rates.rate_per_s(_TAKEN_IN_TIME, now_ms) / 1_000
         left_per_ms = max(freed_per_ms - in_time_per_ms, freed_per_ms * LATE_SHARE_MIN)
         return PlaceQueue(spare_count, in_time_count, 1 / freed_per_ms, 1 / left_per_ms)
--- a/nutmegdeal/tests/test_gateway_places.py
+++ b/nutmegdeal/tests/test_gateway_places.py
@@ -1,5 +1,6 @@
 """Tests of the wait for a place in an engine, on simulated loads."""
 
+import attrs
 import pytest
 
 from nutmegdeal.gateway.admission import excess_wait_ms, target_end_ms, useful_until_ms
@@ -8,6 +9,7 @@
 from nutmegdeal.placer.turnover import HOLD_MAX_MS, PlaceTurnover
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.place_load import TARGET_MS, PlaceLoad
+from nutmegdeal.tests.planned_engine import PlannedEngine
 
 PLAYED_MS = 30_000.0
 # More adapters in use at once than five engines have places for.
@@ -60,7 +62,7 @@
         for number in range(60):
             turnover.record_uses(frozenset({f"a{number}"}), set(), number * 500.0)
             if number % every == 0:
-                turnover.record_load_in_time(number * 500.0)
+                turnover.record_taken_in_time(f"a{number - 1}", number * 500.0)
         queue = turnover.estimate(6, -1, 1, 30_000.0)
         assert queue.late_interval_ms >= factor * queue.interval_ms
 
@@ -69,6 +71,58 @@
         assert queue.interval_ms == pytest.approx(HOLD_MAX_MS / 4)
 
 
+class TestPlacesTaken:
+    """Which loads take a place from adapters that are late.
+
+    Loads into free places were counted as if they took places that become free. After
+    a cold start almost nothing seemed to be left, and a request that moved to another
+    engine while it waited was refused though its caller had 14 s left.
+    """
+
+    def test_first_loads_of_an_empty_engine_take_none_that_become_free(self):
+        engine = PlannedEngine(3)
+        engine.request(["a1", "a2", "a3", "a4"], 0.0)
+        queue = engine.planner.place_queue(0.0)
+        assert (queue.spare_count, queue.in_time_count) == (-1, 1)
+        assert queue.late_interval_ms == queue.interval_ms
+
+    def test_request_that_moves_to_an_engine_just_filled_is_not_refused(self):
+        engine = PlannedEngine(3)
+        engine.request(["a1", "a2", "a3", "a4"], 0.0)
+        member = build.build_member("i-2")
+        member.places = EnginePlaces(*attrs.astuple(engine.planner.place_queue(0.0)))
+        route = build.build_route(timeout_ms=20_000.0, target_ms=5_000.0)
+        request = build.build_request(route, deadline_ms=14_975.0, queued_at_id="i-1")
+        assert not excess_wait_ms(request, member, useful_until_ms(request), 408.0)
+
+    def test_places_free_for_long_are_not_those_that_become_free(self):
+        engine = PlannedEngine(3)
+        engine.request(["a1", "a2", "a3"], 0.0)
+        engine.use(["a1", "a2", "a3"], 500.0)
+        engine.use([], 1_000.0)
+        engine.request(["a4", "a5", "a6", "a7"], 60_000.0)
+        assert engine.resident == {"a4", "a5", "a6"}
+        queue = engine.planner.place_queue(60_000.0)
+        assert queue.late_interval_ms == pytest.approx(queue.interval_ms)
+
+    def test_nothing_is_left_if_adapters_in_time_take_each_place(self):
+        engine = PlannedEngine(3)
+        in_use = ["a0", "a1", "a2"]
+        engine.request(in_use, 0.0)
+        engine.use(in_use, 0.0)
+        for number in range(60):
+            now_ms = 500.0 * (number + 1)
+            adapter = f"a{number + 3}"
+            engine.request([adapter], now_ms)
+            assert adapter not in engine.resident
+            engine.use(in_use[1:], now_ms)
+            assert adapter in engine.resident
+            in_use = [*in_use[1:], adapter]
+            engine.use(in_use, now_ms)
+        queue = engine.planner.place_queue(30_000.0)
+        assert queue.late_interval_ms >= 9.0 * queue.interval_ms
+
+
 class TestAdmission:
     """Which requests wait for a place."""
 
--- a/nutmegdeal/usage_rates.py
+++ b/nutmegdeal/usage_rates.py
@@ -30,9 +30,19 @@
         self._decay_ms = decay_ms
         self._rates = {}
 
-    def record(self, adapter, now_ms):
-        """Count one request for an adapter."""
-        rate_per_s = self.rate_per_s(adapter, now_ms) + MS_PER_S / self._decay_ms
+    def record(self, adapter, now_ms, age_ms=0.0):
+        """Count one request for an adapter.
+
+        Parameters
+        ----------
+        adapter : str
+        now_ms : float
+        age_ms : float
+            How long ago the request was.
+        """
+        weight = math.exp(-age_ms / self._decay_ms)
+        added_per_s = weight * MS_PER_S / self._decay_ms
+        rate_per_s = self.rate_per_s(adapter, now_ms) + added_per_s
         self._rates.pop(adapter, None)
         self._rates[adapter] = _Rate(rate_per_s, now_ms)
         if len(self._rates) > TRACKED_ADAPTERS_MAX:
