Known failure: few observed places refuse a request that has time left

One or two places have become free since the engine was filled and adapters in time took them. The estimate takes that for the lasting share: a tenth or a little more of the least turnover is left, one place in 24 s or 15 s, and a request that moves there while it waits is refused.

The two checks that move a request now share its builder; what they assert is unchanged.

--- a/nutmegdeal/tests/test_gateway_places.py
+++ b/nutmegdeal/tests/test_gateway_places.py
@@ -79,6 +79,15 @@
     engine while it waited was refused though its caller had 14 s left.
     """
 
+    def excess_of_a_request_that_moves(self, engine, now_ms):
+        """Return the excess wait of a request that has waited elsewhere (float)."""
+        places = engine.planner.place_queue(now_ms)
+        member = build.build_member("i-2")
+        member.places = EnginePlaces(*attrs.astuple(places))
+        route = build.build_route(timeout_ms=20_000.0, target_ms=5_000.0)
+        request = build.build_request(route, deadline_ms=14_975.0, queued_at_id="i-1")
+        return excess_wait_ms(request, member, useful_until_ms(request), 408.0)
+
     def test_first_loads_of_an_empty_engine_take_none_that_become_free(self):
         engine = PlannedEngine(3)
         engine.request(["a1", "a2", "a3", "a4"], 0.0)
@@ -89,11 +98,16 @@
     def test_request_that_moves_to_an_engine_just_filled_is_not_refused(self):
         engine = PlannedEngine(3)
         engine.request(["a1", "a2", "a3", "a4"], 0.0)
-        member = build.build_member("i-2")
-        member.places = EnginePlaces(*attrs.astuple(engine.planner.place_queue(0.0)))
-        route = build.build_route(timeout_ms=20_000.0, target_ms=5_000.0)
-        request = build.build_request(route, deadline_ms=14_975.0, queued_at_id="i-1")
-        assert not excess_wait_ms(request, member, useful_until_ms(request), 408.0)
+        assert not self.excess_of_a_request_that_moves(engine, 0.0)
+
+    def test_one_place_taken_does_not_show_that_nothing_is_left(self):
+        engine = PlannedEngine(3)
+        engine.request(["a1", "a2", "a3"], 0.0)
+        engine.use(["a1", "a2", "a3"], 60.0)
+        engine.request(["a4", "a5"], 60.0)
+        engine.use(["a2", "a3"], 160.0)
+        assert engine.resident == {"a2", "a3", "a4"}
+        assert not self.excess_of_a_request_that_moves(engine, 160.0)
 
     def test_places_free_for_long_are_not_those_that_become_free(self):
         engine = PlannedEngine(3)
