Soak: the host of a crashed engine refuses connections

The proxy in front of an engine went on accepting connections while the engine was down, so nothing told a crash from a reset. It stops listening until the engine is back.

--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -16,6 +16,10 @@
 NO_ANSWER_MS = 1_000.0
 
 
+def _do_nothing():
+    """Take no notice of a crash."""
+
+
 class PlatformEngine(PlatformBackend):
     """Instance of a model engine with adapters.
 
@@ -49,6 +53,8 @@
     prompts : PromptCrashes
         Parts of prompts that crash the engine as it begins to write its answer.
         Connections are then reset, and all runs count as cancelled.
+    on_crash : callable
+        Called without arguments when the engine crashes.
     restart_after_crash : callable
         Called without arguments when a crashed engine accepts connections again; by
         default `restart` under a new id.
@@ -70,6 +76,7 @@
         self.refuses_reports = False
         self.event_interval_ms = EVENT_INTERVAL_MS
         self.prompts = PromptCrashes()
+        self.on_crash = _do_nothing
         self.restart_after_crash = self._restart_under_new_id
         self._return_greenlet = None
         super().__init__(address, backend_id, service, zone)
@@ -105,6 +112,7 @@
 
     def _crash(self):
         """Break off all connections, and refuse new ones for a time."""
+        self.on_crash()
         self.listener.stop_accepting()
         self._return_greenlet = gevent.spawn_later(
             self.prompts.crash_down_ms / 1000, self._return_from_crash
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -211,7 +211,11 @@
     def _crash_prompts(self, duration_s):
         for engine in self._site.engines:
             engine.prompts.crash_down_ms = CRASH_DOWN_MS
-            engine.restart_after_crash = functools.partial(self._return_engine, engine)
+            proxy = self._site.proxies[engine.backend_id]
+            engine.on_crash = proxy.stop_listening
+            engine.restart_after_crash = functools.partial(
+                self._return_engine, engine, proxy
+            )
             engine.faults.sends_head_early = self._random.random() < 0.5
         part_id = f"{self._random.getrandbits(32):08x}"
         self._site.set_crashing_part(part_id)
@@ -219,7 +223,8 @@
         self._site.set_crashing_part("")
         return part_id
 
-    def _return_engine(self, engine):
+    def _return_engine(self, engine, proxy):
+        proxy.listen()
         if self._random.random() < NEW_ID_SHARE or engine.delayed_orders:
             self._restart_under_new_id(engine)
         else:
--- a/nutmegdeal/soak/proxy.py
+++ b/nutmegdeal/soak/proxy.py
@@ -8,6 +8,7 @@
 import gevent.socket
 
 COPY_BYTES = 65_536
+LISTEN_BACKLOG = 256
 # Interval at which a blocked direction checks whether it may continue.
 BLOCKED_POLL_S = 0.02
 LINGER_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -42,13 +43,23 @@
         self._target = target
         self._delay_s = delay_s
         self._open_connections = set()
+        self.address = listen
+        self.listen()
+        self.address = self._listener.getsockname()
+
+    def listen(self):
+        """Accept connections."""
         self._listener = gevent.socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(listen)
-        self._listener.listen(256)
-        self.address = self._listener.getsockname()
+        self._listener.bind(self.address)
+        self._listener.listen(LISTEN_BACKLOG)
         self._greenlet = gevent.spawn(self._accept)
 
+    def stop_listening(self):
+        """Refuse connections, as the host of a server that has ended does."""
+        self._greenlet.kill()
+        self._listener.close()
+
     def reset_all(self):
         """Reset all open connections."""
         for sockets in list(self._open_connections):
@@ -57,8 +68,7 @@
 
     def close(self):
         """Stop listening and reset all connections."""
-        self._greenlet.kill()
-        self._listener.close()
+        self.stop_listening()
         self.reset_all()
 
     def _accept(self):
