Gateway: requests with a prompt part that crashes engines are refused

Cause: the gateway took each crash for one lost answer. It repeated the request at the next engine, looked at the parts of no prompt, and told nothing to other gateways. The class: a failure that the input causes is handled as one of the server, by repeating the input; and evidence stays in the process that saw it.

Fix (design 0011): a run that broke off before its second event, and whose engine then refuses connections, makes its unknown shared parts suspects. Evidence goes into rows of the store that all gateways watch; with two crashes one part is refused, on arrival and before each send, with 503 and Retry-After; runs with it that have delivered nothing are ended. A run that ended with its engine is not repeated while it has a part that is not known to be sound. A part that delivers is sound and its row is removed.

Ruled out: blaming the first part; connections that time out, resets, planned stops and silence as evidence (test_prompt_guard). Observed beside: `engine_crashed`, `prompt_part`, nutmegdeal_engine_crashes_total, nutmegdeal_prompt_parts_total.

--- a/nutmegdeal/fakes/platform_store.py
+++ b/nutmegdeal/fakes/platform_store.py
@@ -3,6 +3,7 @@
 import base64
 import enum
 import json
+import time
 import urllib.parse
 
 import attrs
@@ -127,9 +128,28 @@
 
     def encode_answer(self, rows):
         """Return the body of an answer with rows (bytes)."""
-        body = {"rows": rows, "more_pages": False, "ver": self._version, "now_ms": 0}
+        body = {"rows": rows, "more_pages": False, **self._state()}
         return json.dumps(body).encode()
 
+    def _state(self):
+        return {"ver": self._version, "now_ms": int(time.monotonic() * 1000)}
+
+    def execute(self, transaction):
+        """Execute a transaction, given as a JSON object; return status and body."""
+        expected = transaction["expected"]
+        if any(self._find_version(row) != row["ver"] for row in expected):
+            rows = [self._encode_row(row["table"], row["key"]) for row in expected]
+            return 412, json.dumps({"rows": rows, **self._state()}).encode()
+        for row in transaction["writes"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in transaction["remove"]:
+            self.remove(row["table"], row["key"])
+        return 200, json.dumps(self._state()).encode()
+
+    def _find_version(self, row):
+        """Return the version of a row, 0 if it does not exist."""
+        return self._rows.get((row["table"], row["key"]), (b"", 0))[1]
+
 
 class PlatformStore(RowHistory):
     """Row store that serves its rows over HTTP.
@@ -174,6 +194,9 @@
             )
         elif target.path == "/rows-feed":
             self._send_changes(responder, query)
+        elif target.path == "/rows-tx":
+            status_code, body = self.execute(json.loads(request.body))
+            responder.reply(status_code, self.headers, body)
         else:
             responder.reply(404, self.headers, b"")
 
--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -44,9 +44,19 @@
         None until the first one has been read.
     has_registrations : bool
         The registrations have been read at least once.
+    has_prompt_parts : bool
+        The suspected prompt parts have been read at least once.
+    prompt_parts_era : int
+        Era of the store in which the suspected prompt parts were read.
     is_draining : bool
+    store_clock_offset_ms : float
+        Store's clock less the monotonic clock.
+    last_trouble_ms : float
+        When a backend server ended or a call to the store failed, on the monotonic
+        clock.
     initialized : gevent.event.Event
-        Set once both the configuration and the registrations have been read.
+        Set once the configuration, the registrations and the suspected prompt parts
+        have been read.
     waiters : AdapterWaiters
     """
 
@@ -56,18 +66,38 @@
     versions: object
     configuration: object = None
     has_registrations: bool = False
+    has_prompt_parts: bool = False
+    prompt_parts_era: int = 0
     is_draining: bool = False
+    store_clock_offset_ms: float = 0.0
+    last_trouble_ms: float = float("-inf")
     initialized: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     waiters: AdapterWaiters = attrs.field(factory=AdapterWaiters)
 
     def update_initialized(self):
-        """Set `initialized` if both tables have now been read."""
+        """Set `initialized` if all tables have now been read."""
         if self._is_initialized:
             self.initialized.set()
 
     @property
     def _is_initialized(self):
-        return self.configuration is not None and self.has_registrations
+        return (
+            self.configuration is not None
+            and self.has_registrations
+            and self.has_prompt_parts
+        )
+
+    def record_store_clock(self, store_ms):
+        """Record the time of an answer of the store, on the store's clock."""
+        self.store_clock_offset_ms = store_ms - self.clock.monotonic_ms()
+
+    def store_now_ms(self):
+        """Return the time on the store's clock (float)."""
+        return self.clock.monotonic_ms() + self.store_clock_offset_ms
+
+    def record_trouble(self):
+        """Record that a backend server has ended or a call to the store has failed."""
+        self.last_trouble_ms = self.clock.monotonic_ms()
 
     @property
     def limits(self):
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -38,6 +38,7 @@
     retries : RetryDecider
     budgets : RetryBudgets
     telemetry : GatewayTelemetry
+    guard : PromptGuard
     random_state : random.Random
     """
 
@@ -51,6 +52,7 @@
         retries,
         budgets,
         telemetry,
+        guard,
         random_state,
     ):
         self._board = board
@@ -61,6 +63,7 @@
         self._retries = retries
         self._budgets = budgets
         self._telemetry = telemetry
+        self._guard = guard
         self._random = random_state
 
     def __call__(self, incoming, responder):
@@ -86,11 +89,15 @@
                 request_id.decode("latin-1"), incoming, admitted
             )
             return
-        progress = AnswerProgress(responder)
+        progress = AnswerProgress(
+            responder, on_delivered=lambda: self._guard.record_delivered(admitted)
+        )
         ending = Ending("caller_left")
+        self._guard.begin(admitted)
         try:
             ending = self._serve(admitted, progress)
         finally:
+            self._guard.end(admitted)
             now_ms = self._board.clock.monotonic_ms()
             self._telemetry.record_ended(admitted, progress, ending, now_ms)
 
@@ -147,9 +154,16 @@
         outcome = None
         while True:
             request.last_event_ms = progress.last_byte_ms
+            refusal = self._find_prompt_refusal(request)
+            if refusal is not None:
+                return self._finish_failed(request, progress, outcome, refusal)
             member = self._search.find(request)
             if isinstance(member, NotFound):
                 refusal = self._build_not_run_refusal(member.reason, member.excess_ms)
+            else:
+                # It may have changed during the wait for the adapter.
+                refusal = self._find_prompt_refusal(request)
+            if refusal is not None:
                 return self._finish_failed(request, progress, outcome, refusal)
             ended = self.attempt(request, member, progress)
             member, outcome = ended.member, ended.outcome
@@ -162,6 +176,13 @@
                 refusal = self._build_not_run_refusal(f"gave_up_{outcome.fate.value}")
                 return self._finish_failed(request, progress, outcome, refusal)
 
+    def _find_prompt_refusal(self, request):
+        """Return the Refusal of a request whose prompt crashes engines, or None."""
+        refused_ms = self._guard.refuses(request)
+        if refused_ms is None:
+            return None
+        return self._build_not_run_refusal("prompt_refused", refused_ms)
+
     def attempt(self, request, member, progress, rival=None):
         """Run a request once, or until another run has taken over.
 
@@ -200,6 +221,10 @@
         if link is not None and outcome.longest_gap_ms:
             link.record_gap(outcome.longest_gap_ms)
         self._record_outcome(request, member, outcome)
+        if outcome.fate is RunFate.COMPLETED:
+            self._guard.record_delivered(request)
+        elif self._guard.record_broken_run(request, member, outcome):
+            request.is_suspected = True
         if outcome.replacement is None:
             return Attempt(member, outcome)
         self._telemetry.record_failed_run(request, member, outcome, RetryDecision.RETRY)
@@ -218,11 +243,13 @@
             request,
             member,
             progress,
+            self._guard,
             link,
         )
 
     def record_unresponsive(self, member, now_ms):
         """Record that a server could not be reached or has not begun to answer."""
+        self._board.record_trouble()
         member.history.record_unreachable(now_ms)
         self._transport.drop_idle_connections(member)
 
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -30,6 +30,8 @@
 # between events. Callers abandon a stream after eight targets.
 GAP_TIMEOUT_TARGETS = 4.0
 GAP_TIMEOUT_MIN_MS = 800.0
+# A run that has forwarded events so often has shown that its prompt is sound.
+DELIVERED_COUNT = 2
 # Pause between two searches for a server that can take over a silent run.
 SILENCE_RECHECK_MS = 100.0
 # Limit on reading bytes that have arrived already.
@@ -65,6 +67,10 @@
         """Record that the silent run has ended, as another has taken over."""
 
 
+def _do_nothing():
+    """Take no notice of an event."""
+
+
 @attrs.define
 class AnswerProgress:
     """The part of the answer that the caller has received.
@@ -79,6 +85,8 @@
         When the last part was forwarded, 0.0 if none has been.
     longest_gap_ms : float
         Longest gap between two parts.
+    on_delivered : callable
+        Called once a run has delivered so much that its prompt has proved sound.
     """
 
     responder: object
@@ -86,6 +94,7 @@
     first_byte_ms: float = 0.0
     last_byte_ms: float = 0.0
     longest_gap_ms: float = 0.0
+    on_delivered: object = _do_nothing
 
     def record_forwarded(self, now_ms):
         """Record that a part of the answer is forwarded.
@@ -143,6 +152,7 @@
         self._membership = membership
         self._connection = connection
         self._request = request
+        request.exchange = self
         self._member = member
         self._progress = progress
         self._silence_handler = silence_handler
@@ -166,6 +176,11 @@
         """Return the ResponseHead of the answer, None before it has arrived."""
         return self._head
 
+    @property
+    def event_count(self):
+        """Return how often whole events were forwarded (int)."""
+        return len(self._gaps_ms)
+
     @property
     def is_over(self):
         """Return whether nothing more can arrive that the caller waits for."""
@@ -276,6 +291,10 @@
         self._member.in_flight_count -= 1
         self._silence_handler.record_abandoned()
 
+    def cancel(self):
+        """End the exchange from another greenlet; `follow` raises an error."""
+        self._connection.close()
+
     def _wait_beside_rival(self, deadline_ms):
         """Wait for bytes of this exchange, and for parts of the rival's answer."""
         while not self._rival.is_over:
@@ -386,6 +405,8 @@
         if not self._gaps_ms:
             self._member.record_first_event(now_ms - self._sent_ms)
         self._gaps_ms.append(self._progress.record_forwarded(now_ms))
+        if self.event_count == DELIVERED_COUNT:
+            self._progress.on_delivered()
         self._progress.responder.send(whole)
 
     def _start_answer(self, head):
@@ -416,7 +437,8 @@
             detail,
             is_unresponsive=is_unresponsive,
             silent_ms=silent_ms,
-            event_count=len(self._gaps_ms),
+            event_count=self.event_count,
+            is_broken_off=not isinstance(error, TimeoutError),
         )
 
     def _first_event_limit_ms(self):
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -15,8 +15,12 @@
 from nutmegdeal.gateway.backend_selection import EngineSelector
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.dispatch import Dispatcher
+from nutmegdeal.gateway.engine_check import ConnectCheck
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.placers import PlacerLinks
+from nutmegdeal.gateway.prompt_guard import PromptGuard
+from nutmegdeal.gateway.prompt_part_rows import PartRowWriter, PartsWatcher
+from nutmegdeal.gateway.prompt_parts import PartBook
 from nutmegdeal.gateway.retries import BUDGET_SHARE, RetryBudgets, RetryDecider
 from nutmegdeal.gateway.search import MemberSearch
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
@@ -86,9 +90,25 @@
         self._budgets = RetryBudgets(self._new_budget)
         self._telemetry = GatewayTelemetry()
         self._store = StoreClient(settings.store_at, ConnectionPool(clock))
-        self._watchers = (
-            OperatorWatcher(self._store, self._board, self._telemetry),
-            BackendsWatcher(self._store, self._board, self._telemetry),
+        book = PartBook()
+        part_writer = PartRowWriter(self._store, self._board, book, self._telemetry)
+        guard = PromptGuard(
+            self._board, book, part_writer, ConnectCheck(), self._telemetry
+        )
+        self._controllers = (
+            OperatorWatcher(self._store, self._board, self._telemetry).run,
+            BackendsWatcher(self._store, self._board, self._telemetry).run,
+            PartsWatcher(
+                self._store,
+                self._board,
+                self._telemetry,
+                book,
+                part_writer,
+                guard.cancel_refused,
+            ).run,
+            part_writer.run,
+            self._links.run,
+            self._keep_house,
         )
         selector = EngineSelector(settings.zone, random_state)
         dispatcher = Dispatcher(
@@ -100,6 +120,7 @@
             RetryDecider(self._budgets.budget_for),
             self._budgets,
             self._telemetry,
+            guard,
             random_state,
         )
         self._listener = self._listen(settings.callers_at, dispatcher)
@@ -157,11 +178,7 @@
         """Start the listeners and the controllers."""
         for listener in (*self._auxiliary_listeners, self._listener):
             listener.start()
-        for run in (
-            *(watcher.run for watcher in self._watchers),
-            self._links.run,
-            self._keep_house,
-        ):
+        for run in self._controllers:
             self._greenlets.spawn(self._run_forever, run)
         logger.info("started", node=self._settings.node_name)
 
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -60,6 +60,8 @@
         For how long the server had sent nothing when the run failed.
     event_count : int
         Times that whole events of the run were forwarded.
+    is_broken_off : bool
+        The server or its host ended the connection, or sent what is no answer.
     replacement : Attempt or None
         The run that took over from a silent one.
     """
@@ -71,6 +73,7 @@
     longest_gap_ms: float = 0.0
     silent_ms: float = 0.0
     event_count: int = 0
+    is_broken_off: bool = False
     replacement: object = None
 
 
@@ -118,6 +121,14 @@
         0 if the request does not state it.
     shared_parts : tuple of str
         Ids of the prompt parts that other requests may have too.
+    exchange : Exchange or None
+        The one that was begun last.
+    probed_parts : tuple of str
+        Refused parts that the request probes.
+    is_delivered : bool
+        A run has delivered so much that the prompt has proved sound.
+    is_suspected : bool
+        An engine has ended under the request, and its prompt may be the cause.
     connect_count : int
         Failed attempts to open a connection for the request.
     sent_count : int
@@ -148,6 +159,10 @@
     adapter: str = ""
     prompt_tokens: int = 0
     shared_parts: tuple[str, ...] = ()
+    exchange: object = None
+    probed_parts: tuple[str, ...] = ()
+    is_delivered: bool = False
+    is_suspected: bool = False
     connect_count: int = 0
     sent_count: int = 0
     run_count: int = 0
--- a/nutmegdeal/gateway/retries.py
+++ b/nutmegdeal/gateway/retries.py
@@ -57,6 +57,8 @@
         """
         if outcome.fate in (RunFate.COMPLETED, RunFate.TIMED_OUT):
             return RetryDecision.GIVE_UP
+        if request.is_suspected:
+            return RetryDecision.GIVE_UP
         if request.deadline_ms - now_ms < RETRY_MIN_REMAINING_MS:
             return RetryDecision.GIVE_UP
         if outcome.fate is RunFate.NOT_SENT:
@@ -80,6 +82,8 @@
         request : Request
         now_ms : float
         """
+        if request.is_suspected:
+            return False
         if request.deadline_ms - now_ms < RETRY_MIN_REMAINING_MS:
             return False
         if request.sent_count >= SENDS_MAX:
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -20,6 +20,7 @@
     member : Member
         The server that runs the request.
     progress : AnswerProgress
+    guard : PromptGuard
     link : PlacerLink or None
         Counts the uses of the adapter.
 
@@ -39,6 +40,7 @@
         request,
         member,
         progress,
+        guard,
         link,
     ):
         self._dispatcher = dispatcher
@@ -49,6 +51,7 @@
         self._request = request
         self._member = member
         self._progress = progress
+        self._guard = guard
         self._link = link
         self.has_replaced = False
         self._load_link = None
@@ -69,7 +72,9 @@
         if isinstance(choice, LoadFirst):
             self._request_load(choice.member)
             return None
-        if choice is None or not self._try_spend():
+        if choice is None or self._guard.refuses(request) is not None:
+            return None
+        if not self._try_spend():
             return None
         request.open_run_count += 1
         try:
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -99,6 +99,17 @@
             ("source",),
             registry=self.registry,
         )
+        self._crashes = Counter(
+            "nutmegdeal_engine_crashes",
+            "Engines that ended under a run whose prompt is not known to be sound",
+            registry=self.registry,
+        )
+        self._parts = Counter(
+            "nutmegdeal_prompt_parts",
+            "Changes of what is known of prompt parts",
+            ("change",),
+            registry=self.registry,
+        )
         self._paused = Counter(
             "nutmegdeal_backends_paused",
             "Backend servers that asked for a pause",
@@ -144,6 +155,38 @@
             previous_version=previous.version,
         )
 
+    def record_crash(self, crash):
+        """Record the crash of an engine, and the prompt parts that are suspected.
+
+        Parameters
+        ----------
+        crash : Crash
+        """
+        self._crashes.inc()
+        logger.warning(
+            "engine_crashed",
+            engine=crash.crash_id,
+            parts=sorted({part for parts in crash.prompts for part in parts}),
+        )
+
+    def record_part(self, change, record):
+        """Record a change of what is known of a prompt part.
+
+        Parameters
+        ----------
+        change : str
+            ``suspected``, ``refused``, ``probed`` or ``removed``.
+        record : PartRecord
+        """
+        self._parts.labels(change).inc()
+        logger.warning(
+            "prompt_part",
+            change=change,
+            part=record.part,
+            crashes=list(record.crashes),
+            refused_until_ms=round(record.refused_until_ms),
+        )
+
     def record_store_call(self, table, outcome, taken_ms):
         """Record the duration of a call to the store."""
         self._store_calls.labels(table, outcome).observe(taken_ms / 1000)
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -56,6 +56,11 @@
         self._position = None
         self._failure_count = 0
 
+    @property
+    def wait_ms(self):
+        """Return how long a call waits for a change (float)."""
+        return self._wait_ms
+
     def run(self):
         """Watch the table until killed."""
         while True:
@@ -78,7 +83,7 @@
             return self._read_all()
         # During an outage a call that waits would delay the first read after it, as
         # long pauses between the calls already do.
-        wait_ms = 0.0 if self._failure_count else self._wait_ms
+        wait_ms = 0.0 if self._failure_count else self.wait_ms
         try:
             answer = self._store.read_changes(self._table, self._position, wait_ms)
         except HistoryGoneError:
@@ -87,6 +92,7 @@
         if isinstance(answer, Failure):
             return answer
         self._check_store_regained()
+        self._board.record_store_clock(answer.store_ms)
         self.apply_changes(answer.rows)
         if answer.position.version > self._position.version:
             self._position = answer.position
@@ -104,6 +110,7 @@
             logger.warning("store_answer_stale", table=self._table)
             return 1
         self._check_store_regained()
+        self._board.record_store_clock(answer.store_ms)
         self.apply_snapshot(answer.rows, is_from_copy=is_new_era)
         self._position = answer.position
         return len(answer.rows)
@@ -136,6 +143,7 @@
         if not self._failure_count:
             logger.warning("store_lost", table=self._table, failure=str(failure))
         self._failure_count += 1
+        self._board.record_trouble()
 
     def _record_success(self):
         if self._failure_count:
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -141,6 +141,33 @@
             ),
         },
     ),
+    LogEvent(
+        "engine_crashed",
+        Process.GATEWAY,
+        "engine that ended under runs whose prompts are not known to be sound",
+        {
+            "engine": _text("id of the backend server and its start time"),
+            "parts": _names("ids of the shared parts of these prompts"),
+        },
+    ),
+    LogEvent(
+        "prompt_part",
+        Process.GATEWAY,
+        "change of what is stored of a prompt part",
+        {
+            "change": _text("`suspected`, `refused`, `probed` or `removed`"),
+            "part": _text("id of the prompt part"),
+            "crashes": _names("engines that ended under it"),
+            "refused_until_ms": _count("end of the refusal on the store's clock, or 0"),
+        },
+    ),
+    LogEvent(
+        "prompt_part_conflict",
+        Process.GATEWAY,
+        "change of stored prompt parts that was dropped, as others changed them again "
+        "and again",
+        {"conflicts": _count("times that the change was decided anew")},
+    ),
     LogEvent(
         "run_silent",
         Process.GATEWAY,
--- a/nutmegdeal/platform/rows.py
+++ b/nutmegdeal/platform/rows.py
@@ -72,6 +72,32 @@
     return StoredRow(str(data["key"]), value, int(data["ver"]))
 
 
+def encode_transaction(table, expected, writes, removed_keys):
+    """Return the body (bytes) of a transaction.
+
+    Parameters
+    ----------
+    table : str
+    expected : dict of str to int
+        Version that each row must have, by key; 0 if it must not exist.
+    writes : dict of str to bytes
+    removed_keys : iterable of str
+    """
+
+    def locate(key):
+        return {"table": table, "part": "", "key": key}
+
+    body = {
+        "expected": [{**locate(key), "ver": ver} for key, ver in expected.items()],
+        "writes": [
+            {**locate(key), "value": base64.b64encode(value).decode()}
+            for key, value in writes.items()
+        ],
+        "remove": [locate(key) for key in removed_keys],
+    }
+    return json.dumps(body).encode()
+
+
 def decode_configuration(value):
     """Return the SiteConfiguration in the operator's row."""
     data = json.loads(value)
--- a/nutmegdeal/platform/store.py
+++ b/nutmegdeal/platform/store.py
@@ -1,7 +1,5 @@
 """Calls to the platform's store of rows.
 
-The store is only read, as gateways and placers have no persistent state.
-
 The store may return from a copy that is some seconds old. Later changes are then lost,
 their versions are given out again, and its era rises by one. Versions of different eras
 cannot be compared.
@@ -16,7 +14,7 @@
 from nutmegdeal.http_connections import BrokenAnswerError
 from nutmegdeal.log import get_logger
 from nutmegdeal.platform.headers import decode_store_era
-from nutmegdeal.platform.rows import DECODE_ERRORS, decode_row
+from nutmegdeal.platform.rows import DECODE_ERRORS, decode_row, encode_transaction
 
 logger = get_logger(__name__)
 
@@ -60,10 +58,35 @@
     ----------
     rows : tuple of StoredRow
     position : StorePosition
+    store_ms : float
+        Time of the answer on the store's clock, which never goes backwards.
     """
 
     rows: tuple
     position: StorePosition
+    store_ms: float = 0.0
+
+
+@attrs.frozen
+class RowsWritten:
+    """Result of a transaction.
+
+    Parameters
+    ----------
+    is_done : bool
+        False if a row had another version than expected; nothing was written.
+    version : int
+        Version of the rows written.
+    rows : tuple of StoredRow
+        The expected rows as they are, if the transaction was not done.
+    era : int
+        Of the store's answer.
+    """
+
+    is_done: bool
+    version: int = 0
+    rows: tuple = ()
+    era: int = 0
 
 
 class HistoryGoneError(Exception):
@@ -78,7 +101,7 @@
 
 
 class StoreClient:
-    """Reads rows of the store.
+    """Reads and writes rows of the store.
 
     Parameters
     ----------
@@ -133,7 +156,7 @@
                 raise _EraEndedError
             rows += page.rows
             if not data.get("more_pages") or not page.rows:
-                return RowsRead(tuple(rows), first_position)
+                return RowsRead(tuple(rows), first_position, page.store_ms)
             # The smallest key that is greater than the last one.
             start = page.rows[-1].key + "\0"
 
@@ -173,6 +196,40 @@
             raise HistoryGoneError
         return self._decode_rows(data, era)
 
+    def write_rows(self, table, expected, writes, removed_keys=()):
+        """Write and remove rows of a table in one transaction.
+
+        A call without an answer may be performed later, if its condition still holds.
+
+        Parameters
+        ----------
+        table : str
+        expected : dict of str to int
+            Version that each row must have, by key; 0 if it must not exist.
+        writes : dict of str to bytes
+            New values, by key.
+        removed_keys : iterable of str
+
+        Returns
+        -------
+        RowsWritten or Failure
+        """
+        body = encode_transaction(table, expected, writes, removed_keys)
+        try:
+            answer = self._call(b"POST", "/rows-tx", CALL_TIMEOUT_MS, body, (200, 412))
+        except (HistoryGoneError, _EraEndedError):
+            return self._build_failure("the era changed during the call")
+        if isinstance(answer, Failure):
+            return answer
+        data, era = answer
+        try:
+            if "rows" in data:
+                rows = tuple(map(decode_row, data["rows"]))
+                return RowsWritten(is_done=False, rows=rows, era=era)
+            return RowsWritten(is_done=True, version=int(data["ver"]), era=era)
+        except DECODE_ERRORS as error:
+            return self._build_failure(f"not the result of a transaction: {error!r}")
+
     def _get(self, path, query, within_ms):
         """Return a Failure, or the answer's JSON object and its era.
 
@@ -183,15 +240,20 @@
         _EraEndedError
             If another answer of a newer era has arrived before.
         """
-        target = f"{path}?{urllib.parse.urlencode(query)}".encode()
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        return self._call(b"GET", target, within_ms)
+
+    def _call(self, method, target, within_ms, request_body=b"", status_codes=(200,)):
         headers = [(b"host", self.peer.encode())]
+        if request_body:
+            headers.append((b"content-type", b"application/json"))
         try:
             head, body = self._pool.call(
                 self._address,
-                b"GET",
-                target,
+                method,
+                target.encode(),
                 headers,
-                b"",
+                request_body,
                 within_ms,
                 ANSWER_BYTES_MAX,
                 connect_timeout_ms=CALL_TIMEOUT_MS,
@@ -204,7 +266,7 @@
             return self._build_failure(f"not an era: {error}")
         if head.status_code == 410:
             raise HistoryGoneError
-        if head.status_code != 200:
+        if head.status_code not in status_codes:
             return self._build_failure(f"HTTP {head.status_code}")
         try:
             data = json.loads(body)
@@ -227,7 +289,8 @@
     def _decode_rows(self, data, era):
         try:
             rows = tuple(map(decode_row, data["rows"]))
-            return RowsRead(rows, StorePosition(era, int(data["ver"])))
+            position = StorePosition(era, int(data["ver"]))
+            return RowsRead(rows, position, float(data.get("now_ms") or 0.0))
         except DECODE_ERRORS as error:
             return self._build_failure(f"not rows: {error!r}")
 
--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -3,12 +3,18 @@
 import random
 import time
 
+import gevent
+
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.connection_pool import ConnectionPool
 from nutmegdeal.gateway.backend_selection import EngineSelector
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.dispatch import Dispatcher
+from nutmegdeal.gateway.engine_check import ConnectCheck
 from nutmegdeal.gateway.members import Membership
+from nutmegdeal.gateway.prompt_guard import PromptGuard
+from nutmegdeal.gateway.prompt_part_rows import PartRowWriter, PartsWatcher
+from nutmegdeal.gateway.prompt_parts import PartBook
 from nutmegdeal.gateway.retries import RetryBudgets, RetryDecider
 from nutmegdeal.gateway.search import MemberSearch
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
@@ -16,6 +22,7 @@
 from nutmegdeal.gateway.versions import AdapterVersions
 from nutmegdeal.retry_budget import WindowedRetryBudget
 from nutmegdeal.tests import platform_builders as build
+from nutmegdeal.tests.local_store import LocalStore
 from nutmegdeal.tests.scripted_server import ScriptedServer
 from nutmegdeal.tests.transport_harness import RecordingResponder
 
@@ -42,9 +49,14 @@
     retry_count : float
         Retries that the budget allows.
     route : Route, optional
+    store : LocalStore, optional
+        Shared with other gateways.
+    prefix : str
+        Ids of the servers are the prefix and a number.
     """
 
-    def __init__(self, answers, retry_count=10.0, route=None):
+    def __init__(self, answers, retry_count=10.0, route=None, store=None, prefix="i"):
+        self._prefix = prefix
         self.clock = SystemClock()
         self.route = route or build.build_route(gap_target_ms=100.0)
         self.servers = [ScriptedServer(answer) for answer in answers]
@@ -54,20 +66,21 @@
         self.board = Blackboard(settings, self.clock, membership, versions)
         self.board.configuration = build.build_configuration(routes=[self.route])
         self.board.has_registrations = True
-        self.board.update_initialized()
         self.members = [
             self._add_member(number, server)
             for number, server in enumerate(self.servers)
         ]
         self.telemetry = GatewayTelemetry()
         self.responder = RecordingResponder()
+        self.board.initialized.set()
+        self._start_guard(store or LocalStore())
         self.dispatcher = self._build_dispatcher(membership, retry_count)
 
     def _add_member(self, number, server):
         host, port = server.address
         member = self.board.membership.put(
             build.build_backend(
-                backend_id=f"i-{number}",
+                backend_id=f"{self._prefix}-{number}",
                 service=self.route.targets[0].service,
                 host=host,
                 port=port,
@@ -79,6 +92,27 @@
         member.record_load(number, 0, self.clock.monotonic_ms(), valid_ms=60_000.0)
         return member
 
+    def _start_guard(self, store):
+        self.book = PartBook()
+        writer = PartRowWriter(store, self.board, self.book, self.telemetry)
+        self.guard = PromptGuard(
+            self.board, self.book, writer, ConnectCheck(), self.telemetry
+        )
+        watcher = PartsWatcher(
+            store,
+            self.board,
+            self.telemetry,
+            self.book,
+            writer,
+            self.guard.cancel_refused,
+        )
+        self._greenlets = [gevent.spawn(writer.run), gevent.spawn(watcher.run)]
+
+    @property
+    def is_watching(self):
+        """Return whether the suspected prompt parts have been read."""
+        return self.board.has_prompt_parts
+
     def _build_dispatcher(self, membership, retry_count):
         random_state = random.Random(1)
         selector = EngineSelector("a", random_state)
@@ -93,6 +127,7 @@
             RetryDecider(budgets.budget_for),
             budgets,
             self.telemetry,
+            self.guard,
             random_state,
         )
 
@@ -114,6 +149,7 @@
         self.dispatcher(incoming, self.responder)
 
     def close(self):
-        """Close the servers."""
+        """Stop the controllers and close the servers."""
+        gevent.killall(self._greenlets)
         for server in self.servers:
             server.close()
--- a/nutmegdeal/tests/test_gateway_dispatch.py
+++ b/nutmegdeal/tests/test_gateway_dispatch.py
@@ -24,9 +24,19 @@
     board = Blackboard(build.build_node_settings(), clock, Membership(), None)
     board.configuration = configuration
     board.initialized.set()
-    return Dispatcher(
-        board, None, None, None, None, None, None, None, random.Random(SEED)
+    unused = dict.fromkeys(
+        (
+            "transport",
+            "selector",
+            "search",
+            "links",
+            "retries",
+            "budgets",
+            "telemetry",
+            "guard",
+        )
     )
+    return Dispatcher(board, random_state=random.Random(SEED), **unused)
 
 
 def admit_with_split(*targets):
--- a/nutmegdeal/tests/test_gateway_watching.py
+++ b/nutmegdeal/tests/test_gateway_watching.py
@@ -1,11 +1,10 @@
 """Tests of the gateway's reads of the store during an outage."""
 
-import types
-
 import pytest
 
 from nutmegdeal.clock import ManualClock
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.watching import (
     ANSWER_MS,
     RETRY_JITTER,
@@ -36,7 +35,7 @@
 def test_store_is_read_within_contact_ms_of_its_return(contact_ms):
     bounds = build.build_bounds(contact_ms=contact_ms)
     settings = build.build_node_settings(bounds=bounds)
-    board = types.SimpleNamespace(settings=settings, clock=ManualClock())
+    board = Blackboard(settings, ManualClock(), None, None)
     store = FailingStore()
     watcher = OperatorWatcher(store, board, None)
     watcher._poll()
