Transport: a request that cannot be encoded was not sent

What a caller would get: 500 since, before it a closed connection, for each request that chose a server whose id is no header value.

Cause: h11's error for our own side, and that of the text encoding, were none of those that the transport expects. Nothing reaches the server before the whole request is encoded, so the run counts as not sent and another server is tried.

--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -1,5 +1,7 @@
 """Runs requests at backend servers, over pooled connections."""
 
+import h11
+
 from nutmegdeal.gateway.exchange import EXCHANGE_ERRORS, Exchange, OvertakenError
 from nutmegdeal.gateway.requests import RunFate, RunOutcome
 from nutmegdeal.http_connections import ConnectError
@@ -87,6 +89,15 @@
     def _run_exchange(self, exchange, version):
         try:
             exchange.send(version)
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            # Nothing is written before the whole request is encoded.
+            exchange.connection.close()
+            detail = f"the request cannot be encoded: {type(error).__name__}"
+            return RunOutcome(RunFate.NOT_SENT, detail)
+        except EXCHANGE_ERRORS as error:
+            exchange.connection.close()
+            return exchange.classify_failure(error)
+        try:
             outcome = exchange.follow()
         except (*EXCHANGE_ERRORS, OvertakenError) as error:
             exchange.connection.close()
