Telemetry: a request that an error of the gateway ended has an end of its own

The new test failed before, as it found no request ended as `crashed`; it, test_request_losses, _telemetry and _log_events pass.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 import math
 
+from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.gateway.exchange import AnswerProgress
 from nutmegdeal.gateway.requests import Attempt, Ending, Refusal, Request, RunFate
 from nutmegdeal.gateway.retries import RetryDecision, may_run_beside
@@ -92,10 +93,13 @@
         progress = AnswerProgress(
             responder, on_delivered=lambda: self._guard.record_delivered(admitted)
         )
-        ending = Ending("caller_left")
+        ending = Ending("crashed")
         self._guard.begin(admitted)
         try:
             ending = self._serve(admitted, progress)
+        except CallerLeftError:
+            ending = Ending("caller_left")
+            raise
         finally:
             self._guard.end(admitted)
             now_ms = self._board.clock.monotonic_ms()
--- a/nutmegdeal/request_log.py
+++ b/nutmegdeal/request_log.py
@@ -34,6 +34,7 @@
     "in_doubt": "The caller was told that the outcome is not known (502).",
     "timed_out": "The deadline passed while a backend server ran the request (504).",
     "cut": "The answer was broken off after the caller had received a part of it.",
+    "crashed": "An unexpected error of the gateway ended the request.",
     "caller_left": "The caller disconnected before the answer was complete.",
 }
 FATE_TEXTS = {
--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -72,6 +72,8 @@
         ]
         self.telemetry = GatewayTelemetry()
         self.responder = RecordingResponder()
+        # Takes the place of the responder's `start`.
+        self.responder_start = None
         self.board.initialized.set()
         self._start_guard(store or LocalStore())
         self.dispatcher = self._build_dispatcher(membership, retry_count)
@@ -134,6 +136,8 @@
     def call(self, deadline_in_ms=20_000.0, prompt_parts=b""):
         """Serve one request; what the caller receives is in `responder`."""
         self.responder = RecordingResponder()
+        if self.responder_start is not None:
+            self.responder.start = self.responder_start
         arrived_ms = time.monotonic() * 1000
         incoming = build.build_incoming(
             path=self.route.prefix.encode() + b"1",
--- a/nutmegdeal/tests/test_gateway_silence.py
+++ b/nutmegdeal/tests/test_gateway_silence.py
@@ -255,3 +255,18 @@
     harness = start([answer_without_signature, resume_late], route=route)
     harness.call()
     check_whole_stream(harness)
+
+
+def test_error_of_the_gateway_is_not_recorded_as_a_caller_that_left(start):
+    harness = start([resume_stream], route=build_stream_route())
+
+    def fail(_status_code, _headers):
+        raise RuntimeError("raised by the test")
+
+    harness.responder_start = fail
+    with pytest.raises(RuntimeError):
+        harness.call()
+    sample = harness.telemetry.registry.get_sample_value
+    ended = "nutmegdeal_requests_total"
+    assert sample(ended, {"kind": "stream", "end": "crashed"}) == 1
+    assert sample(ended, {"kind": "stream", "end": "caller_left"}) is None
