Streams without framing that end before their first event are broken off

What callers saw: an engine that ended right after the head of an answer without length and chunks looked like an empty stream; the caller got an empty success, and the request was not repeated. The prompt of such a run also counted as delivered.

Cause: the end of the connection is the end of such a body, and an end between events is whole; before the first event nothing tells an ended server from one without events, and streams that have nothing to say are not known here. A resumed stream may be empty.

Evidence: the new test failed before (assert COMPLETED is MAYBE_RAN) and passes, with test_backend_answers, _gateway_transport and _gateway_silence.

--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -378,6 +378,9 @@
                 self._forward(head, whole)
         if not progress.splitter.is_between_events:
             raise BrokenStreamError("the stream ended inside an event")
+        if head.is_unframed and progress.splitter.last_event_id is None:
+            # Nothing else tells a server that ended from one that has no events.
+            raise BrokenStreamError("the stream ended before its first event")
         self._take_over()
         self._start_answer(head)
         progress.responder.finish()
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -87,6 +87,11 @@
             return True
         if b"close" in (find_header(self.headers, b"connection") or b"").lower():
             return True
+        return self.is_unframed
+
+    @property
+    def is_unframed(self):
+        """Return whether the body has no length and ends with the connection."""
         if self.status_code in STATUS_CODES_WITHOUT_BODY:
             return False
         return (
--- a/nutmegdeal/tests/test_backend_answers.py
+++ b/nutmegdeal/tests/test_backend_answers.py
@@ -82,6 +82,12 @@
     assert harness.responder.body == build.build_events(range(2))
 
 
+def test_unframed_stream_that_ends_before_its_first_event_is_not_whole(start_harness):
+    harness = start_harness(unframed_stream(b""))
+    assert harness.run().fate is RunFate.MAYBE_RAN
+    assert not harness.responder.has_started
+
+
 def test_unframed_stream_that_is_reset_between_events_is_cut(start_harness):
     answer = unframed_stream(build.build_events(range(2)), end=reset)
     harness = start_harness(answer)
