--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -3,7 +3,7 @@
 import math
 
 from nutmegdeal.caller_connections import CallerLeftError
-from nutmegdeal.gateway.exchange import AnswerProgress
+from nutmegdeal.gateway.answer_progress import AnswerProgress
 from nutmegdeal.gateway.requests import Attempt, Ending, Refusal, Request, RunFate
 from nutmegdeal.gateway.retries import RetryDecision, may_run_beside
 from nutmegdeal.gateway.search import NotFound
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -5,13 +5,10 @@
 and the first one to deliver a part of the answer goes on.
 """
 
-import abc
-
-import attrs
-
 from nutmegdeal.gateway.availability import LeavingSource
-from nutmegdeal.gateway.events import EVENT_END, BrokenStreamError, EventSplitter
+from nutmegdeal.gateway.events import EVENT_END, BrokenStreamError
 from nutmegdeal.gateway.requests import HeldAnswer, RunFate, RunOutcome
+from nutmegdeal.gateway.silence import OvertakenError
 from nutmegdeal.http_connections import (
     BrokenAnswerError,
     find_header,
@@ -40,80 +37,6 @@
 EXCHANGE_ERRORS = (OSError, BrokenAnswerError, BrokenStreamError)
 
 
-class OvertakenError(Exception):
-    """The exchange that was to be replaced has delivered a part of the answer."""
-
-
-class SilenceHandler(abc.ABC):
-    """Decides what happens to a run whose server sends nothing for a while."""
-
-    @abc.abstractmethod
-    def replace(self, exchange):
-        """Run the request at another server if one can take it now.
-
-        Parameters
-        ----------
-        exchange : Exchange
-            The silent one; it is abandoned if the other server begins to answer.
-
-        Returns
-        -------
-        Attempt or None
-            None if the silent run goes on.
-        """
-
-    @abc.abstractmethod
-    def record_abandoned(self):
-        """Record that the silent run has ended, as another has taken over."""
-
-
-def _do_nothing():
-    """Take no notice of an event."""
-
-
-@attrs.define
-class AnswerProgress:
-    """The part of the answer that the caller has received.
-
-    Parameters
-    ----------
-    responder : Responder
-    splitter : EventSplitter
-    first_byte_ms : float
-        When the first part was forwarded, 0.0 if none has been.
-    last_byte_ms : float
-        When the last part was forwarded, 0.0 if none has been.
-    longest_gap_ms : float
-        Longest gap between two parts.
-    on_delivered : callable
-        Called once a run has delivered so much that its prompt has proved sound.
-    """
-
-    responder: object
-    splitter: EventSplitter = attrs.field(factory=EventSplitter)
-    first_byte_ms: float = 0.0
-    last_byte_ms: float = 0.0
-    longest_gap_ms: float = 0.0
-    on_delivered: object = _do_nothing
-
-    def record_forwarded(self, now_ms):
-        """Record that a part of the answer is forwarded.
-
-        Returns
-        -------
-        float
-            Time since the previous part, 0.0 for the first one.
-        """
-        gap_ms = 0.0
-        if not self.first_byte_ms:
-            self.first_byte_ms = now_ms
-        else:
-            gap_ms = now_ms - self.last_byte_ms
-            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
-        self.last_byte_ms = now_ms
-        return gap_ms
-
-
 class Exchange:
     """One request and its answer on one connection.
 
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -1,8 +1,8 @@
 """Replacement of a run whose server sends nothing for a while."""
 
 from nutmegdeal.gateway.backend_selection import LoadFirst
-from nutmegdeal.gateway.exchange import SilenceHandler
 from nutmegdeal.gateway.retries import RetryDecision
+from nutmegdeal.gateway.silence import SilenceHandler
 
 
 class Takeover(SilenceHandler):
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -2,8 +2,9 @@
 
 import h11
 
-from nutmegdeal.gateway.exchange import EXCHANGE_ERRORS, Exchange, OvertakenError
+from nutmegdeal.gateway.exchange import EXCHANGE_ERRORS, Exchange
 from nutmegdeal.gateway.requests import RunFate, RunOutcome
+from nutmegdeal.gateway.silence import OvertakenError
 from nutmegdeal.http_connections import ConnectError
 
 # Timeout for a connection to a backend server, which takes 1 to 3 ms. After it another
--- a/nutmegdeal/tests/test_gateway_telemetry.py
+++ b/nutmegdeal/tests/test_gateway_telemetry.py
@@ -4,7 +4,7 @@
 
 from prometheus_client import generate_latest
 
-from nutmegdeal.gateway.exchange import AnswerProgress
+from nutmegdeal.gateway.answer_progress import AnswerProgress
 from nutmegdeal.gateway.requests import Ending, Refusal, RunFate, RunOutcome
 from nutmegdeal.gateway.retries import RetryDecision
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
--- a/nutmegdeal/tests/transport_harness.py
+++ b/nutmegdeal/tests/transport_harness.py
@@ -4,7 +4,7 @@
 
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.connection_pool import ConnectionPool
-from nutmegdeal.gateway.exchange import AnswerProgress
+from nutmegdeal.gateway.answer_progress import AnswerProgress
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.transport import DirectTransport
 from nutmegdeal.tests import platform_builders as build
