Stand-in store: all rows of a transaction have one version

The stand-in gave each row a version of its own, so a writer that took the version of the answer for all of its rows ran into conflicts for ever.

--- a/nutmegdeal/fakes/platform_store.py
+++ b/nutmegdeal/fakes/platform_store.py
@@ -59,16 +59,23 @@
     def put(self, table, key, value):
         """Write `value` (bytes) to a row."""
         self._version += 1
-        self._rows[table, key] = (value, self._version)
-        self._changes.append((self._version, table, key))
+        self._write(table, key, value)
 
     def remove(self, table, key):
         """Remove a row if it exists."""
-        if self._rows.pop((table, key), None) is None:
+        if (table, key) not in self._rows:
             return
         self._version += 1
+        self._remove(table, key)
+
+    def _write(self, table, key, value):
+        self._rows[table, key] = (value, self._version)
         self._changes.append((self._version, table, key))
 
+    def _remove(self, table, key):
+        if self._rows.pop((table, key), None) is not None:
+            self._changes.append((self._version, table, key))
+
     def discard_history(self):
         """Make feeds that start before the current version get 410."""
         self.history_start_version = self._version
@@ -135,15 +142,19 @@
         return {"ver": self._version, "now_ms": int(time.monotonic() * 1000)}
 
     def execute(self, transaction):
-        """Execute a transaction, given as a JSON object; return status and body."""
+        """Execute a transaction, given as a JSON object; return status and body.
+
+        All rows that it writes have one version.
+        """
         expected = transaction["expected"]
         if any(self._find_version(row) != row["ver"] for row in expected):
             rows = [self._encode_row(row["table"], row["key"]) for row in expected]
             return 412, json.dumps({"rows": rows, **self._state()}).encode()
+        self._version += 1
         for row in transaction["writes"]:
-            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+            self._write(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in transaction["remove"]:
-            self.remove(row["table"], row["key"])
+            self._remove(row["table"], row["key"])
         return 200, json.dumps(self._state()).encode()
 
     def _find_version(self, row):
