Prompt parts: the removal of a sound part's row waits for the store once

What could happen: while the store is silent, each request with a part that is sound but has a row asked again for its removal; with 256 waiting changes the evidence of a crash was dropped without a line. A part's removal now waits once, and a dropped change is logged (`prompt_part_change_dropped`).

--- a/nutmegdeal/gateway/prompt_part_rows.py
+++ b/nutmegdeal/gateway/prompt_part_rows.py
@@ -97,8 +97,14 @@
         self._board = board
         self._book = book
         self._telemetry = telemetry
-        self._changes = collections.deque(maxlen=CHANGES_MAX)
+        self._changes = collections.deque()
         self._has_changes = gevent.event.Event()
+        self._removing = set()
+
+    @property
+    def waiting_count(self):
+        """Return the number of changes that wait for the store (int)."""
+        return len(self._changes)
 
     def submit(self, crash):
         """Store the evidence of a crash, as soon as the store answers."""
@@ -109,10 +115,21 @@
         self._add(_Change(is_restore=True))
 
     def remove(self, parts):
-        """Remove the rows of parts that are known to be sound, or have expired."""
-        self._add(_Change(removed_parts=tuple(parts)))
+        """Remove the rows of parts that are known to be sound, or have expired.
+
+        Each request with a sound part asks for it until the row is gone.
+        """
+        new_parts = tuple(part for part in parts if part not in self._removing)
+        if not new_parts:
+            return
+        self._removing.update(new_parts)
+        self._add(_Change(removed_parts=new_parts))
 
     def _add(self, change):
+        if len(self._changes) == CHANGES_MAX:
+            dropped = self._changes.popleft()
+            self._removing.difference_update(dropped.removed_parts)
+            logger.warning("prompt_part_change_dropped", changes=CHANGES_MAX)
         self._changes.append(change)
         self._has_changes.set()
 
@@ -141,8 +158,10 @@
             if not self._changes:
                 self._has_changes.clear()
                 self._has_changes.wait()
-            if self._try_change(self._changes[0]):
+            change = self._changes[0]
+            if self._try_change(change):
                 self._changes.popleft()
+                self._removing.difference_update(change.removed_parts)
                 failure_count = 0
                 continue
             failure_count += 1
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -161,6 +161,13 @@
             "refused_until_ms": _count("end of the refusal on the store's clock, or 0"),
         },
     ),
+    LogEvent(
+        "prompt_part_change_dropped",
+        Process.GATEWAY,
+        "oldest change of stored prompt parts that was dropped, as too many wait for "
+        "the store",
+        {"changes": _count("changes that wait")},
+    ),
     LogEvent(
         "prompt_part_conflict",
         Process.GATEWAY,
--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -96,7 +96,9 @@
 
     def _start_guard(self, store):
         self.book = PartBook()
-        writer = PartRowWriter(store, self.board, self.book, self.telemetry)
+        self.writer = writer = PartRowWriter(
+            store, self.board, self.book, self.telemetry
+        )
         self.guard = PromptGuard(
             self.board, self.book, writer, ConnectCheck(), self.telemetry
         )
--- a/nutmegdeal/tests/test_prompt_guard.py
+++ b/nutmegdeal/tests/test_prompt_guard.py
@@ -256,3 +256,18 @@
     gateways.store.history.restore(copy)
     wait_until(lambda: gateways.find_rows() == [CRASHING.decode()])
     assert gateways.call(gateways.start(), SHARED, CRASHING) == 503
+
+
+def test_sound_requests_do_not_displace_evidence_while_the_store_is_silent(gateways):
+    harness = gateways.start()
+    gateways.call(harness, SHARED, CRASHING)
+    wait_until(lambda: len(gateways.find_rows()) == 2)
+    gateways.store.is_silent = True
+    for _ in range(3):
+        assert gateways.call(harness, SHARED) == 200
+    gateways.call(harness, SHARED, CRASHING)
+    assert harness.writer.waiting_count == 2
+    gateways.store.is_silent = False
+    wait_until(lambda: gateways.find_rows() == [CRASHING.decode()])
+    wait_until(lambda: harness.writer.waiting_count == 0)
+    assert gateways.call(harness, SHARED, CRASHING) == 503
