--- a/nutmegdeal/tests/test_soak.py
+++ b/nutmegdeal/tests/test_soak.py
@@ -16,11 +16,14 @@
 RUN_TIMEOUT_S = 300
 
 
-@pytest.mark.processes
-@pytest.mark.parametrize("seed", [*SHORT_SEEDS, *REGRESSIONS])
-def test_no_rule_is_violated_under_seeded_faults(seed, tmp_path):
+CRASHING_PROMPTS_SEED = 41
+CRASHING_PROMPTS_FAULTS_FOR_S = 6
+
+
+def run_soak(seed, faults_for_s, folder, *options):
+    """Run the soak as a process; check that it violates no rule; return its result."""
     command = [sys.executable, "-m", "nutmegdeal.tools.soak", "--seed", str(seed)]
-    command += ["--for-s", str(FAULTS_FOR_S), "--folder", str(tmp_path)]
+    command += ["--for-s", str(faults_for_s), "--folder", str(folder), *options]
     done = subprocess.run(
         command, capture_output=True, timeout=RUN_TIMEOUT_S, text=True
     )
@@ -29,3 +32,21 @@
     assert result["violations"] == []
     assert result["completed_count"] > 0
     assert done.returncode == 0
+    return result
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [*SHORT_SEEDS, *REGRESSIONS])
+def test_no_rule_is_violated_under_seeded_faults(seed, tmp_path):
+    run_soak(seed, FAULTS_FOR_S, tmp_path)
+
+
+@pytest.mark.processes
+def test_crashing_prompts_are_kept_away_from_engines(tmp_path):
+    result = run_soak(
+        CRASHING_PROMPTS_SEED,
+        CRASHING_PROMPTS_FAULTS_FOR_S,
+        tmp_path,
+        "--crashing-prompts",
+    )
+    assert result["crash_count"] > 0
