Prompt guard: only a run in progress is ended; a failed check holds no request

What could happen: a request kept its last exchange after that had ended, for instance by a 503 that says "not run". When its part was refused while it waited for an adapter, the guard closed that exchange's connection, on which another request ran by then. And an error in the check of an engine left its requests without an answer for ever.

The exchange of a request is now the one in progress (the silent one again, when its replacement has ended), and the result of a check is set whatever fails.

--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -75,7 +75,6 @@
         self._membership = membership
         self._connection = connection
         self._request = request
-        request.exchange = self
         self._member = member
         self._progress = progress
         self._silence_handler = silence_handler
--- a/nutmegdeal/gateway/prompt_guard.py
+++ b/nutmegdeal/gateway/prompt_guard.py
@@ -108,11 +108,13 @@
         return runs.checked.get()
 
     def _check(self, key, member, runs):
+        has_ended = False
         try:
             has_ended = self._end_check.has_ended(member)
         finally:
+            # The requests wait for it, whatever fails.
             del self._checks[key]
-        runs.checked.set(has_ended)
+            runs.checked.set(has_ended)
         if not has_ended:
             return
         self._board.record_trouble()
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -122,7 +122,7 @@
     shared_parts : tuple of str
         Ids of the prompt parts that other requests may have too.
     exchange : Exchange or None
-        The one that was begun last.
+        The one in progress that was begun last.
     probed_parts : tuple of str
         Refused parts that the request probes.
     is_delivered : bool
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -74,12 +74,16 @@
             silence_handler,
             rival,
         )
+        outer = request.exchange
+        request.exchange = exchange
         try:
             return self._run_exchange(exchange, version)
         except BaseException:
             connection.close()
             raise
         finally:
+            # The connection may serve another request from now on.
+            request.exchange = outer
             if not exchange.is_abandoned:
                 member.in_flight_count -= 1
 
--- a/nutmegdeal/tests/test_prompt_guard.py
+++ b/nutmegdeal/tests/test_prompt_guard.py
@@ -271,3 +271,42 @@
     wait_until(lambda: gateways.find_rows() == [CRASHING.decode()])
     wait_until(lambda: harness.writer.waiting_count == 0)
     assert gateways.call(harness, SHARED, CRASHING) == 503
+
+
+def test_refused_part_ends_no_run_on_a_connection_used_before(gateways):
+    harness = gateways.start()
+    released = gevent.event.Event()
+
+    def answer(sock, request):
+        if CRASHING in request[b"x-prompt-prefix"]:
+            refusal = "503 Service Unavailable", "X-Not-Executed: 1\r\n"
+            sock.sendall(build.build_plain_answer("q-1", b"", *refusal))
+            return True
+        released.wait()
+        sock.sendall(build.build_stream_answer("q-1", range(6)))
+        return True
+
+    for server in harness.servers:
+        server._answer = answer
+    ended = []
+    original = harness.guard.end
+    # The refused request stays open while the other one uses its connections.
+    harness.guard.end = ended.append
+    assert gateways.call(harness, SHARED, CRASHING) == 503
+    caller = gevent.spawn(gateways.call, harness, SHARED)
+    wait_until(lambda: any(member.in_flight_count for member in harness.members))
+    gateways.refuse_part()
+    released.set()
+    assert caller.get(timeout=20) == 200
+    original(ended[0])
+
+
+def test_failed_check_of_an_engine_does_not_hold_its_requests(gateways):
+    harness = gateways.start()
+
+    def fail(_member):
+        raise RuntimeError("raised by the test")
+
+    harness.guard._end_check.has_ended = fail
+    assert gateways.call(harness, SHARED, CRASHING) == 502
+    assert count_requests(harness) == 2
