ctl: list-parts and lift-part, for refused prompt parts

Design 0011 names `nutmegdeal-ctl lift-part` as the end of a wrong refusal; there was no such command. list-parts shows the rows of the store, text or JSON, with the time left by the store's clock; lift-part removes one row under the version that was read, again if others change it meanwhile, and tells what it removed.

A removal without an answer may have been performed, so it exits with 5 and not with 4. A row that cannot be read can be listed and removed too.

--- a/nutmegdeal/tools/ctl.py
+++ b/nutmegdeal/tools/ctl.py
@@ -17,6 +17,7 @@
     fleet,
     identifiers,
     ledger_sweep,
+    part_rows_admin,
     request_log,
     request_losses,
 )
@@ -24,9 +25,11 @@
 from nutmegdeal import settings as settings_module
 from nutmegdeal.account_reader import AccountReader, LedgerReader
 from nutmegdeal.clock import SystemClock
+from nutmegdeal.connection_pool import ConnectionPool
 from nutmegdeal.errors import Failure
 from nutmegdeal.exit_codes import ExitCode
-from nutmegdeal.platform.settings import load_node_settings
+from nutmegdeal.platform.settings import load_node_settings, parse_address
+from nutmegdeal.platform.store import StoreClient
 from nutmegdeal.services.hosts import HttpHostList
 from nutmegdeal.services.objects import HttpObjectStore
 from nutmegdeal.services.table import HttpTableService
@@ -34,9 +37,10 @@
 
 EXIT_CODES_HELP = (
     "Exit codes: 0 done; 2 wrong command line or invalid input file; 3 another "
-    "configuration was accepted first; 4 the platform or a process could not be read "
-    "or written, nothing changed except by a sweep that stopped; 5 it is not known "
-    "whether the configuration was accepted; 6 nothing is recorded about the request."
+    "configuration was accepted first, or a prompt part changed each time; 4 the "
+    "platform or a process could not be read or written, nothing changed except by a "
+    "sweep that stopped; 5 it is not known whether the configuration was accepted or "
+    "the prompt part removed; 6 nothing is recorded about the request or prompt part."
 )
 PLATFORM_KEYS = ("platform.table_url", "platform.objects_url", "platform.hosts_url")
 
@@ -297,6 +301,59 @@
     print(f"{file}: valid; {settings.role} on {settings.node_name}")
 
 
+@app.command(name="list-parts")
+def list_parts(*, store: str, as_json: JsonFlag = False):
+    """List the prompt parts that are suspected of crashing engines, or refused.
+
+    Parameters
+    ----------
+    store
+        HOST:PORT of the platform's store.
+    as_json
+        Print JSON.
+    """
+    rows = part_rows_admin.read_parts(_build_store_client(store))
+    if isinstance(rows, Failure):
+        _exit_with_error(ExitCode.UNAVAILABLE, rows)
+    _print_result(rows, part_rows_admin.describe, as_json)
+
+
+@app.command(name="lift-part")
+def lift_part(part: str, /, *, store: str):
+    """Remove what is stored of a prompt part, so that all gateways send it again.
+
+    Parameters
+    ----------
+    part
+        Id of the prompt part, see ``list-parts``.
+    store
+        HOST:PORT of the platform's store.
+    """
+    outcome = part_rows_admin.remove_part(_build_store_client(store), part)
+    if isinstance(outcome, part_rows_admin.PartRow):
+        print(f"removed {part_rows_admin.describe_row(outcome)}")
+        return
+    if isinstance(outcome, part_rows_admin.PartNotFound):
+        text = f"{part}: neither suspected nor refused"
+        _exit_with_error(ExitCode.NOT_FOUND, text)
+    if isinstance(outcome, part_rows_admin.PartChanged):
+        text = f"{part}: not removed, others changed it {outcome.tries} times"
+        _exit_with_error(ExitCode.SUPERSEDED, text)
+    if isinstance(outcome, part_rows_admin.RemovalInDoubt):
+        text = f"{part}: may be removed; repeat the command: {outcome.failure}"
+        _exit_with_error(ExitCode.IN_DOUBT, text)
+    _exit_with_error(ExitCode.UNAVAILABLE, f"{part}: not removed: {outcome}")
+
+
+def _build_store_client(address_text):
+    """Return a StoreClient for an address, or exit."""
+    try:
+        address = parse_address(address_text)
+    except ValueError as error:
+        _exit_with_error(ExitCode.INVALID_INPUT, f"--store {address_text}: {error}")
+    return StoreClient(address, ConnectionPool(SystemClock()))
+
+
 @app.command
 def sweep(*, settings: str):
     """Delete the ledger rows of idempotency keys that expired long ago.
