Tests: a lifted part is refused again by new crashes; a silent store changes nothing

The operations page says that two new crashes refuse a lifted part again, and that the commands exit with 4 while the store does not answer; no test showed the former, and the latter only for a store that answers 503 or resets. test_part_rows_admin: 21 pass.

--- a/nutmegdeal/tests/test_part_rows_admin.py
+++ b/nutmegdeal/tests/test_part_rows_admin.py
@@ -120,7 +120,9 @@
 
 
 @pytest.mark.parametrize("arguments", [("list-parts",), ("lift-part", BAD)])
-@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.RESET])
+@pytest.mark.parametrize(
+    "fault", [StoreFault.BUSY, StoreFault.SILENT, StoreFault.RESET]
+)
 def test_store_that_fails_exits_with_4_and_changes_nothing(rows, arguments, fault):
     put(rows, PartRecord(BAD, ("e-1@1",)))
     rows.fault = fault
@@ -221,3 +223,16 @@
         assert book.plan_crash(crash, 0.0) == ()
     assert book.find_refused((BAD,), 0.0) is None
     assert book.unstored_crashes() == ()
+
+
+def test_new_crashes_refuse_a_lifted_part_again(rows, client):
+    """A part that was lifted although it does crash engines must not stay exempt."""
+    put(rows, PartRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
+    book = PartBook()
+    read_book(book, client)
+    part_rows_admin.remove_part(client, BAD)
+    read_book(book, client)
+    for name in ("e-3@1", "e-4@1"):
+        assert book.find_refused((BAD,), 0.0) is None
+        book.record_own_crash(Crash(name, ((BAD,),)), 0.0)
+    assert book.find_refused((BAD,), 0.0).crashes == ("e-3@1", "e-4@1")
