Stand-in engine: a run that begins as the engine crashes is broken off too

Trace: request c7-9 was accepted by engine e-1 just before its crash at 12:03:28.893 and was not among the connections that the stand-in broke off; the crashed engine served it to its end at 29.239. So gateway-0 rightly took its part for sound, removed its row at 28.991, and again after each further crash. No server that has ended can do that.

An engine that returns also tries again if its port is in use: in the same run it never came back (Address already in use).

The new test fails without the change ("DID NOT RAISE", run with the old lines).

--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -7,9 +7,14 @@
 from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.prompt_crashes import PromptCrashes
 from nutmegdeal.http_connections import find_header
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
 
 EVENT_INTERVAL_MS = 10.0
 LOAD_MS = 60.0
+# Pause before an engine that returns tries again to listen on its port.
+LISTEN_RETRY_S = 0.1
 EVENT_COUNT = 8
 # For how long an order that gets no answer keeps its connection open; longer than any
 # sender waits.
@@ -120,9 +125,15 @@
         self.listener.break_off()
 
     def _return_from_crash(self):
+        while True:
+            try:
+                self._listen(self.address)
+                break
+            except OSError as error:
+                logger.warning("port_in_use", address=self.address, error=str(error))
+                gevent.sleep(LISTEN_RETRY_S)
         self._return_greenlet = None
         self.restart_after_crash()
-        self._listen(self.address)
 
     def execute_delayed_orders(self):
         """Execute the orders that got no answer and are valid now.
@@ -247,9 +258,10 @@
         first_number = int(last_event_id) + 1 if last_event_id else 0
         for number in range(first_number, EVENT_COUNT):
             gevent.sleep(self.event_interval_ms / 1000)
-            if not self.is_down and self.prompts.record_crash(
-                _find_prompt(request), request_id
-            ):
+            if self.is_down:
+                # The connection was accepted just before the crash.
+                self.listener.break_off()
+            if self.prompts.record_crash(_find_prompt(request), request_id):
                 self._crash()
             self.faults.pause_before(number)
             yield number, f"id: {number}\ndata: {request_id}\n\n".encode()
--- a/nutmegdeal/tests/test_prompt_crashes.py
+++ b/nutmegdeal/tests/test_prompt_crashes.py
@@ -102,3 +102,18 @@
     wait_until(lambda: not is_refused(engine))
     assert engine.backend_id == "e-1"
     assert engine.incarnation == 2
+
+
+def test_run_that_began_as_the_engine_crashed_delivers_nothing_more(engine):
+    engine.event_interval_ms = 100.0
+    connection = send(engine, "q-1")
+    wait_until(lambda: engine.runs["q-1"])
+    break_off = engine.listener.break_off
+    # As if its connection had been accepted after the others were broken off.
+    engine.listener.break_off = lambda: None
+    engine._crash()
+    engine.listener.break_off = break_off
+    with pytest.raises((BrokenAnswerError, OSError)):
+        connection.read_head(deadline_in(READ_MS))
+        connection.read_body(deadline_in(READ_MS), RECEIVE_BYTES)
+    assert engine.cancelled["q-1"] == 1
