--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -5,94 +5,28 @@
 body, a query, or a header other than the request id and the ids of prompt parts.
 """
 
-import enum
-
-import attrs
-
-
-class Process(enum.Enum):
-    """The process that writes a log line."""
-
-    GATEWAY = "gateway"
-    PLACER = "placer"
-    BOTH = "both"
-
-
-@attrs.frozen
-class Field:
-    """One field of a log line.
-
-    Parameters
-    ----------
-    types : tuple of type
-        Types of the decoded JSON value; contains ``type(None)`` if it may be null.
-    text : str
-        Meaning of the field, for the generated page.
-    """
-
-    types: tuple
-    text: str
-
-
-@attrs.frozen
-class LogEvent:
-    """One kind of log line.
-
-    Parameters
-    ----------
-    name : str
-    process : Process
-    text : str
-        What one line stands for, for the generated page.
-    fields : dict of str to Field
-    """
-
-    name: str
-    process: Process
-    text: str
-    fields: dict[str, Field]
-
-
-def _text(text):
-    return Field((str,), text)
-
-
-def _count(text):
-    return Field((int,), text)
-
-
-def _version(text="version of the adapter, if the request names one"):
-    return Field((int, type(None)), text)
-
-
-def _ms(text):
-    return Field((float, int), f"{text}, in ms")
-
-
-def _optional_ms(text):
-    return Field((float, int, type(None)), f"{text}, in ms")
-
-
-def _ratio(text):
-    return Field((float, int), f"{text}, from 0 to 1")
-
-
-def _names(text):
-    return Field((list,), text)
-
-
-def _flag(text):
-    return Field((bool,), text)
-
+from nutmegdeal.log_fields import (
+    Field,
+    LogEvent,
+    Process,
+    count_field,
+    flag_field,
+    ms_field,
+    names_field,
+    optional_ms_field,
+    ratio_field,
+    text_field,
+    version_field,
+)
 
-_REQUEST = _text("id of the request")
-_BACKEND = _text("id of the backend server")
-_ADAPTER = _text("name of the adapter, empty for none")
-_TABLE = _text("table of the store")
-_PEER = _text("address")
-_STARTED = _count("start time by the engine's clock, in ms since 1970")
-_OCCUPIED = _count("slots of the engine with a loaded or loading adapter")
-_ERROR = _text("description of the failure")
+_REQUEST = text_field("id of the request")
+_BACKEND = text_field("id of the backend server")
+_ADAPTER = text_field("name of the adapter, empty for none")
+_TABLE = text_field("table of the store")
+_PEER = text_field("address")
+_STARTED = count_field("start time by the engine's clock, in ms since 1970")
+_OCCUPIED = count_field("slots of the engine with a loaded or loading adapter")
+_ERROR = text_field("description of the failure")
 
 _EVENTS = (
     LogEvent(
@@ -102,21 +36,23 @@
         {
             "request": _REQUEST,
             "backend": _BACKEND,
-            "service": _text("service of the backend server"),
+            "service": text_field("service of the backend server"),
             "adapter": _ADAPTER,
-            "version": _version(),
+            "version": version_field(),
             "load": Field(
                 (float, int), "expected number of requests in the backend server"
             ),
-            "report_age_ms": _optional_ms(
+            "report_age_ms": optional_ms_field(
                 "age of the latest load report of the backend server"
             ),
-            "failure_rate": _ratio("fraction of its recent answers that failed"),
-            "is_linked": _flag("whether its placer reports its state to this gateway"),
-            "waited_ms": _ms("time spent waiting for the adapter so far"),
-            "paced_ms": _ms("time spent waiting to send the prompt so far"),
-            "remaining_ms": _ms("time left until the deadline"),
-            "configuration": _count("version of the configuration in use"),
+            "failure_rate": ratio_field("fraction of its recent answers that failed"),
+            "is_linked": flag_field(
+                "whether its placer reports its state to this gateway"
+            ),
+            "waited_ms": ms_field("time spent waiting for the adapter so far"),
+            "paced_ms": ms_field("time spent waiting to send the prompt so far"),
+            "remaining_ms": ms_field("time left until the deadline"),
+            "configuration": count_field("version of the configuration in use"),
         },
     ),
     LogEvent(
@@ -126,17 +62,19 @@
         {
             "request": _REQUEST,
             "backend": _BACKEND,
-            "fate": _text("how the run ended"),
+            "fate": text_field("how the run ended"),
             "detail": _ERROR,
-            "verdict": _text(
+            "verdict": text_field(
                 "`retry`, `give_up`, or `keep` if the run to be replaced goes on"
             ),
-            "sent": _count("backend servers that the request was sent to so far"),
-            "runs": _count("backend servers that may have run the request"),
-            "silent_ms": _ms("for how long the server had sent nothing"),
-            "events": _count("times that whole events of the run were forwarded"),
-            "parts": _names("ids of the prompt parts that other requests may share"),
-            "failure_rate": _ratio(
+            "sent": count_field("backend servers that the request was sent to so far"),
+            "runs": count_field("backend servers that may have run the request"),
+            "silent_ms": ms_field("for how long the server had sent nothing"),
+            "events": count_field("times that whole events of the run were forwarded"),
+            "parts": names_field(
+                "ids of the prompt parts that other requests may share"
+            ),
+            "failure_rate": ratio_field(
                 "fraction of the server's recent answers that failed"
             ),
         },
@@ -146,8 +84,8 @@
         Process.GATEWAY,
         "engine that ended under runs whose prompts are not known to be sound",
         {
-            "engine": _text("id of the backend server and its start time"),
-            "parts": _names("ids of the shared parts of these prompts"),
+            "engine": text_field("id of the backend server and its start time"),
+            "parts": names_field("ids of the shared parts of these prompts"),
         },
     ),
     LogEvent(
@@ -155,10 +93,12 @@
         Process.GATEWAY,
         "change of what is stored of a prompt part",
         {
-            "change": _text("`suspected`, `refused`, `probed` or `removed`"),
-            "part": _text("id of the prompt part"),
-            "crashes": _names("engines that ended under it"),
-            "refused_until_ms": _count("end of the refusal on the store's clock, or 0"),
+            "change": text_field("`suspected`, `refused`, `probed` or `removed`"),
+            "part": text_field("id of the prompt part"),
+            "crashes": names_field("engines that ended under it"),
+            "refused_until_ms": count_field(
+                "end of the refusal on the store's clock, or 0"
+            ),
         },
     ),
     LogEvent(
@@ -166,14 +106,14 @@
         Process.GATEWAY,
         "oldest change of stored prompt parts that was dropped, as too many wait for "
         "the store",
-        {"changes": _count("changes that wait")},
+        {"changes": count_field("changes that wait")},
     ),
     LogEvent(
         "prompt_part_conflict",
         Process.GATEWAY,
         "change of stored prompt parts that was dropped, as others changed them again "
         "and again",
-        {"conflicts": _count("times that the change was decided anew")},
+        {"conflicts": count_field("times that the change was decided anew")},
     ),
     LogEvent(
         "run_silent",
@@ -183,8 +123,8 @@
         {
             "request": _REQUEST,
             "backend": _BACKEND,
-            "silent_ms": _ms("for how long the server had sent nothing"),
-            "replacement": _text(
+            "silent_ms": ms_field("for how long the server had sent nothing"),
+            "replacement": text_field(
                 "`ready` or `must_load` if another server can take over, else `none`"
             ),
         },
@@ -195,16 +135,16 @@
         "request refused on arrival",
         {
             "request": _REQUEST,
-            "path": _text("path without the query"),
-            "status": _count("HTTP status of the answer"),
-            "reason": _text("why"),
+            "path": text_field("path without the query"),
+            "status": count_field("HTTP status of the answer"),
+            "reason": text_field("why"),
         },
     ),
     LogEvent(
         "request_refused_unread",
         Process.GATEWAY,
         "request that could not be read",
-        {"status": _count("HTTP status of the answer"), "detail": _ERROR},
+        {"status": count_field("HTTP status of the answer"), "detail": _ERROR},
     ),
     LogEvent(
         "request_ended",
@@ -212,24 +152,24 @@
         "end of a request",
         {
             "request": _REQUEST,
-            "route": _text("name of the route"),
-            "kind": _text("`safe`, `unsafe` or `stream`"),
-            "end": _text("how the request ended"),
-            "reason": _text("reason, if the request was not served"),
+            "route": text_field("name of the route"),
+            "kind": text_field("`safe`, `unsafe` or `stream`"),
+            "end": text_field("how the request ended"),
+            "reason": text_field("reason, if the request was not served"),
             "adapter": _ADAPTER,
             "backends": Field((list,), "ids of the backend servers tried"),
-            "sent": _count("backend servers that the request was sent to"),
-            "runs": _count("backend servers that may have run the request"),
-            "first_ms": _optional_ms(
+            "sent": count_field("backend servers that the request was sent to"),
+            "runs": count_field("backend servers that may have run the request"),
+            "first_ms": optional_ms_field(
                 "time from arrival to the first part of the answer"
             ),
-            "target_ms": _ms("target for `first_ms`"),
-            "gap_ms": _ms("longest pause between parts of the answer"),
-            "gap_target_ms": _ms("target for `gap_ms`, 0 for none"),
-            "whole_ms": _ms("time from arrival to the end"),
-            "waited_ms": _ms("time spent waiting for the adapter"),
-            "paced_ms": _ms("time spent waiting to send the prompt"),
-            "tokens": _count("number of tokens in the prompt"),
+            "target_ms": ms_field("target for `first_ms`"),
+            "gap_ms": ms_field("longest pause between parts of the answer"),
+            "gap_target_ms": ms_field("target for `gap_ms`, 0 for none"),
+            "whole_ms": ms_field("time from arrival to the end"),
+            "waited_ms": ms_field("time spent waiting for the adapter"),
+            "paced_ms": ms_field("time spent waiting to send the prompt"),
+            "tokens": count_field("number of tokens in the prompt"),
         },
     ),
     LogEvent(
@@ -237,15 +177,15 @@
         Process.GATEWAY,
         "newer configuration that takes effect",
         {
-            "version": _count("version of the configuration"),
-            "routes": _count("number of its routes"),
+            "version": count_field("version of the configuration"),
+            "routes": count_field("number of its routes"),
         },
     ),
     LogEvent(
         "adapter_version",
         Process.GATEWAY,
         "newer version of an adapter",
-        {"adapter": _ADAPTER, "version": _count("newer version")},
+        {"adapter": _ADAPTER, "version": count_field("newer version")},
     ),
     LogEvent(
         "backend_joined",
@@ -253,8 +193,8 @@
         "backend server that joined its service, or joined again",
         {
             "backend": _BACKEND,
-            "service": _text("service of the backend server"),
-            "state": _text("`ready` or `draining`"),
+            "service": text_field("service of the backend server"),
+            "state": text_field("`ready` or `draining`"),
         },
     ),
     LogEvent(
@@ -269,8 +209,8 @@
         "backend server that will exit and gets no more requests from this gateway",
         {
             "backend": _BACKEND,
-            "service": _text("service of the backend server"),
-            "source": _text("`registration`, `answer` or `placer`"),
+            "service": text_field("service of the backend server"),
+            "source": text_field("`registration`, `answer` or `placer`"),
         },
     ),
     LogEvent(
@@ -279,8 +219,8 @@
         "backend server that refused a request and asked for a pause",
         {
             "backend": _BACKEND,
-            "service": _text("service of the backend server"),
-            "pause_ms": _ms("duration of the pause"),
+            "service": text_field("service of the backend server"),
+            "pause_ms": ms_field("duration of the pause"),
         },
     ),
     LogEvent(
@@ -319,7 +259,7 @@
         "store_regained",
         Process.GATEWAY,
         "first successful read of a table after failures",
-        {"table": _TABLE, "failed_calls": _count("number of failed reads")},
+        {"table": _TABLE, "failed_calls": count_field("number of failed reads")},
     ),
     LogEvent(
         "store_history_gone",
@@ -339,36 +279,36 @@
         "first read of a table after the store has returned from a copy",
         {
             "table": _TABLE,
-            "era": _count("era of the store"),
-            "version": _count("version of the store in that era"),
-            "previous_era": _count("era of the last read before"),
-            "previous_version": _count("version of the last read before"),
+            "era": count_field("era of the store"),
+            "version": count_field("version of the store in that era"),
+            "previous_era": count_field("era of the last read before"),
+            "previous_version": count_field("version of the last read before"),
         },
     ),
     LogEvent(
         "store_read_repeated",
         Process.GATEWAY,
         "read of a table that began again, because the store returned from a copy",
-        {"table": _TABLE, "era": _count("newest era of the store")},
+        {"table": _TABLE, "era": count_field("newest era of the store")},
     ),
     LogEvent(
         "row_malformed",
         Process.GATEWAY,
         "row of the store that cannot be parsed",
-        {"key": _text("key of the row"), "error": _ERROR},
+        {"key": text_field("key of the row"), "error": _ERROR},
     ),
     LogEvent(
         "order_given",
         Process.PLACER,
         "order to the engine, with its result",
         {
-            "operation": _text("`load` or `unload`"),
-            "adapter": _text("adapter, empty for the base model"),
-            "version": _version("version, null for the newest"),
-            "expected": _count("orders that the engine had accepted before"),
+            "operation": text_field("`load` or `unload`"),
+            "adapter": text_field("adapter, empty for the base model"),
+            "version": version_field("version, null for the newest"),
+            "expected": count_field("orders that the engine had accepted before"),
             "started": _STARTED,
             "occupied": _OCCUPIED,
-            "result": _text("result of the order"),
+            "result": text_field("result of the order"),
         },
     ),
     LogEvent(
@@ -376,11 +316,11 @@
         Process.PLACER,
         "order that the engine rejected",
         {
-            "status": _count("HTTP status of the answer"),
-            "operation": _text("`load` or `unload`"),
-            "adapter": _text("adapter, empty for the base model"),
-            "expected": _count("orders that the engine had accepted before"),
-            "detail": _text("answer of the engine"),
+            "status": count_field("HTTP status of the answer"),
+            "operation": text_field("`load` or `unload`"),
+            "adapter": text_field("adapter, empty for the base model"),
+            "expected": count_field("orders that the engine had accepted before"),
+            "detail": text_field("answer of the engine"),
         },
     ),
     LogEvent(
@@ -411,7 +351,7 @@
         "engine_reachable",
         Process.PLACER,
         "engine that became reachable or unreachable",
-        {"is_reachable": _flag("whether the engine is reachable")},
+        {"is_reachable": flag_field("whether the engine is reachable")},
     ),
     LogEvent(
         "engine_restarted",
@@ -419,7 +359,7 @@
         "restart of the engine, which then has nothing loaded",
         {
             "started": _STARTED,
-            "unanswered": _count("unanswered orders that may still be executed"),
+            "unanswered": count_field("unanswered orders that may still be executed"),
         },
     ),
     LogEvent(
@@ -434,8 +374,8 @@
         "unanswered orders that the engine has now executed",
         {
             "started": _STARTED,
-            "order_count": _count("orders that the engine has accepted"),
-            "known_count": _count("orders that this placer knows to be accepted"),
+            "order_count": count_field("orders that the engine has accepted"),
+            "known_count": count_field("orders that this placer knows to be accepted"),
             "occupied": _OCCUPIED,
         },
     ),
@@ -443,31 +383,31 @@
         "unexpected_message",
         Process.PLACER,
         "message of an unknown type, from a gateway of another release",
-        {"type": _text("type of the message")},
+        {"type": text_field("type of the message")},
     ),
     LogEvent(
         "started",
         Process.BOTH,
         "start",
-        {"node": _text("name of the host")},
+        {"node": text_field("name of the host")},
     ),
     LogEvent(
         "draining",
         Process.GATEWAY,
         "SIGTERM",
-        {"open_count": _count("requests in progress")},
+        {"open_count": count_field("requests in progress")},
     ),
     LogEvent(
         "stopped",
         Process.BOTH,
         "end",
-        {"cut_off_count": _count("requests that were cut off")},
+        {"cut_off_count": count_field("requests that were cut off")},
     ),
     LogEvent(
         "reload",
         Process.BOTH,
         "SIGHUP",
-        {"is_valid": _flag("whether the settings file is valid")},
+        {"is_valid": flag_field("whether the settings file is valid")},
     ),
     LogEvent(
         "log_lines_left_out",
@@ -496,33 +436,33 @@
         Process.GATEWAY,
         "unexpected exception while a request was served",
         {
-            "path": _text("path of the request, without the query"),
-            "has_started": _flag(
+            "path": text_field("path of the request, without the query"),
+            "has_started": flag_field(
                 "a part of the response was sent; else the caller got 500"
             ),
-            "exception": _text("traceback"),
+            "exception": text_field("traceback"),
         },
     ),
     LogEvent(
         "connection_crashed",
         Process.GATEWAY,
         "unexpected exception on a caller's connection outside of a request",
-        {"exception": _text("traceback")},
+        {"exception": text_field("traceback")},
     ),
     LogEvent(
         "controller_crashed",
         Process.BOTH,
         "unexpected exception in a background task",
         {
-            "controller": _text("name of the function"),
-            "exception": _text("traceback"),
+            "controller": text_field("name of the function"),
+            "exception": text_field("traceback"),
         },
     ),
     LogEvent(
         "placer_link_crashed",
         Process.GATEWAY,
         "message of a placer that could not be applied; its stream is opened again",
-        {"backend": _BACKEND, "exception": _text("traceback")},
+        {"backend": _BACKEND, "exception": text_field("traceback")},
     ),
 )
 
