Gateway: log and metric of the limit that a backend server names

Nothing told which limit a gateway knows, so its logs could not say whether a limit is not read, kept by each gateway alone, or exceeded by repeats. Each answer's Server-Limit is decoded (nonsense: one line, the last limit holds), kept in the Availability of the server, logged when it is first named, changes or ends (backend_limit), and counted (nutmegdeal_backends_limited). No request is sent otherwise than before.

--- a/nutmegdeal/gateway/availability.py
+++ b/nutmegdeal/gateway/availability.py
@@ -38,17 +38,29 @@
     unconfirmed_until_ms : float
         Until then the server, which was gone before, is known only from a copy of the
         store.
+    limit_per_s : float or None
+        Requests a second that the server takes from all gateways together, None for no
+        limit.
+    has_unusable_limit : bool
+        The server has named a limit that is no number.
     """
 
     is_leaving: bool = False
     paused_until_ms: float = NEVER_MS
     unconfirmed_until_ms: float = NEVER_MS
+    limit_per_s: float | None = None
+    has_unusable_limit: bool = False
 
     def record_leaving(self):
         """Record that the server leaves; return whether that was not known."""
         was_leaving, self.is_leaving = self.is_leaving, True
         return not was_leaving
 
+    def record_unusable_limit(self):
+        """Record a limit that is no number; return whether it is the first one."""
+        had_one, self.has_unusable_limit = self.has_unusable_limit, True
+        return not had_one
+
     def record_pause(self, pause_ms, now_ms):
         """Record that the server wants no requests for some time.
 
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -276,8 +276,9 @@
         """Read the head of the answer to this request, skipping late other answers."""
         while True:
             head = self._connection.read_head(limit_ms)
-            if platform_headers.is_server_leaving(head.headers):
-                self._record_leaving(head)
+            # After the address has been assigned to another server, that one answers.
+            if platform_headers.is_from_server(head.headers, self._member.backend_id):
+                self._record_notices(head)
             answered_id = find_header(head.headers, platform_headers.REQUEST_ID)
             if answered_id is None or answered_id.decode("latin-1") == (
                 self._request.request_id
@@ -296,10 +297,16 @@
         _check_success(head)
         return head
 
-    def _record_leaving(self, head):
-        # After the address has been assigned to another server, that one answers 421.
-        if platform_headers.is_from_server(head.headers, self._member.backend_id):
+    def _record_notices(self, head):
+        """Record what all answers of the server say of it, whatever their status."""
+        if platform_headers.is_server_leaving(head.headers):
             self._membership.record_leaving(self._member, LeavingSource.ANSWER)
+        try:
+            limit_per_s = platform_headers.decode_server_limit(head.headers)
+        except ValueError:
+            self._membership.record_unusable_limit(self._member)
+            return
+        self._membership.record_limit(self._member, limit_per_s)
 
     def _forward_answer(self, head):
         """Forward a successful answer to the caller; keep a failure in the outcome."""
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -234,6 +234,10 @@
         Called with a Member that now is known to leave, and the LeavingSource.
     on_paused : callable, optional
         Called with a Member that asked for a pause, and its duration in ms.
+    on_limited : callable, optional
+        Called with a Member whose limit has changed.
+    on_limit_unusable : callable, optional
+        Called with a Member that names a limit which is no number, once.
     registration_interval_ms : float
         Pause between two writes of a server's registration.
     """
@@ -244,6 +248,8 @@
         on_left=None,
         on_leaving=None,
         on_paused=None,
+        on_limited=None,
+        on_limit_unusable=None,
         registration_interval_ms=REGISTRATION_INTERVAL_MS,
     ):
         self.members = {}
@@ -252,6 +258,8 @@
         self._on_left = on_left or (lambda member: None)
         self._on_leaving = on_leaving or (lambda member, source: None)
         self._on_paused = on_paused or (lambda member, pause_ms: None)
+        self._on_limited = on_limited or (lambda member: None)
+        self._on_limit_unusable = on_limit_unusable or (lambda member: None)
         self._registration_interval_ms = registration_interval_ms
         self._store_regained_ms = float("-inf")
 
@@ -321,6 +329,18 @@
         if member.availability.record_pause(pause_ms, now_ms):
             self._on_paused(member, pause_ms)
 
+    def record_limit(self, member, limit_per_s):
+        """Record how many requests a second a server takes, None for no limit."""
+        if limit_per_s == member.availability.limit_per_s:
+            return
+        member.availability.limit_per_s = limit_per_s
+        self._on_limited(member)
+
+    def record_unusable_limit(self, member):
+        """Record that a server names a limit that is no number; the last one holds."""
+        if member.availability.record_unusable_limit():
+            self._on_limit_unusable(member)
+
     def remove(self, backend_id, now_ms):
         """Handle the removal of a registration.
 
@@ -385,6 +405,14 @@
         ]
         return min(ends_ms, default=None)
 
+    @property
+    def limited_count(self):
+        """Return the number of servers that name a limit (int)."""
+        return sum(
+            member.availability.limit_per_s is not None
+            for member in self.members.values()
+        )
+
     def _drop(self, member, now_ms):
         del self.members[member.backend_id]
         self._departed[member.backend_id] = DepartedBackend(
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -79,6 +79,8 @@
             on_left=self._handle_left,
             on_leaving=self._handle_leaving,
             on_paused=self._handle_paused,
+            on_limited=self._handle_limited,
+            on_limit_unusable=self._handle_limit_unusable,
             registration_interval_ms=settings.registration_interval_ms,
         )
         versions = AdapterVersions(settings.bounds.version_ms)
@@ -171,6 +173,13 @@
     def _handle_paused(self, member, pause_ms):
         self._telemetry.record_paused(member, pause_ms)
 
+    def _handle_limited(self, member):
+        limited_count = self._board.membership.limited_count
+        self._telemetry.record_limited(member, limited_count)
+
+    def _handle_limit_unusable(self, member):
+        self._telemetry.record_unusable_limit(member)
+
     def _answer_readiness(self, _incoming, responder):
         responder.reply(200 if self._board.is_ready else 503, [], b"")
 
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -2,7 +2,7 @@
 
 import math
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from nutmegdeal.gateway.backend_selection import LoadFirst, SendNow
 from nutmegdeal.log import get_logger
@@ -116,6 +116,12 @@
             registry=self.registry,
         )
 
+        self._limited = Gauge(
+            "nutmegdeal_backends_limited",
+            "Backend servers that limit the requests a second that they take",
+            registry=self.registry,
+        )
+
     def record_leaving(self, member, source):
         """Record that a backend server is known to leave."""
         self._leaving.labels(source.value).inc()
@@ -136,6 +142,31 @@
             pause_ms=round(pause_ms, 1),
         )
 
+    def record_limited(self, member, limited_count):
+        """Record that the limit of a backend server has changed.
+
+        Parameters
+        ----------
+        member : Member
+        limited_count : int
+            Servers that name a limit now.
+        """
+        self._limited.set(limited_count)
+        logger.info(
+            "backend_limit",
+            backend=member.backend_id,
+            service=member.backend.service,
+            limit_per_s=member.availability.limit_per_s,
+        )
+
+    def record_unusable_limit(self, member):
+        """Record that a backend server has named a limit that is no number."""
+        logger.warning(
+            "backend_limit_unusable",
+            backend=member.backend_id,
+            service=member.backend.service,
+        )
+
     def record_era_change(self, table, previous, position):
         """Record that the store has returned from a copy.
 
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -223,6 +223,28 @@
             "pause_ms": ms_field("duration of the pause"),
         },
     ),
+    LogEvent(
+        "backend_limit",
+        Process.GATEWAY,
+        "limit that a backend server has named or changed, or no longer names",
+        {
+            "backend": _BACKEND,
+            "service": text_field("service of the backend server"),
+            "limit_per_s": Field(
+                (float, int, type(None)),
+                "requests a second that it takes from all gateways, null for no limit",
+            ),
+        },
+    ),
+    LogEvent(
+        "backend_limit_unusable",
+        Process.GATEWAY,
+        "backend server that has named a limit which is no positive number, once",
+        {
+            "backend": _BACKEND,
+            "service": text_field("service of the backend server"),
+        },
+    ),
     LogEvent(
         "registration_believed",
         Process.GATEWAY,
--- a/nutmegdeal/platform/headers.py
+++ b/nutmegdeal/platform/headers.py
@@ -4,6 +4,7 @@
 """
 
 import math
+import re
 
 import attrs
 
@@ -57,6 +58,10 @@
 SERVER_ID = b"x-instance-id"
 # In all answers of a backend server that will exit.
 SERVER_LEAVING = b"server-leaving"
+# In all answers of a backend server that takes only so many requests a second, from all
+# gateways together, for as long as it says so.
+SERVER_LIMIT = b"server-limit"
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 RETRY_AFTER = b"retry-after"
 # In all answers of the store.
 STORE_ERA = b"store-era"
@@ -211,6 +216,25 @@
     return (find_header(headers, SERVER_LEAVING) or b"").strip() == b"1"
 
 
+def decode_server_limit(headers):
+    """Return the requests a second that a backend server takes (float).
+
+    None if it names no limit.
+
+    Raises
+    ------
+    ValueError
+        If the header is not a positive decimal number.
+    """
+    value = find_header(headers, SERVER_LIMIT)
+    if value is None:
+        return None
+    limit_per_s = float(value) if _DECIMAL.fullmatch(value.strip()) else 0.0
+    if not limit_per_s:
+        raise ValueError("not a positive decimal number")
+    return limit_per_s
+
+
 def is_from_server(headers, backend_id):
     """Return whether an answer names no other backend server as its sender."""
     sender = find_header(headers, SERVER_ID)
--- a/nutmegdeal/tests/test_gateway_availability.py
+++ b/nutmegdeal/tests/test_gateway_availability.py
@@ -190,3 +190,54 @@
     (decoded,) = decode_batch(fields_head)
     assert isinstance(decoded, EngineState)
     assert decoded == state
+
+
+class TestLimit:
+    """What a server says of the requests that it takes."""
+
+    def setup_method(self):
+        self.limits, self.unusable = [], []
+        self.membership = Membership(
+            on_limited=lambda item: self.limits.append(item.availability.limit_per_s),
+            on_limit_unusable=self.unusable.append,
+        )
+        self.member = self.membership.put(build.build_backend(), 0.0)
+
+    def test_first_limit_changes_and_end_are_reported_once_each(self):
+        for limit_per_s in (2.0, 2.0, 1.5, 1.5, None, None):
+            self.membership.record_limit(self.member, limit_per_s)
+        assert self.limits == [2.0, 1.5, None]
+
+    def test_servers_with_a_limit_are_counted(self):
+        assert self.membership.limited_count == 0
+        self.membership.record_limit(self.member, 2.0)
+        assert self.membership.limited_count == 1
+
+    def test_unusable_limit_is_reported_once_and_changes_nothing(self):
+        self.membership.record_limit(self.member, 2.0)
+        self.membership.record_unusable_limit(self.member)
+        self.membership.record_unusable_limit(self.member)
+        assert self.unusable == [self.member]
+        assert self.member.availability.limit_per_s == 2.0
+
+
+@pytest.mark.parametrize(
+    ("value", "expected_per_s"),
+    [(b"1", 1.0), (b"1.9", 1.9), (b" 0.25 ", 0.25), (b"100000000", 1e8)],
+)
+def test_limit_of_a_server_is_decoded(value, expected_per_s):
+    headers = [(b"server-limit", value)]
+    assert platform_headers.decode_server_limit(headers) == expected_per_s
+
+
+def test_answer_without_a_limit_names_none():
+    assert platform_headers.decode_server_limit([]) is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"0", b"0.0", b"-1", b"inf", b"nan", b"1e3", b"one", b"1_0", b"9" * 4_000],
+)
+def test_limit_that_is_no_positive_number_is_an_error(value):
+    with pytest.raises(ValueError, match="not a positive"):
+        platform_headers.decode_server_limit([(b"server-limit", value)])
