Tests that fail: gateways exceed the limit of a backend server

Five gateways in one process, two servers, some 40 requests a second in all; one server, or both, name a limit. Counted by the rule's own window from 3 s after the first naming on. On this code 6 of 7 fail: 43 to 62 arrivals in 4 s where 11 or 16 are allowed, for engines and plain servers alike; the seventh says that a limit which is no number changes nothing.

--- a/nutmegdeal/fakes/platform_server.py
+++ b/nutmegdeal/fakes/platform_server.py
@@ -14,6 +14,7 @@
     UnframedWriter,
 )
 from nutmegdeal.fakes.breakable_listener import BreakableListener
+from nutmegdeal.fakes.named_limit import NamedLimit
 from nutmegdeal.http_connections import find_header
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
 
@@ -48,6 +49,7 @@
     retry_after_s : float or None
         Sent with each refusal by 503, if not None.
     faults : AnswerFaults
+    limit : NamedLimit
     """
 
     # Number of the event at which a stream breaks off.
@@ -68,6 +70,7 @@
         self.is_leaving = False
         self.retry_after_s = None
         self.faults = AnswerFaults()
+        self.limit = NamedLimit()
         self._listen(address)
         self._address = (address[0], self.listener.port)
 
@@ -107,6 +110,8 @@
 
     def _respond(self, request, responder):
         self.faults.wait_while_silent()
+        request_id = find_header(request.headers, b"x-request-id") or b""
+        self.limit.record_arrival(request_id.decode())
         target_id = find_header(request.headers, b"x-target-instance")
         if target_id is not None and target_id.decode() != self.backend_id:
             self._refuse(request, responder, 421)
@@ -130,6 +135,7 @@
         headers = [
             (b"x-instance-id", self.backend_id.encode()),
             *self._leaving_headers(),
+            *self.limit.headers,
         ]
         request_id = find_header(request.headers, b"x-request-id")
         if request_id is not None:
--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -3,6 +3,7 @@
 import os
 import time
 
+import attrs
 import gevent
 import gevent.socket
 
@@ -78,16 +79,14 @@
             self.register(backend)
         self.store.put("op", "config", encode_operator_configuration())
         self.placers = [self.start_placer(engine) for engine in self.engines]
-        self.gateway = gateway_process.GatewayProcess(
-            self._settings(loopback_address(1)), bridge=bridge
-        )
-        self.gateway.start()
-        wait_until(lambda: self.gateway._board.is_ready)
+        self.gateways = []
+        self.gateway = self.start_gateway()
         wait_until(self._is_linked)
 
     def close(self):
         """Stop the gateway, the placers and the stand-ins."""
-        self.gateway.close()
+        for gateway in self.gateways:
+            gateway.close()
         for placer in self.placers:
             placer.close()
         for backend in (self.store, *self.engines, *self.servers):
@@ -119,6 +118,18 @@
         """Return the IP address and port on which the gateway serves callers."""
         return loopback_address(1), self.gateway._listener.port
 
+    def start_gateway(self):
+        """Start one more gateway."""
+        settings = attrs.evolve(
+            self._settings(loopback_address(1)),
+            node_name=f"gateway-{len(self.gateways)}",
+        )
+        gateway = gateway_process.GatewayProcess(settings, bridge=self.bridge)
+        gateway.start()
+        self.gateways.append(gateway)
+        wait_until(lambda: gateway._board.is_ready)
+        return gateway
+
     def _is_linked(self):
         members = self.gateway._board.membership.members.values()
         return sum(member.is_linked for member in members) == len(self.engines)
@@ -134,9 +145,11 @@
         """Write the registration of a backend server to the store."""
         self.store.put("servers", backend.backend_id, backend.registration())
 
-    def call(self, path, request_id, adapter="a1"):
+    def call(self, path, request_id, adapter="a1", gateway=None):
         """Send a request on a new connection; return (status, headers, body)."""
-        connection = ClientConnection(self.address)
+        gateway = gateway or self.gateway
+        address = loopback_address(1), gateway._listener.port
+        connection = ClientConnection(address)
         try:
             return self.exchange(connection, path, request_id, adapter)
         finally:
