Gateways reserve slots of a backend server's limit in the store

Callers saw nothing at first; a server that had named a limit got several times of it, which it named because it was in need.

Cause: no code read Server-Limit, and gateways know nothing of each other, so nothing bounded what they send together. Class: a limit on a sum is kept by nobody, as each process sees only its own part.

Now: an answer that names a limit makes the gateway take slots from one row for each such server (GCRA, compare and set); a slot is valid for 0.5 s, so any window of 4 s holds at most 4.5 N + 1 requests, whatever the number of gateways. Without the store a gateway repeats its last turn at half the pace. After a copy slots start behind those that the copy may lack. Without a slot the server is not usable: selection, retries, replacements and new homes go elsewhere; with nothing else left the request is refused at once as backends_limited, with a Retry-After of its own. An end of the limit is learned from the row. Sites without limits make no further call.

Found by the state machine before this commit, and mended: slots of a silent store were used beside new ones for up to 15 s (281 arrivals where 245 are allowed at 40 a second, 30 gateways); a row missing in a copy was begun anew at once (281 of 245).

--- a/nutmegdeal/gateway/availability.py
+++ b/nutmegdeal/gateway/availability.py
@@ -2,14 +2,17 @@
 
 A server that leaves says so in its registration and in its answers, and does not take
 that back: only its next incarnation accepts requests again. A server that refuses a
-request may ask this gateway for a pause. A registration that comes from a copy of the
-store may be of a server that is gone.
+request may ask this gateway for a pause. A server may limit the requests a second that
+it takes; new ones then need a slot (`limit_slots`). A registration that comes from a
+copy of the store may be of a server that is gone.
 """
 
 import enum
 
 import attrs
 
+from nutmegdeal.gateway.limit_slots import OpenSlots
+
 NEVER_MS = float("-inf")
 # Intervals of silence after which the platform removes a registration, and the time
 # within which it does so.
@@ -25,6 +28,13 @@
     PLACER = "placer"
 
 
+class LimitSource(enum.Enum):
+    """How the gateway learned of a backend server's limit."""
+
+    ANSWER = "answer"
+    STORE = "store"
+
+
 @attrs.define
 class Availability:
     """What keeps new requests of this gateway away from one backend server.
@@ -41,6 +51,10 @@
     limit_per_s : float or None
         Requests a second that the server takes from all gateways together, None for no
         limit.
+    limit_stated_ms : float
+        When the server last said so, on the monotonic clock.
+    slots : OpenSlots
+        Slots for requests while there is a limit.
     has_unusable_limit : bool
         The server has named a limit that is no number.
     """
@@ -49,6 +63,8 @@
     paused_until_ms: float = NEVER_MS
     unconfirmed_until_ms: float = NEVER_MS
     limit_per_s: float | None = None
+    limit_stated_ms: float = NEVER_MS
+    slots: OpenSlots = attrs.field(factory=OpenSlots)
     has_unusable_limit: bool = False
 
     def record_leaving(self):
@@ -61,6 +77,14 @@
         had_one, self.has_unusable_limit = self.has_unusable_limit, True
         return not had_one
 
+    def record_limit(self, limit_per_s, stated_ms):
+        """Record the server's limit, None for none; return whether it has changed."""
+        has_changed = limit_per_s != self.limit_per_s
+        self.limit_per_s, self.limit_stated_ms = limit_per_s, stated_ms
+        if limit_per_s is None and has_changed:
+            self.slots = OpenSlots()
+        return has_changed
+
     def record_pause(self, pause_ms, now_ms):
         """Record that the server wants no requests for some time.
 
@@ -92,14 +116,34 @@
         """Record that the server has written its registration itself."""
         self.unconfirmed_until_ms = NEVER_MS
 
+    @property
+    def is_limited(self):
+        """Return whether the server limits the requests a second that it takes."""
+        return self.limit_per_s is not None
+
     def accepts_requests(self, now_ms):
         """Return whether new requests may be sent to the server."""
+        if self.is_limited and not self.slots.is_open(now_ms):
+            return False
+        return self._accepts_in_slot(now_ms)
+
+    def _accepts_in_slot(self, now_ms):
         return (
             not self.is_leaving
             and now_ms >= self.paused_until_ms
             and now_ms >= self.unconfirmed_until_ms
         )
 
+    def is_only_limited(self, now_ms):
+        """Return whether the server would accept a request if there were a slot."""
+        if not self.is_limited or self.slots.is_open(now_ms):
+            return False
+        return self._accepts_in_slot(now_ms)
+
+    def try_use_slot(self, now_ms):
+        """Use a slot for a request; return whether it may be sent."""
+        return not self.is_limited or self.slots.try_take(now_ms)
+
     def is_only_paused(self, now_ms):
         """Return whether the server accepts requests once its pause has ended."""
         return (
--- a/nutmegdeal/gateway/backend_selection.py
+++ b/nutmegdeal/gateway/backend_selection.py
@@ -194,7 +194,8 @@
         chosen = self._sample_holder(holders, costs)
         if _is_full(chosen, now_ms):
             chosen = best
-        others = [item for item in members if item not in holders]
+        # An engine with a limit cannot relieve the holders.
+        others = _find_unlimited(item for item in members if item not in holders)
         if not others:
             return SendNow(chosen)
         spare = (
@@ -213,7 +214,8 @@
         )
         share = self._engine_share(adapter, len(members), now_ms)
         is_overloaded = is_overloaded and share >= OVERLOAD_SHARE_MIN
-        if len(holders) >= _copy_count(share, len(members)) and not is_overloaded:
+        homes = _find_unlimited(holders)
+        if len(homes) >= _copy_count(share, len(members)) and not is_overloaded:
             return SendNow(chosen)
         return SendNow(chosen, self._pick_load_target(adapter, version, others, costs))
 
@@ -236,6 +238,7 @@
         already_loading = [item for item in members if target in item.loading]
         if already_loading:
             return min(already_loading, key=lambda item: costs[item.backend_id])
+        members = _find_unlimited(members) or members
         linked = [item for item in members if item.is_linked] or members
         # An engine that holds an older version replaces it only once the requests that
         # run on it have ended.
@@ -286,6 +289,11 @@
     ]
 
 
+def _find_unlimited(members):
+    """Return the members that do not limit the requests that they take."""
+    return [item for item in members if not item.availability.is_limited]
+
+
 def _find_reachable(members, costs):
     """Return the members that can be reached, all members if none can."""
     reachable = [
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -5,7 +5,7 @@
 and the first one to deliver a part of the answer goes on.
 """
 
-from nutmegdeal.gateway.availability import LeavingSource
+from nutmegdeal.gateway.availability import LeavingSource, LimitSource
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.requests import HeldAnswer, RunFate, RunOutcome
 from nutmegdeal.gateway.silence import OvertakenError
@@ -306,7 +306,10 @@
         except ValueError:
             self._membership.record_unusable_limit(self._member)
             return
-        self._membership.record_limit(self._member, limit_per_s)
+        now_ms = self._clock.monotonic_ms()
+        self._membership.record_limit(
+            self._member, limit_per_s, LimitSource.ANSWER, now_ms
+        )
 
     def _forward_answer(self, head):
         """Forward a successful answer to the caller; keep a failure in the outcome."""
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -235,7 +235,7 @@
     on_paused : callable, optional
         Called with a Member that asked for a pause, and its duration in ms.
     on_limited : callable, optional
-        Called with a Member whose limit has changed.
+        Called with a Member whose limit has changed, and the LimitSource.
     on_limit_unusable : callable, optional
         Called with a Member that names a limit which is no number, once.
     registration_interval_ms : float
@@ -253,12 +253,13 @@
         registration_interval_ms=REGISTRATION_INTERVAL_MS,
     ):
         self.members = {}
+        self._limited_members = {}
         self._departed = {}
         self._on_joined = on_joined or (lambda member: None)
         self._on_left = on_left or (lambda member: None)
         self._on_leaving = on_leaving or (lambda member, source: None)
         self._on_paused = on_paused or (lambda member, pause_ms: None)
-        self._on_limited = on_limited or (lambda member: None)
+        self._on_limited = on_limited or (lambda member, source: None)
         self._on_limit_unusable = on_limit_unusable or (lambda member: None)
         self._registration_interval_ms = registration_interval_ms
         self._store_regained_ms = float("-inf")
@@ -329,12 +330,25 @@
         if member.availability.record_pause(pause_ms, now_ms):
             self._on_paused(member, pause_ms)
 
-    def record_limit(self, member, limit_per_s):
-        """Record how many requests a second a server takes, None for no limit."""
-        if limit_per_s == member.availability.limit_per_s:
+    def record_limit(self, member, limit_per_s, source, stated_ms):
+        """Record how many requests a second a server takes.
+
+        Parameters
+        ----------
+        member : Member
+        limit_per_s : float or None
+            None for no limit.
+        source : LimitSource
+        stated_ms : float
+            When the server said so, on the monotonic clock.
+        """
+        if not member.availability.record_limit(limit_per_s, stated_ms):
             return
-        member.availability.limit_per_s = limit_per_s
-        self._on_limited(member)
+        if limit_per_s is None:
+            self._limited_members.pop(member.backend_id, None)
+        elif self.members.get(member.backend_id) is member:
+            self._limited_members[member.backend_id] = member
+        self._on_limited(member, source)
 
     def record_unusable_limit(self, member):
         """Record that a server names a limit that is no number; the last one holds."""
@@ -408,13 +422,21 @@
     @property
     def limited_count(self):
         """Return the number of servers that name a limit (int)."""
-        return sum(
-            member.availability.limit_per_s is not None
-            for member in self.members.values()
-        )
+        return len(self._limited_members)
+
+    def withheld(self, service, now_ms):
+        """Return the Members of a service that take requests, but have no slot now."""
+        return [
+            member
+            for member in self._limited_members.values()
+            if member.backend.service == service
+            and member.is_registered(now_ms)
+            and member.availability.is_only_limited(now_ms)
+        ]
 
     def _drop(self, member, now_ms):
         del self.members[member.backend_id]
+        self._limited_members.pop(member.backend_id, None)
         self._departed[member.backend_id] = DepartedBackend(
             member.backend, member.availability.is_leaving, now_ms
         )
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -16,6 +16,8 @@
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.dispatch import Dispatcher
 from nutmegdeal.gateway.engine_check import ConnectCheck
+from nutmegdeal.gateway.limit_rows import LimitKeeper
+from nutmegdeal.gateway.limited_servers import LimitedServers
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.placers import PlacerLinks
 from nutmegdeal.gateway.prompt_guard import PromptGuard
@@ -94,6 +96,10 @@
         self._store = StoreClient(settings.store_at, ConnectionPool(clock))
         book = PartBook()
         part_writer = PartRowWriter(self._store, self._board, book, self._telemetry)
+        self._limit_keeper = LimitKeeper(self._store, self._board, self._telemetry)
+        limits = LimitedServers(
+            membership, self._limit_keeper, self._telemetry, random_state
+        )
         guard = PromptGuard(
             self._board, book, part_writer, ConnectCheck(), self._telemetry
         )
@@ -109,6 +115,7 @@
                 guard.cancel_refused,
             ).run,
             part_writer.run,
+            self._limit_keeper.run,
             self._links.run,
             self._keep_house,
         )
@@ -117,7 +124,7 @@
             self._board,
             DirectTransport(pool, clock, membership),
             selector,
-            MemberSearch(self._board, selector, self._links, random_state),
+            MemberSearch(self._board, selector, self._links, limits, random_state),
             self._links,
             RetryDecider(self._budgets.budget_for),
             self._budgets,
@@ -173,9 +180,11 @@
     def _handle_paused(self, member, pause_ms):
         self._telemetry.record_paused(member, pause_ms)
 
-    def _handle_limited(self, member):
+    def _handle_limited(self, member, source):
         limited_count = self._board.membership.limited_count
-        self._telemetry.record_limited(member, limited_count)
+        now_ms = self._clock.monotonic_ms()
+        self._telemetry.record_limited(member, source, limited_count, now_ms)
+        self._limit_keeper.handle_limited(member, source)
 
     def _handle_limit_unusable(self, member):
         self._telemetry.record_unusable_limit(member)
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -35,8 +35,9 @@
     ----------
     reason : str
     excess_ms : float
-        By how much the adapter would be loaded too late, or how long the first server
-        will still be paused; 0.0 if that is not known.
+        By how much the adapter would be loaded too late, how long the first server
+        will still be paused, or when a server with a limit takes a further request; 0.0
+        if that is not known.
     """
 
     reason: str
@@ -51,13 +52,15 @@
     board : Blackboard
     selector : EngineSelector
     links : PlacerLinks
+    limits : LimitedServers
     random_state : random.Random
     """
 
-    def __init__(self, board, selector, links, random_state):
+    def __init__(self, board, selector, links, limits, random_state):
         self._board = board
         self._selector = selector
         self._links = links
+        self._limits = limits
         self._random = random_state
 
     def find(self, request):
@@ -76,6 +79,7 @@
         while True:
             now_ms = board.clock.monotonic_ms()
             usable = board.membership.usable(request.service.name, now_ms)
+            self._limits.record_withheld(request.service.name, now_ms)
             members = [
                 item for item in usable if item.backend_id not in request.tried_ids
             ] or usable
@@ -140,6 +144,9 @@
 
     def _explain_no_member(self, request, now_ms):
         """Return the NotFound of a service without a usable server."""
+        return_ms = self._limits.plan_return(request.service.name, now_ms)
+        if return_ms is not None:
+            return NotFound("backends_limited", return_ms - now_ms)
         pause_end_ms = self._board.membership.pause_end_ms(request.service.name, now_ms)
         if pause_end_ms is None:
             return NotFound("no_backend")
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -121,6 +121,11 @@
             "Backend servers that limit the requests a second that they take",
             registry=self.registry,
         )
+        self._withheld = Counter(
+            "nutmegdeal_withheld_requests",
+            "Requests for which a backend server was passed over due to its limit",
+            registry=self.registry,
+        )
 
     def record_leaving(self, member, source):
         """Record that a backend server is known to leave."""
@@ -142,14 +147,20 @@
             pause_ms=round(pause_ms, 1),
         )
 
-    def record_limited(self, member, limited_count):
+    def record_withheld(self):
+        """Record a request for which a server with a limit was passed over."""
+        self._withheld.inc()
+
+    def record_limited(self, member, source, limited_count, now_ms):
         """Record that the limit of a backend server has changed.
 
         Parameters
         ----------
         member : Member
+        source : LimitSource
         limited_count : int
             Servers that name a limit now.
+        now_ms : float
         """
         self._limited.set(limited_count)
         logger.info(
@@ -157,6 +168,8 @@
             backend=member.backend_id,
             service=member.backend.service,
             limit_per_s=member.availability.limit_per_s,
+            source=source.value,
+            age_ms=round(now_ms - member.availability.limit_stated_ms, 1),
         )
 
     def record_unusable_limit(self, member):
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -55,6 +55,8 @@
         remaining_ms = request.deadline_ms - now_ms
         if remaining_ms <= 0:
             return RunOutcome(RunFate.NOT_SENT, "the deadline passed")
+        if not member.availability.try_use_slot(now_ms):
+            return RunOutcome(RunFate.NOT_SENT, "the server's limit is used up")
         try:
             connection = self._pool.acquire(
                 member.backend.address,
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -234,8 +234,16 @@
                 (float, int, type(None)),
                 "requests a second that it takes from all gateways, null for no limit",
             ),
+            "source": text_field("`answer` of the server, or `store`"),
+            "age_ms": ms_field("time since the server said so"),
         },
     ),
+    LogEvent(
+        "limit_slot_conflict",
+        Process.GATEWAY,
+        "reservation of a limited server's slots that other gateways kept preceding",
+        {"backend": _BACKEND},
+    ),
     LogEvent(
         "backend_limit_unusable",
         Process.GATEWAY,
--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -11,6 +11,8 @@
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.dispatch import Dispatcher
 from nutmegdeal.gateway.engine_check import ConnectCheck
+from nutmegdeal.gateway.limit_rows import LimitKeeper
+from nutmegdeal.gateway.limited_servers import LimitedServers
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.prompt_guard import PromptGuard
 from nutmegdeal.gateway.prompt_part_rows import PartRowWriter, PartsWatcher
@@ -38,6 +40,23 @@
         return None
 
 
+def build_board(membership, clock=None):
+    """Return the Blackboard of a gateway that has read nothing."""
+    clock = clock or SystemClock()
+    return Blackboard(
+        build.build_node_settings(), clock, membership, AdapterVersions(5_000.0)
+    )
+
+
+def build_search(board, selector, random_state=None, telemetry=None):
+    """Return a MemberSearch without placers."""
+    telemetry = telemetry or GatewayTelemetry()
+    random_state = random_state or random.Random(1)
+    keeper = LimitKeeper(None, board, telemetry)
+    limits = LimitedServers(board.membership, keeper, telemetry, random_state)
+    return MemberSearch(board, selector, NoLinks(), limits, random_state)
+
+
 class DispatchHarness:
     """A gateway's dispatcher and its backend servers.
 
@@ -127,7 +146,7 @@
             self.board,
             DirectTransport(ConnectionPool(self.clock), self.clock, membership),
             selector,
-            MemberSearch(self.board, selector, links, random_state),
+            build_search(self.board, selector, random_state, self.telemetry),
             links,
             RetryDecider(budgets.budget_for),
             budgets,
--- a/nutmegdeal/tests/test_gateway_availability.py
+++ b/nutmegdeal/tests/test_gateway_availability.py
@@ -7,6 +7,7 @@
     REMOVAL_DELAY_MS,
     SILENT_INTERVALS,
     LeavingSource,
+    LimitSource,
 )
 from nutmegdeal.gateway.members import DEPARTED_KEPT_MS, EXPIRY_GRACE_MS, Membership
 from nutmegdeal.messages import decode_batch, encode_message, join_batch
@@ -198,23 +199,29 @@
     def setup_method(self):
         self.limits, self.unusable = [], []
         self.membership = Membership(
-            on_limited=lambda item: self.limits.append(item.availability.limit_per_s),
+            on_limited=lambda item, source: self.limits.append(
+                item.availability.limit_per_s
+            ),
             on_limit_unusable=self.unusable.append,
         )
         self.member = self.membership.put(build.build_backend(), 0.0)
 
+    def record(self, limit_per_s):
+        source = LimitSource.ANSWER
+        self.membership.record_limit(self.member, limit_per_s, source, 0.0)
+
     def test_first_limit_changes_and_end_are_reported_once_each(self):
         for limit_per_s in (2.0, 2.0, 1.5, 1.5, None, None):
-            self.membership.record_limit(self.member, limit_per_s)
+            self.record(limit_per_s)
         assert self.limits == [2.0, 1.5, None]
 
     def test_servers_with_a_limit_are_counted(self):
         assert self.membership.limited_count == 0
-        self.membership.record_limit(self.member, 2.0)
+        self.record(2.0)
         assert self.membership.limited_count == 1
 
     def test_unusable_limit_is_reported_once_and_changes_nothing(self):
-        self.membership.record_limit(self.member, 2.0)
+        self.record(2.0)
         self.membership.record_unusable_limit(self.member)
         self.membership.record_unusable_limit(self.member)
         assert self.unusable == [self.member]
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -1,7 +1,5 @@
 """Tests of the gateway's decisions, without a network."""
 
-import random
-
 import attrs
 import pytest
 from hypothesis import given
@@ -24,7 +22,6 @@
     RetryDecider,
     RetryDecision,
 )
-from nutmegdeal.gateway.search import MemberSearch
 from nutmegdeal.gateway.versions import OLD_VERSION_SHARE, AdapterVersions
 from nutmegdeal.retry_budget import RetryBudget, WindowedRetryBudget
 from nutmegdeal.site_configuration import (
@@ -34,6 +31,7 @@
     BackendState,
 )
 from nutmegdeal.tests import platform_builders as build
+from nutmegdeal.tests.dispatch_harness import build_search
 
 WINDOW_MS = 10_000.0
 
@@ -261,13 +259,6 @@
         return self._choice
 
 
-class NoLinks:
-    """PlacerLinks without any placer."""
-
-    def link_to(self, member):
-        return None
-
-
 class TestSearch:
     """How the search acts on the selection of an engine."""
 
@@ -283,7 +274,7 @@
             build.build_node_settings(), clock, membership, AdapterVersions(5_000.0)
         )
         choice = LoadFirst(spare, full if has_holder else None)
-        search = MemberSearch(board, FixedSelector(choice), NoLinks(), random.Random(1))
+        search = build_search(board, FixedSelector(choice))
         request = build.build_request(
             adapter="a7",
             deadline_ms=clock.monotonic_ms() + 0.8 * UNCONTENDED_LOAD_MS,
@@ -312,7 +303,7 @@
             build.build_node_settings(), clock, membership, AdapterVersions(5_000.0)
         )
         selector = FixedSelector(make_choice(member))
-        search = MemberSearch(board, selector, NoLinks(), random.Random(1))
+        search = build_search(board, selector)
         request = build.build_request(**{"tried_ids": {"i-1"}, **changes})
         return search.find_replacement(request), member
 
--- a/nutmegdeal/tests/test_server_limits.py
+++ b/nutmegdeal/tests/test_server_limits.py
@@ -6,7 +6,9 @@
 import pytest
 
 from nutmegdeal.fakes.named_limit import allowed_count, most_in_window
-from nutmegdeal.tests.platform_site import PlatformSite
+from nutmegdeal.fakes.platform_store import StoreFault
+from nutmegdeal.gateway.limit_rows import LIMITS_TABLE
+from nutmegdeal.tests.platform_site import PlatformSite, wait_until
 
 ENGINES, SERVERS = "engines", "servers"
 PATHS = {ENGINES: "/chat/1", SERVERS: "/look/1"}
@@ -80,6 +82,40 @@
     assert all(float(headers[b"retry-after"]) > 0 for headers, _ in refused)
 
 
+def test_limit_holds_while_the_store_is_away(site):
+    limited = site.servers[0]
+    limited.limit.value = b"1"
+    named_ms = time.monotonic() * 1000
+    send_for(site, "/look/1", 1_500.0)
+    site.store.fault = StoreFault.BUSY
+    answers = send_for(site, "/look/1", COUNTED_MS + CONTACT_MS)
+    late = late_arrivals(limited, named_ms)
+    assert most_in_window(late) <= allowed_count(1.0)
+    assert {status for status, _, _ in answers} == {200}
+
+
+def test_all_gateways_learn_that_a_limit_has_ended(site):
+    limited = site.servers[0]
+    limited.limit.value = b"1"
+    send_for(site, "/look/1", 1_500.0)
+    limited.limit.value = None
+    # One gateway gets requests; the others learn it from the store.
+    busy = site.gateways[0]
+
+    def find_limited_gateways():
+        site.call("/look/1", "more", adapter="", gateway=busy)
+        memberships = [item._board.membership for item in site.gateways]
+        return [item for item in memberships if item.limited_count]
+
+    wait_until(lambda: not find_limited_gateways())
+    assert not site.store.find_keys(LIMITS_TABLE)
+
+
+def test_sites_without_limits_have_no_rows(site):
+    send_for(site, "/look/1", 500.0)
+    assert not site.store.find_keys(LIMITS_TABLE)
+
+
 def test_limit_that_is_no_number_is_ignored(site):
     for server in site.servers:
         server.limit.value = b"many"
