--- a/nutmegdeal/fakes/named_limit.py
+++ b/nutmegdeal/fakes/named_limit.py
@@ -10,6 +10,15 @@
 ALLOWED_EXCESS = 5
 
 
+@attrs.frozen
+class NamedPeriod:
+    """A time in which a server named a limit, on the monotonic clock."""
+
+    limit_per_s: float
+    from_ms: float
+    until_ms: float
+
+
 @attrs.define
 class NamedLimit:
     """The limit that a server names, and the requests that it received.
@@ -20,10 +29,28 @@
         Sent in all answers; None names no limit.
     arrivals : list of (float, str)
         When each request arrived, on the monotonic clock in ms, and its id.
+    periods : list of NamedPeriod
+        Ended periods begun by `begin`.
     """
 
     value: bytes | None = None
     arrivals: list = attrs.field(factory=list)
+    periods: list = attrs.field(factory=list)
+    _from_ms: float = 0.0
+
+    def begin(self, limit_per_s):
+        """Name a limit in all answers from now on."""
+        self.end()
+        self.value = b"%g" % limit_per_s
+        self._from_ms = time.monotonic() * 1000
+
+    def end(self):
+        """Name no limit any longer."""
+        if self.value is not None:
+            until_ms = time.monotonic() * 1000
+            period = NamedPeriod(float(self.value), self._from_ms, until_ms)
+            self.periods.append(period)
+        self.value = None
 
     @property
     def headers(self):
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -13,6 +13,7 @@
 from nutmegdeal.soak.fault_records import (
     CRASHING_PROMPTS_KIND,
     ENDLESS_ANSWERS_KIND,
+    LIMITS_KIND,
     SILENCE_KIND,
     FaultRecord,
 )
@@ -42,6 +43,9 @@
 DELAYED_ORDER_POLL_S = 0.002
 # Requests in a row that a server refuses with a Retry-After.
 REFUSALS_MAX = 4
+LIMITS_PER_S = (0.5, 1.0, 1.9, 5.0)
+# For how long a server names a limit; gateways have 3 s to learn it.
+LIMIT_DURATION_S = (5.0, 12.0)
 # Time within which rows that a copy of the store lacks are written again.
 WRITTEN_AGAIN_S = 2.0
 LINK_MODES = (
@@ -62,6 +66,8 @@
     has_crashing_prompts : bool
         Whether callers send a part of prompts that crashes engines, for
         `CRASHING_PROMPTS_S` beside planned work.
+    has_limits : bool
+        Whether an engine and a server at a time name a limit, beside all other faults.
 
     Attributes
     ----------
@@ -69,8 +75,9 @@
         Faults that have ended.
     """
 
-    def __init__(self, site, seed, has_crashing_prompts=False):
+    def __init__(self, site, seed, has_crashing_prompts=False, has_limits=False):
         self.records = []
+        self._has_limits = has_limits
         self._has_crashing_prompts = has_crashing_prompts
         self._site = site
         self._random = random.Random(seed)
@@ -107,6 +114,10 @@
         """
         started_s = time.monotonic()
         planned = [action for action in self._actions if action[2]]
+        if self._has_limits:
+            for backends in (self._site.engines, self._site.servers):
+                name_limits = functools.partial(self._name_limits, backends)
+                self._spawn((LIMITS_KIND, name_limits, True), fault_period_s)
         if self._has_crashing_prompts:
             crash_prompts = (CRASHING_PROMPTS_KIND, self._crash_prompts, False)
             self._spawn(crash_prompts, CRASHING_PROMPTS_S)
@@ -208,6 +219,15 @@
         name = engine.backend_id.partition("#")[0]
         self._site.restart_engine(engine, f"{name}#{self._restart_count}")
 
+    def _name_limits(self, backends, duration_s):
+        end_s = time.monotonic() + duration_s
+        while time.monotonic() < end_s:
+            backend = self._random.choice(backends)
+            backend.limit.begin(self._random.choice(LIMITS_PER_S))
+            gevent.sleep(self._random.uniform(*LIMIT_DURATION_S))
+            backend.limit.end()
+        return backends[0].service
+
     def _crash_prompts(self, duration_s):
         for engine in self._site.engines:
             engine.prompts.crash_down_ms = CRASH_DOWN_MS
@@ -274,6 +294,7 @@
 
     def _replace_server(self, server):
         """Begin the next incarnation of a server: one that leaves never comes back."""
+        server.limit.end()
         server.incarnation += 1
         server.is_leaving = False
         server.state = "ready"
--- a/nutmegdeal/soak/rule_checks.py
+++ b/nutmegdeal/soak/rule_checks.py
@@ -1,6 +1,7 @@
 """Checks the rules of the platform against the records of callers and backends."""
 
 from nutmegdeal.fakes.endless_answers import ENDLESS_EVENT_TEXT
+from nutmegdeal.fakes.named_limit import allowed_count, most_in_window
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.soak.callers import ANSWER_MARGIN_MS
 from nutmegdeal.soak.fault_records import (
@@ -19,6 +20,9 @@
 CONTACT_S = BOUNDS["contact_ms"] / 1000
 CRASHES_MAX = 5
 LATE_ARRIVALS_MAX = 3
+# Faults that excuse a gateway from a server's limit, and one that holds requests up.
+RESTART_KINDS = ("kill", "pause", "terminate")
+LINK_KIND = "backend_link"
 
 
 def expected_body(record):
@@ -51,9 +55,52 @@
     arrivals = [item for engine in site.engines for item in engine.prompts.arrivals]
     gateways = {record.request_id: record.gateway for record in records}
     violations += find_late_arrivals(crashes, arrivals, gateways, faults)
+    for backend in site.backends:
+        violations += find_exceeded_limits(backend, gateways, faults)
     return violations
 
 
+def find_exceeded_limits(backend, gateways, faults):
+    """Yield a description of each period in which a limit was exceeded (str).
+
+    Parameters
+    ----------
+    backend : PlatformBackend
+    gateways : dict of str to int
+        Numbers of the gateways that got the requests, by request id.
+    faults : list of FaultRecord
+    """
+    for period in backend.limit.periods:
+        counted_ms = [
+            at_ms
+            for at_ms, request_id in backend.limit.arrivals
+            if period.from_ms + BOUNDS["contact_ms"] <= at_ms <= period.until_ms
+            and not _is_limit_excused(at_ms, backend, gateways.get(request_id), faults)
+        ]
+        most = most_in_window(counted_ms)
+        allowed = allowed_count(period.limit_per_s)
+        if most > allowed:
+            yield (
+                f"{backend.backend_id} with a limit of {period.limit_per_s} a second "
+                f"got {most} requests in 4 s, {allowed:.0f} are allowed"
+            )
+
+
+def _is_limit_excused(at_ms, backend, gateway, faults):
+    """Return whether a gateway did not know the limit, or a link held requests up."""
+    number = backend.backend_id.partition("#")[0]
+    return any(
+        fault.started_s <= at_ms / 1000 <= fault.ended_s + FAULT_EFFECT_S
+        for fault in faults
+        if (
+            fault.kind in RESTART_KINDS
+            and fault.target == f"gateway-{gateway}"
+            or fault.kind == LINK_KIND
+            and fault.target.partition("#")[0] == number
+        )
+    )
+
+
 def find_late_arrivals(crashes, arrivals, gateways, faults):
     """Yield a description of each part that reached engines too often (str).
 
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -8,7 +8,12 @@
 from nutmegdeal.soak.callers import REQUEST_KINDS, Caller
 from nutmegdeal.soak.faults import FaultInjector
 from nutmegdeal.soak.rule_checks import find_violations
-from nutmegdeal.soak.site import RETRY_BOUNDS, SoakSite
+from nutmegdeal.soak.site import (
+    GATEWAY_COUNT,
+    LIMITED_GATEWAY_COUNT,
+    RETRY_BOUNDS,
+    SoakSite,
+)
 
 CALLER_COUNT = 8
 # The platform requires recovery within 12 s; programs may have to start before that.
@@ -28,6 +33,8 @@
         Requests for which no connection to a gateway could be opened.
     crash_count : int
         Crashes of engines by prompts.
+    limit_count : int
+        Times that a server named a limit.
     violations : tuple of str
     """
 
@@ -37,10 +44,13 @@
     fault_count: int
     unsent_count: int
     crash_count: int
+    limit_count: int
     violations: tuple[str, ...]
 
 
-def run_soak(seed, fault_period_s, folder, has_crashing_prompts=False):
+def run_soak(
+    seed, fault_period_s, folder, has_crashing_prompts=False, has_limits=False
+):
     """Run the programs under load and faults, and check the rules.
 
     Parameters
@@ -52,18 +62,21 @@
         For settings and logs, which are kept.
     has_crashing_prompts : bool
         Whether callers also send prompts that crash engines.
+    has_limits : bool
+        Whether servers name limits, which more gateways then have to keep.
 
     Returns
     -------
     SoakResult
     """
     retry_bounds = random.Random(seed).choice(RETRY_BOUNDS)
-    site = SoakSite(folder, f"127.{20 + seed % 200}", retry_bounds)
+    gateway_count = LIMITED_GATEWAY_COUNT if has_limits else GATEWAY_COUNT
+    site = SoakSite(folder, f"127.{20 + seed % 200}", retry_bounds, gateway_count)
     records = []
     try:
         probe = Caller("probe", site, seed, records)
         violations = _wait_until_served(probe, site)
-        fault_injector = FaultInjector(site, seed, has_crashing_prompts)
+        fault_injector = FaultInjector(site, seed, has_crashing_prompts, has_limits)
         restart_greenlet = gevent.spawn(fault_injector.restart_ended_programs)
         callers = [
             Caller(number, site, seed, records) for number in range(CALLER_COUNT)
@@ -83,6 +96,7 @@
         ),
         fault_count=len(fault_injector.records),
         unsent_count=sum(not item.was_sent for item in records),
+        limit_count=sum(len(item.limit.periods) for item in site.backends),
         crash_count=sum(engine.prompts.crash_count for engine in site.engines),
         violations=tuple(violations),
     )
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -26,6 +26,8 @@
 from nutmegdeal.soak.proxy import FaultyProxy
 
 GATEWAY_COUNT = 2
+# With limits on servers, which gateways have to keep together.
+LIMITED_GATEWAY_COUNT = 6
 ENGINE_COUNT = 2
 SERVER_COUNT = 2
 GRACE_S = 8
@@ -98,7 +100,7 @@
 
 
 class SoakSite:
-    """Two gateways, two engines with placers, two plain servers, a store.
+    """Some gateways, two engines with placers, two plain servers, a store.
 
     The last engine and the last plain server send answers without length or chunks.
 
@@ -110,6 +112,7 @@
         First two octets of the loopback addresses of the machines, such as ``127.20``.
     retry_bounds : dict
         One of RETRY_BOUNDS.
+    gateway_count : int
 
     Attributes
     ----------
@@ -117,7 +120,7 @@
         Part of prompts that crashes engines and that callers send, "" for none.
     """
 
-    def __init__(self, folder, prefix, retry_bounds):
+    def __init__(self, folder, prefix, retry_bounds, gateway_count=GATEWAY_COUNT):
         self._folder = folder
         self._bounds = {**BOUNDS, **retry_bounds}
         self._prefix = prefix
@@ -142,8 +145,8 @@
         for backend in self.backends:
             self.register(backend)
         self.put_configuration()
-        self.gateway_ports = _free_ports(self._ip(20), GATEWAY_COUNT * 2)
-        self.gateways = [self._make_gateway(number) for number in range(GATEWAY_COUNT)]
+        self.gateway_ports = _free_ports(self._ip(20), gateway_count * 2)
+        self.gateways = [self._make_gateway(number) for number in range(gateway_count)]
         self.placers = [self._make_placer(engine) for engine in self.engines]
         for program in self.programs:
             program.start()
@@ -196,6 +199,7 @@
         """Restart an engine under an id, which may be its present one."""
         self.store.remove("servers", engine.backend_id)
         self.proxies[backend_id] = self.proxies.pop(engine.backend_id)
+        engine.limit.end()
         engine.restart(backend_id)
         self.register(engine)
 
--- a/nutmegdeal/tests/limit_load.py
+++ b/nutmegdeal/tests/limit_load.py
@@ -3,15 +3,22 @@
 import attrs
 
 from nutmegdeal.fakes.named_limit import WINDOW_MS
-from nutmegdeal.gateway.limit_slots import OpenSlots, build_record, plan_reservation
+from nutmegdeal.gateway.limit_slots import (
+    OpenSlots,
+    build_record,
+    first_slot_ms,
+    plan_reservation,
+)
 
 TICK_MS = 50.0
 # From the naming of a limit to the answer that tells a gateway.
 ANSWER_MS = 60.0
 # Requests are counted from this long after a gateway was told.
 TOLD_BEFORE_MS = 500.0
-READ_EVERY_MS = 3_000.0
 RETRY_MS = 400.0
+# Mean pause of a gateway that finds all slots reserved, as a share of the time until
+# the first free one.
+RETRY_SHARE = 0.75
 
 
 @attrs.define
@@ -95,7 +102,8 @@
         wanted = self.slots.wanted_count
         planned = plan_reservation(record, self.name, wanted, row.era, own_ms)
         if planned is None:
-            self._retry_at_ms = own_ms + RETRY_MS
+            wait_ms = first_slot_ms(record, row.era, own_ms) - own_ms
+            self._retry_at_ms = own_ms + RETRY_SHARE * wait_ms
             return
         row.record = planned[0]
         if self.loses_answers:
--- a/nutmegdeal/tests/test_soak.py
+++ b/nutmegdeal/tests/test_soak.py
@@ -16,7 +16,7 @@
 FAULTS_FOR_S = 15
 RUN_TIMEOUT_S = 300
 
-
+LIMITS_SEED = 301
 CRASHING_PROMPTS_SEED = 41
 CRASHING_PROMPTS_FAULTS_FOR_S = 6
 
@@ -51,3 +51,9 @@
         "--crashing-prompts",
     )
     assert result["crash_count"] > 0
+
+
+@pytest.mark.processes
+def test_limits_of_servers_are_kept_by_all_gateways(tmp_path):
+    result = run_soak(LIMITS_SEED, FAULTS_FOR_S, tmp_path, "--limits")
+    assert result["limit_count"] > 0
--- a/nutmegdeal/tests/test_soak_checks.py
+++ b/nutmegdeal/tests/test_soak_checks.py
@@ -5,6 +5,7 @@
 import pytest
 
 from nutmegdeal.fakes.endless_answers import ENDLESS_EVENT_TEXT
+from nutmegdeal.fakes.named_limit import NamedLimit, NamedPeriod
 from nutmegdeal.fakes.prompt_crashes import PartRecord
 from nutmegdeal.soak.callers import CallRecord
 from nutmegdeal.soak.fault_records import (
@@ -19,6 +20,7 @@
     CRASHES_MAX,
     FAULT_EFFECT_S,
     LATE_ARRIVALS_MAX,
+    find_exceeded_limits,
     find_late_arrivals,
     find_violations,
 )
@@ -119,3 +121,52 @@
     assert not find_late(faults=(CRASHING, build_restart(gateway=0)))
     long_after_s = 1 + FAULT_EFFECT_S + 0.1
     assert find_late(late_s=long_after_s, faults=(CRASHING, build_restart(gateway=0)))
+
+
+def build_limited_backend(arrived_ms):
+    """Return a server that named 1 request a second from 0 to 20 s."""
+    limit = NamedLimit(
+        arrivals=[(at_ms, f"c-{number}") for number, at_ms in enumerate(arrived_ms)],
+        periods=[NamedPeriod(1.0, 0.0, 20_000.0)],
+    )
+    return types.SimpleNamespace(backend_id="p-0#2", limit=limit)
+
+
+# One more than 11, the number that is allowed in 4 s.
+TOO_MANY = range(12)
+
+
+def find_limits(arrived_ms, faults=()):
+    gateways = {f"c-{number}": 0 for number in TOO_MANY}
+    backend = build_limited_backend(arrived_ms)
+    return list(find_exceeded_limits(backend, gateways, faults))
+
+
+def test_too_many_arrivals_are_found_once_the_limit_is_known():
+    assert find_limits([10_000.0 + number for number in TOO_MANY])
+
+
+def test_allowed_arrivals_are_no_violation():
+    assert not find_limits([10_000.0 + number for number in range(11)])
+
+
+def test_arrivals_before_the_limit_is_known_are_no_violation():
+    assert not find_limits([2_900.0 + number for number in TOO_MANY])
+
+
+@pytest.mark.parametrize(
+    ("kind", "target", "is_excused"),
+    [
+        ("kill", "gateway-0", True),
+        ("kill", "gateway-1", False),
+        ("backend_link", "p-0", True),
+        ("backend_link", "p-1", False),
+        ("store", "store", False),
+    ],
+)
+def test_only_restarts_and_held_up_requests_excuse_an_exceeded_limit(
+    kind, target, is_excused
+):
+    fault = FaultRecord(kind, target, 9.0, 11.0, False)
+    found = find_limits([10_000.0 + number for number in TOO_MANY], [fault])
+    assert bool(found) is not is_excused
--- a/nutmegdeal/tools/soak.py
+++ b/nutmegdeal/tools/soak.py
@@ -28,6 +28,7 @@
     for_s: float = 15.0,
     folder: str = "",
     crashing_prompts: bool = False,
+    limits: bool = False,
 ):
     """Run the soak test with `count` consecutive seeds, starting at `seed`.
 
@@ -44,6 +45,8 @@
     crashing_prompts
         Callers also send prompts that crash engines, beside planned work and before
         the other faults.
+    limits
+        Servers name limits on their requests a second, with more gateways.
     """
     log.configure("warning", "soak")
     base = pathlib.Path(folder or tempfile.mkdtemp(prefix="nutmegdeal-soak-"))
@@ -51,7 +54,7 @@
     for number in range(seed, seed + count):
         run_folder = base / str(number)
         run_folder.mkdir(parents=True, exist_ok=True)
-        result = run_soak(number, for_s, run_folder, crashing_prompts)
+        result = run_soak(number, for_s, run_folder, crashing_prompts, limits)
         print(json.dumps(attrs.asdict(result)), flush=True)
         is_violated = is_violated or bool(result.violations)
     sys.exit(EXIT_RULES_VIOLATED if is_violated else 0)
