Limits: the end of a limit removes a row that was not read yet

A gateway that was told a limit and its end before it had read the table left the row of others in place, and they kept the limit until a request of their own. With it tests of what a gateway learns from the rows: newer and older limits, removed, missing in a copy, malformed, of servers that are gone.

--- a/nutmegdeal/gateway/limit_rows.py
+++ b/nutmegdeal/gateway/limit_rows.py
@@ -210,6 +210,8 @@
             share.member.availability.slots.drop_unconfirmed()
             self._apply_row(key, share, records.get(key), result.position.era)
         self._apply_unknown(records, result.position.era)
+        for key, share in self._ended.items():
+            _, share.version = records.get(key, (None, 0))
         return True
 
     def _apply_row(self, key, share, found, era):
--- a/nutmegdeal/tests/test_limit_decisions.py
+++ b/nutmegdeal/tests/test_limit_decisions.py
@@ -6,7 +6,13 @@
 
 from nutmegdeal.gateway.availability import LimitSource
 from nutmegdeal.gateway.backend_selection import EngineSelector, LoadFirst, SendNow
-from nutmegdeal.gateway.limit_rows import LimitKeeper, decode_record, encode_record
+from nutmegdeal.gateway.limit_rows import (
+    LIMITS_TABLE,
+    ROW_KEPT_MS,
+    LimitKeeper,
+    decode_record,
+    encode_record,
+)
 from nutmegdeal.gateway.limit_slots import (
     RESERVED_AHEAD_MS,
     SLOT_VALID_MS,
@@ -19,8 +25,11 @@
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.dispatch_harness import build_board
+from nutmegdeal.tests.local_store import LocalStore
 
 NOW_MS = 50_000.0
+# Of the row of `build_backend()`.
+KEY = "i-1@0"
 
 
 def reserve(limit_per_s, wanted_count=1, **changes):
@@ -141,22 +150,110 @@
 
 
 class TestKeeper:
-    """What the keeper does without the store's help."""
+    """What one gateway learns from the rows, and writes there."""
 
     def setup_method(self):
-        self.membership = Membership()
+        self.store = LocalStore()
+        self.membership = Membership(on_limited=self.handle_limited)
         self.board = build_board(self.membership)
-        # A store that must not be called.
-        self.keeper = LimitKeeper(None, self.board, GatewayTelemetry())
+        self.keeper = LimitKeeper(self.store, self.board, GatewayTelemetry())
+        self.member = self.membership.put(build.build_backend(), 0.0)
+
+    def handle_limited(self, member, source):
+        self.keeper.handle_limited(member, source)
+
+    def tell(self, limit_per_s):
+        """Let an answer of the server name a limit, None for none."""
+        now_ms = self.board.clock.monotonic_ms()
+        source = LimitSource.ANSWER
+        self.membership.record_limit(self.member, limit_per_s, source, now_ms)
+
+    def put_row(self, limit_per_s, stated_ms, updated_ms=0.0, key=KEY):
+        record = build_record(limit_per_s, stated_ms, 1, updated_ms)
+        self.store.history.put(LIMITS_TABLE, key, encode_record(record))
+
+    def run_round(self):
+        """Let the keeper read the rows, and write what is due."""
+        self.keeper._read_due_ms = 0.0
+        self.keeper._run_round()
+
+    @property
+    def limit_per_s(self):
+        return self.member.availability.limit_per_s
 
     def test_share_is_the_whole_limit_until_others_are_known(self):
-        member = self.membership.put(build.build_backend(), 0.0)
-        self.membership.record_limit(member, 2.0, LimitSource.ANSWER, 0.0)
-        self.keeper.handle_limited(member, LimitSource.ANSWER)
-        assert self.keeper.share_per_s(member) == 2.0
+        self.tell(2.0)
+        assert self.keeper.share_per_s(self.member) == 2.0
+
+    def test_share_is_divided_by_the_gateways_in_the_row(self):
+        self.tell(2.0)
+        now_ms = self.board.store_now_ms()
+        record = build_record(2.0, now_ms, 1, now_ms)
+        for name in ("a", "b"):
+            record, _ = plan_reservation(record, name, 1, 1, now_ms)
+        self.store.history.put(LIMITS_TABLE, KEY, encode_record(record))
+        self.run_round()
+        assert self.keeper.share_per_s(self.member) == 1.0
 
     def test_removed_member_is_no_longer_limited(self):
-        member = self.membership.put(build.build_backend(), 0.0)
-        self.membership.record_limit(member, 2.0, LimitSource.ANSWER, 0.0)
-        self.membership.remove(member.backend_id, 1e9)
+        self.tell(2.0)
+        self.membership.remove(self.member.backend_id, 1e9)
         assert not self.membership.limited_count
+
+    def test_slots_are_reserved_only_for_requests(self):
+        self.tell(2.0)
+        self.run_round()
+        assert not self.store.write_count
+        self.member.availability.slots.wanted_count = 1
+        self.run_round()
+        assert self.store.write_count == 1
+        assert self.member.is_usable(self.board.clock.monotonic_ms())
+
+    def test_newer_limit_of_a_row_holds(self):
+        self.tell(2.0)
+        self.put_row(1.0, self.board.store_now_ms() + 1.0)
+        self.run_round()
+        assert self.limit_per_s == 1.0
+
+    def test_older_limit_of_a_row_does_not_hold(self):
+        self.put_row(1.0, self.board.store_now_ms() - 1.0)
+        self.tell(2.0)
+        self.run_round()
+        assert self.limit_per_s == 2.0
+
+    def test_row_that_others_removed_ends_the_limit(self):
+        self.tell(2.0)
+        self.put_row(2.0, 0.0)
+        self.run_round()
+        self.store.history.remove(LIMITS_TABLE, KEY)
+        self.run_round()
+        assert self.limit_per_s is None
+
+    def test_row_missing_in_a_copy_does_not_end_the_limit(self):
+        self.tell(2.0)
+        copy = self.store.history.take_copy()
+        self.put_row(2.0, 0.0)
+        self.run_round()
+        self.store.history.restore(copy)
+        self.run_round()
+        assert self.limit_per_s == 2.0
+
+    def test_end_of_a_limit_removes_a_row_that_was_not_read(self):
+        self.tell(2.0)
+        self.put_row(2.0, 0.0)
+        self.tell(None)
+        self.run_round()
+        assert not self.store.history.find_keys(LIMITS_TABLE)
+
+    def test_malformed_row_is_ignored(self):
+        self.tell(2.0)
+        self.store.history.put(LIMITS_TABLE, KEY, b"[]")
+        self.member.availability.slots.wanted_count = 1
+        self.run_round()
+        assert self.limit_per_s == 2.0
+
+    def test_old_row_of_a_server_that_is_gone_is_removed(self):
+        self.tell(2.0)
+        self.put_row(1.0, 0.0, -2 * ROW_KEPT_MS, key="i-9@1")
+        self.run_round()
+        assert not self.store.history.find_keys(LIMITS_TABLE)
