Rename: suspects in place of prompt parts, no change of behaviour

Modules crash_guard, suspect_book and suspect_rows, classes CrashGuard, SuspectBook, SuspectRecord (with suspect_id), SuspectRowWriter and SuspectsWatcher. Rows, log lines, metrics and the answers to callers are as before.

--- a/nutmegdeal/gateway/crash_blame.py
+++ b/nutmegdeal/gateway/crash_blame.py
@@ -21,12 +21,12 @@
 
 
 @attrs.frozen
-class PartRecord:
+class SuspectRecord:
     """What the store holds of one suspect.
 
     Parameters
     ----------
-    part : str
+    suspect_id : str
     crashes : tuple of str
         Incarnations of engines that ended under it, sorted.
     refused_until_ms : float
@@ -39,7 +39,7 @@
         Claims of probes since the last failed probe.
     """
 
-    part: str
+    suspect_id: str
     crashes: tuple[str, ...] = ()
     refused_until_ms: float = 0.0
     updated_ms: float = 0.0
@@ -94,12 +94,12 @@
 
 
 def merge_records(first, second):
-    """Return the PartRecord of all that two say; either may be None."""
+    """Return the SuspectRecord of all that two say; either may be None."""
     if first is None or second is None:
         return first or second
     crashes = {*first.crashes, *second.crashes}
-    return PartRecord(
-        first.part,
+    return SuspectRecord(
+        first.suspect_id,
         _keep(crashes),
         max(first.refused_until_ms, second.refused_until_ms),
         max(first.updated_ms, second.updated_ms),
@@ -109,7 +109,7 @@
 
 
 def plan_records(crash, prompts, known, is_explained, now_ms):
-    """Return the records that change with a crash (tuple of PartRecord).
+    """Return the records that change with a crash (tuple of SuspectRecord).
 
     One part is blamed: of those with enough crashes the one with most; among equals the
     last in its prompt, which fewer requests share. A crash that a refused part explains
@@ -126,7 +126,7 @@
     crash : Crash
     prompts : list of tuple of str
         Those of its parts that are not known to be sound, for each run.
-    known : dict of str to PartRecord
+    known : dict of str to SuspectRecord
         The records of these parts.
     is_explained : bool
         Whether a refused part, of these or of another gateway's runs, explains it.
@@ -160,7 +160,9 @@
 def _find_blamed(suspects, places):
     counted = [record for record in suspects if len(record.crashes) >= REFUSED_CRASHES]
     return max(
-        counted, key=lambda r: (len(r.crashes), places[r.part], r.part), default=None
+        counted,
+        key=lambda r: (len(r.crashes), places[r.suspect_id], r.suspect_id),
+        default=None,
     )
 
 
@@ -175,7 +177,7 @@
 
 
 def plan_claim(record, now_ms):
-    """Return the PartRecord that claims a probe of its part.
+    """Return the SuspectRecord that claims a probe of its part.
 
     After claims without a result, a claim lasts as long as the refusal after a
     failed probe.
@@ -190,6 +192,6 @@
 
 
 def plan_unused_claim(record, now_ms):
-    """Return the PartRecord after a claim whose probe was not run."""
+    """Return the SuspectRecord after a claim whose probe was not run."""
     probe_count = max(record.probe_count - 1, 0)
     return attrs.evolve(record, refused_until_ms=now_ms, probe_count=probe_count)
--- a/nutmegdeal/gateway/prompt_guard.py
+++ b/nutmegdeal/gateway/crash_guard.py
@@ -1,6 +1,6 @@
 """Keeps requests with prompt parts that crash engines away from them.
 
-`prompt_parts` decides; this module brings it the observations of one gateway's runs.
+`suspect_book` decides; this module brings it the observations of one gateway's runs.
 """
 
 import attrs
@@ -30,14 +30,14 @@
     checked: object = attrs.field(factory=gevent.event.AsyncResult)
 
 
-class PromptGuard:
+class CrashGuard:
     """Observes the runs of requests, and finds those that may not be sent.
 
     Parameters
     ----------
     board : Blackboard
-    book : PartBook
-    writer : PartRowWriter
+    book : SuspectBook
+    writer : SuspectRowWriter
     end_check : EndCheck
     telemetry : GatewayTelemetry
     """
@@ -71,7 +71,7 @@
             return None
         now_ms = self._board.store_now_ms()
         record = self._book.find_refused(request.shared_parts, now_ms)
-        if record is None or record.part in request.probed_parts:
+        if record is None or record.suspect_id in request.probed_parts:
             return None
         if self._book.may_probe(record, now_ms):
             request.probed_parts = self._writer.claim_probe(request.shared_parts)
@@ -134,5 +134,5 @@
             if exchange is None or exchange.event_count:
                 continue
             record = self._book.find_refused(request.shared_parts, now_ms)
-            if record is not None and record.part not in request.probed_parts:
+            if record is not None and record.suspect_id not in request.probed_parts:
                 exchange.cancel()
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -39,7 +39,7 @@
     retries : RetryDecider
     budgets : RetryBudgets
     telemetry : GatewayTelemetry
-    guard : PromptGuard
+    guard : CrashGuard
     random_state : random.Random
     """
 
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -14,17 +14,17 @@
 from nutmegdeal.draining import wait_until_idle
 from nutmegdeal.gateway.backend_selection import EngineSelector
 from nutmegdeal.gateway.blackboard import Blackboard
+from nutmegdeal.gateway.crash_guard import CrashGuard
 from nutmegdeal.gateway.dispatch import Dispatcher
 from nutmegdeal.gateway.engine_check import ConnectCheck
 from nutmegdeal.gateway.limit_rows import LimitKeeper
 from nutmegdeal.gateway.limited_servers import LimitedServers
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.placers import PlacerLinks
-from nutmegdeal.gateway.prompt_guard import PromptGuard
-from nutmegdeal.gateway.prompt_part_rows import PartRowWriter, PartsWatcher
-from nutmegdeal.gateway.prompt_parts import PartBook
 from nutmegdeal.gateway.retries import BUDGET_SHARE, RetryBudgets, RetryDecider
 from nutmegdeal.gateway.search import MemberSearch
+from nutmegdeal.gateway.suspect_book import SuspectBook
+from nutmegdeal.gateway.suspect_rows import SuspectRowWriter, SuspectsWatcher
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
 from nutmegdeal.gateway.transport import DirectTransport
 from nutmegdeal.gateway.versions import AdapterVersions
@@ -94,19 +94,19 @@
         self._budgets = RetryBudgets(self._new_budget)
         self._telemetry = GatewayTelemetry()
         self._store = StoreClient(settings.store_at, ConnectionPool(clock))
-        book = PartBook()
-        part_writer = PartRowWriter(self._store, self._board, book, self._telemetry)
+        book = SuspectBook()
+        part_writer = SuspectRowWriter(self._store, self._board, book, self._telemetry)
         self._limit_keeper = LimitKeeper(self._store, self._board, self._telemetry)
         limits = LimitedServers(
             membership, self._limit_keeper, self._telemetry, random_state
         )
-        guard = PromptGuard(
+        guard = CrashGuard(
             self._board, book, part_writer, ConnectCheck(), self._telemetry
         )
         self._controllers = (
             OperatorWatcher(self._store, self._board, self._telemetry).run,
             BackendsWatcher(self._store, self._board, self._telemetry).run,
-            PartsWatcher(
+            SuspectsWatcher(
                 self._store,
                 self._board,
                 self._telemetry,
--- a/nutmegdeal/gateway/prompt_parts.py
+++ b/nutmegdeal/gateway/suspect_book.py
@@ -6,9 +6,9 @@
 import collections
 
 from nutmegdeal.gateway import crash_blame
-from nutmegdeal.gateway.crash_blame import Crash, PartRecord, merge_records
+from nutmegdeal.gateway.crash_blame import Crash, SuspectRecord, merge_records
 
-__all__ = ["Crash", "PartBook", "PartRecord"]
+__all__ = ["Crash", "SuspectBook", "SuspectRecord"]
 
 # Time for which a suspect is kept without a new crash.
 SUSPECT_KEPT_MS = 3_600_000.0
@@ -22,7 +22,7 @@
 SETTLED_CRASHES_MAX = 2_048
 
 
-class PartBook:
+class SuspectBook:
     """Sound parts, rows of the store, and crashes that are not stored yet.
 
     A refused part stays refused until a run with it delivers or its row is removed.
@@ -67,7 +67,7 @@
         return tuple(part for part in parts if part not in self._sound)
 
     def plan_crash(self, crash, now_ms):
-        """Return the records to write for a crash (tuple of PartRecord).
+        """Return the records to write for a crash (tuple of SuspectRecord).
 
         The write is conditional on the versions of all of them. Empty if the store
         needs no write.
@@ -111,17 +111,21 @@
             for record in self._plan_crash(
                 crash, seen_ms, own_records, explained_ids | own_ids
             ):
-                own_records[record.part] = record
+                own_records[record.suspect_id] = record
 
     def _explained_ids(self):
         records = (*self._rows.values(), *self._lost.values())
-        return _list_explained_ids(r for r in records if r.part not in self._sound)
+        return _list_explained_ids(
+            r for r in records if r.suspect_id not in self._sound
+        )
 
     def _plan_crash(self, crash, now_ms, own_records, explained_ids):
         """Return the records that change if these own records are in force."""
         prompts = [self.unknown_parts(prompt) for prompt in crash.prompts]
         known = {
-            part: own_records.get(part) or self._find_stored(part) or PartRecord(part)
+            part: own_records.get(part)
+            or self._find_stored(part)
+            or SuspectRecord(part)
             for prompt in prompts
             for part in prompt
             if (part, crash.crash_id) not in self._settled
@@ -132,13 +136,15 @@
         return crash_blame.plan_records(crash, prompts, known, is_explained, now_ms)
 
     def find_refused(self, parts, now_ms):
-        """Return the PartRecord of a refused part, None if the request may be sent.
+        """Return the SuspectRecord of a refused part, None if the request may be sent.
 
         Of several the one that may be probed last. `may_probe` tells whether the
         request may be sent as a probe.
         """
         refused = self._list_refused(parts)
-        return max(refused, key=lambda r: (r.refused_until_ms, r.part), default=None)
+        return max(
+            refused, key=lambda r: (r.refused_until_ms, r.suspect_id), default=None
+        )
 
     def _list_refused(self, parts):
         self._decide_own_records()
@@ -150,7 +156,7 @@
         return now_ms >= record.refused_until_ms
 
     def plan_probe(self, parts, now_ms):
-        """Return the records that claim a probe (tuple of PartRecord).
+        """Return the records that claim a probe (tuple of SuspectRecord).
 
         The gateway whose conditional write of all of them succeeds sends the probe.
 
@@ -176,7 +182,7 @@
         Parameters
         ----------
         part : str
-        record : PartRecord or None
+        record : SuspectRecord or None
             None if the row was removed.
         version : int
         now_ms : float
@@ -225,12 +231,12 @@
 
         Parameters
         ----------
-        listed : dict of str to PartRecord
+        listed : dict of str to SuspectRecord
             The rows of the copy.
 
         Returns
         -------
-        tuple of PartRecord
+        tuple of SuspectRecord
         """
         parts = {*self._rows, *self._lost} - self._sound.keys()
         self._lost = {part: self._find_stored(part) for part in sorted(parts)}
@@ -255,7 +261,7 @@
         oldest_first = sorted(self._rows.values(), key=_removal_order)
         excess_count = len(oldest_first) - SUSPECTS_MAX
         return tuple(
-            record.part
+            record.suspect_id
             for place, record in enumerate(oldest_first)
             if not record.is_refused
             and (place < excess_count or record.updated_ms + SUSPECT_KEPT_MS <= now_ms)
@@ -274,7 +280,7 @@
 
 
 def _removal_order(record):
-    return (record.is_refused, record.updated_ms, record.part)
+    return (record.is_refused, record.updated_ms, record.suspect_id)
 
 
 def _trim(records):
@@ -284,8 +290,8 @@
         return []
     oldest = sorted(records.values(), key=_removal_order)[:excess_count]
     for record in oldest:
-        del records[record.part]
-    return [record.part for record in oldest]
+        del records[record.suspect_id]
+    return [record.suspect_id for record in oldest]
 
 
 def _drop_oldest(ordered, count_max):
--- a/nutmegdeal/gateway/prompt_part_rows.py
+++ b/nutmegdeal/gateway/suspect_rows.py
@@ -8,7 +8,7 @@
 import gevent.event
 
 from nutmegdeal.errors import Failure
-from nutmegdeal.gateway.crash_blame import Crash, PartRecord
+from nutmegdeal.gateway.crash_blame import Crash, SuspectRecord
 from nutmegdeal.gateway.watching import RETRY_INITIAL_MS, RETRY_MAX_MS, TableWatcher
 from nutmegdeal.log import get_logger
 from nutmegdeal.platform.rows import DECODE_ERRORS
@@ -30,7 +30,7 @@
 
 
 def encode_record(record):
-    """Return the value (bytes) of a row with a PartRecord."""
+    """Return the value (bytes) of a row with a SuspectRecord."""
     data = {
         "crashes": list(record.crashes),
         "refused_until_ms": record.refused_until_ms,
@@ -42,7 +42,7 @@
 
 
 def decode_record(key, value):
-    """Return the PartRecord in a row.
+    """Return the SuspectRecord in a row.
 
     Raises
     ------
@@ -50,8 +50,8 @@
         If it is not one.
     """
     data = json.loads(value)
-    return PartRecord(
-        part=key,
+    return SuspectRecord(
+        suspect_id=key,
         crashes=tuple(sorted(str(item) for item in data["crashes"])),
         refused_until_ms=float(data["refused_until_ms"]),
         updated_ms=float(data["updated_ms"]),
@@ -68,7 +68,7 @@
     ----------
     crash : Crash or None
         Evidence to store.
-    records : tuple of PartRecord
+    records : tuple of SuspectRecord
         Rows to store.
     removed_parts : tuple of str
     is_restore : bool
@@ -81,14 +81,14 @@
     is_restore: bool = False
 
 
-class PartRowWriter:
+class SuspectRowWriter:
     """Writes what this gateway has learned of prompt parts to the store.
 
     Parameters
     ----------
     store : StoreClient
     board : Blackboard
-    book : PartBook
+    book : SuspectBook
     telemetry : GatewayTelemetry
     """
 
@@ -144,7 +144,7 @@
         planned = self._book.plan_probe(parts, self._board.store_now_ms())
         if self._write(planned) is not True:
             return ()
-        return tuple(record.part for record in planned)
+        return tuple(record.suspect_id for record in planned)
 
     def release_probe(self, parts):
         """Let another request probe parts, as the one that claimed them has not run."""
@@ -195,9 +195,9 @@
 
         Returns None if the store did not answer.
         """
-        parts = [*(record.part for record in records), *removed_parts]
+        parts = [*(record.suspect_id for record in records), *removed_parts]
         expected = {part: self._book.version(part) for part in parts}
-        writes = {record.part: encode_record(record) for record in records}
+        writes = {record.suspect_id: encode_record(record) for record in records}
         started_ms = self._board.clock.monotonic_ms()
         result = self._store.write_rows(PARTS_TABLE, expected, writes, removed_parts)
         taken_ms = self._board.clock.monotonic_ms() - started_ms
@@ -213,12 +213,12 @@
             self._apply_conflict(parts, result.rows, now_ms)
             return False
         for record in records:
-            self._book.apply(record.part, record, result.version, now_ms)
+            self._book.apply(record.suspect_id, record, result.version, now_ms)
             change = "refused" if record.refused_until_ms else "suspected"
             self._telemetry.record_part(change, record)
         for part in removed_parts:
             self._book.apply(part, None, 0, now_ms)
-            self._telemetry.record_part("removed", PartRecord(part))
+            self._telemetry.record_part("removed", SuspectRecord(part))
         return True
 
     def _apply_conflict(self, parts, rows, now_ms):
@@ -229,7 +229,7 @@
             self._book.apply(part, record, row.version if row else 0, now_ms)
 
 
-class PartsWatcher(TableWatcher):
+class SuspectsWatcher(TableWatcher):
     """Watches the suspected prompt parts.
 
     Parameters
@@ -237,8 +237,8 @@
     store : StoreClient
     board : Blackboard
     telemetry : GatewayTelemetry
-    book : PartBook
-    writer : PartRowWriter
+    book : SuspectBook
+    writer : SuspectRowWriter
     on_changed : callable
         Called after rows were read.
     """
@@ -292,7 +292,7 @@
 
 
 def _decode_row(row):
-    """Return the PartRecord of a row, None if it was removed or is malformed."""
+    """Return the SuspectRecord of a row, None if it was removed or is malformed."""
     if row.value is None:
         return None
     try:
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -20,7 +20,7 @@
     member : Member
         The server that runs the request.
     progress : AnswerProgress
-    guard : PromptGuard
+    guard : CrashGuard
     link : PlacerLink or None
         Counts the uses of the adapter.
 
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -220,13 +220,13 @@
         ----------
         change : str
             ``suspected``, ``refused``, ``probed`` or ``removed``.
-        record : PartRecord
+        record : SuspectRecord
         """
         self._parts.labels(change).inc()
         logger.warning(
             "prompt_part",
             change=change,
-            part=record.part,
+            part=record.suspect_id,
             crashes=list(record.crashes),
             refused_until_ms=round(record.refused_until_ms),
         )
--- a/nutmegdeal/part_rows_admin.py
+++ b/nutmegdeal/part_rows_admin.py
@@ -3,8 +3,8 @@
 import attrs
 
 from nutmegdeal.errors import Failure
-from nutmegdeal.gateway.crash_blame import PartRecord
-from nutmegdeal.gateway.prompt_part_rows import PARTS_TABLE, decode_record
+from nutmegdeal.gateway.crash_blame import SuspectRecord
+from nutmegdeal.gateway.suspect_rows import PARTS_TABLE, decode_record
 from nutmegdeal.platform.rows import DECODE_ERRORS
 
 # Times that a removal is tried while others change the row.
@@ -19,7 +19,7 @@
     ----------
     part : str
     version : int
-    record : PartRecord or None
+    record : SuspectRecord or None
         None if the value cannot be read.
     refused_for_s : float or None
         Time until the end of the refusal by the store's clock, 0.0 if it has ended and
@@ -28,7 +28,7 @@
 
     part: str
     version: int
-    record: PartRecord | None
+    record: SuspectRecord | None
     refused_for_s: float | None = None
 
 
--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -9,16 +9,16 @@
 from nutmegdeal.connection_pool import ConnectionPool
 from nutmegdeal.gateway.backend_selection import EngineSelector
 from nutmegdeal.gateway.blackboard import Blackboard
+from nutmegdeal.gateway.crash_guard import CrashGuard
 from nutmegdeal.gateway.dispatch import Dispatcher
 from nutmegdeal.gateway.engine_check import ConnectCheck
 from nutmegdeal.gateway.limit_rows import LimitKeeper
 from nutmegdeal.gateway.limited_servers import LimitedServers
 from nutmegdeal.gateway.members import Membership
-from nutmegdeal.gateway.prompt_guard import PromptGuard
-from nutmegdeal.gateway.prompt_part_rows import PartRowWriter, PartsWatcher
-from nutmegdeal.gateway.prompt_parts import PartBook
 from nutmegdeal.gateway.retries import RetryBudgets, RetryDecider
 from nutmegdeal.gateway.search import MemberSearch
+from nutmegdeal.gateway.suspect_book import SuspectBook
+from nutmegdeal.gateway.suspect_rows import SuspectRowWriter, SuspectsWatcher
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
 from nutmegdeal.gateway.transport import DirectTransport
 from nutmegdeal.gateway.versions import AdapterVersions
@@ -115,14 +115,14 @@
         return member
 
     def _start_guard(self, store):
-        self.book = PartBook()
-        self.writer = writer = PartRowWriter(
+        self.book = SuspectBook()
+        self.writer = writer = SuspectRowWriter(
             store, self.board, self.book, self.telemetry
         )
-        self.guard = PromptGuard(
+        self.guard = CrashGuard(
             self.board, self.book, writer, ConnectCheck(), self.telemetry
         )
-        watcher = PartsWatcher(
+        watcher = SuspectsWatcher(
             store,
             self.board,
             self.telemetry,
--- a/nutmegdeal/tests/prompt_part_load.py
+++ b/nutmegdeal/tests/prompt_part_load.py
@@ -4,13 +4,15 @@
 
 import attrs
 
-from nutmegdeal.gateway.prompt_parts import Crash, PartBook
+from nutmegdeal.gateway.suspect_book import Crash, SuspectBook
 
 
 def store(book, records, now_ms=0.0):
     """Apply records as if the book's write had succeeded."""
     for record in records:
-        book.apply(record.part, record, book.version(record.part) + 1, now_ms)
+        book.apply(
+            record.suspect_id, record, book.version(record.suspect_id) + 1, now_ms
+        )
 
 
 class WriteOutcome(enum.Enum):
@@ -41,7 +43,7 @@
 
         Parameters
         ----------
-        changes : dict of str to (PartRecord or None, int)
+        changes : dict of str to (SuspectRecord or None, int)
 
         Returns
         -------
@@ -100,12 +102,12 @@
 
 
 class ModelGateway:
-    """The writes and reads of one gateway around its PartBook.
+    """The writes and reads of one gateway around its SuspectBook.
 
     Parameters
     ----------
     store : ModelStore
-    book : PartBook
+    book : SuspectBook
     now_ms : float
     """
 
@@ -168,7 +170,7 @@
         return {}
 
     def _as_changes(self, records):
-        return {r.part: (r, self.book.version(r.part)) for r in records}
+        return {r.suspect_id: (r, self.book.version(r.suspect_id)) for r in records}
 
     def write(self, changes, outcome, now_ms):
         """Write; return whether it is known to have succeeded (bool)."""
@@ -217,7 +219,9 @@
     gateway_count, engine_count : int
     """
 
-    def __init__(self, crashing, book_class=PartBook, gateway_count=3, engine_count=3):
+    def __init__(
+        self, crashing, book_class=SuspectBook, gateway_count=3, engine_count=3
+    ):
         self.crashing = crashing
         self.now_ms = 1_000.0
         self.store = ModelStore()
--- a/nutmegdeal/tests/test_part_rows_admin.py
+++ b/nutmegdeal/tests/test_part_rows_admin.py
@@ -13,13 +13,13 @@
 from nutmegdeal.errors import Failure
 from nutmegdeal.exit_codes import ExitCode
 from nutmegdeal.fakes.platform_store import PlatformStore, StoreFault
-from nutmegdeal.gateway.crash_blame import Crash, PartRecord
-from nutmegdeal.gateway.prompt_part_rows import (
+from nutmegdeal.gateway.crash_blame import Crash, SuspectRecord
+from nutmegdeal.gateway.suspect_book import SuspectBook
+from nutmegdeal.gateway.suspect_rows import (
     PARTS_TABLE,
     decode_record,
     encode_record,
 )
-from nutmegdeal.gateway.prompt_parts import PartBook
 from nutmegdeal.platform.store import StoreClient
 
 COMMAND_TIMEOUT_S = 20
@@ -37,7 +37,7 @@
 
 
 def put(rows, record):
-    rows.put(PARTS_TABLE, record.part, encode_record(record))
+    rows.put(PARTS_TABLE, record.suspect_id, encode_record(record))
 
 
 def run_ctl(rows, *arguments, code=ExitCode.DONE):
@@ -78,8 +78,8 @@
 
 
 def test_list_shows_refused_parts_before_suspects(rows):
-    put(rows, PartRecord(SHARED, ("e-1@1",)))
-    put(rows, PartRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
+    put(rows, SuspectRecord(SHARED, ("e-1@1",)))
+    put(rows, SuspectRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
     lines = run_ctl(rows, "list-parts")[0].splitlines()
     assert lines[0].startswith(f"{BAD}: refused until 9000000000000000, for ")
     assert lines[0].endswith(" s more; ended: e-1@1, e-2@7")
@@ -87,8 +87,8 @@
 
 
 def test_list_as_json_tells_the_time_left_on_the_store_clock(rows):
-    put(rows, PartRecord(SHARED, ("e-1@1",)))
-    put(rows, PartRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=1.0))
+    put(rows, SuspectRecord(SHARED, ("e-1@1",)))
+    put(rows, SuspectRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=1.0))
     listed = json.loads(run_ctl(rows, "list-parts", "--json")[0])
     assert [row["part"] for row in listed] == [BAD, SHARED]
     assert [row["refused_for_s"] for row in listed] == [0.0, None]
@@ -107,8 +107,8 @@
 
 
 def test_lift_removes_one_row_and_tells_which(rows):
-    put(rows, PartRecord(SHARED, ("e-1@1",)))
-    put(rows, PartRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
+    put(rows, SuspectRecord(SHARED, ("e-1@1",)))
+    put(rows, SuspectRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
     output, _ = run_ctl(rows, "lift-part", BAD)
     assert output.startswith(f"removed {BAD}: refused until ")
     assert rows.find_keys(PARTS_TABLE) == [SHARED]
@@ -124,7 +124,7 @@
     "fault", [StoreFault.BUSY, StoreFault.SILENT, StoreFault.RESET]
 )
 def test_store_that_fails_exits_with_4_and_changes_nothing(rows, arguments, fault):
-    put(rows, PartRecord(BAD, ("e-1@1",)))
+    put(rows, SuspectRecord(BAD, ("e-1@1",)))
     rows.fault = fault
     _, error = run_ctl(rows, *arguments, code=ExitCode.UNAVAILABLE)
     assert str(rows.port) in error
@@ -144,15 +144,15 @@
 
 
 def test_row_that_changes_once_is_removed_as_it_is_then(rows, client):
-    put(rows, PartRecord(BAD, ("e-1@1",)))
-    newer = PartRecord(BAD, ("e-1@1", "e-2@7"))
+    put(rows, SuspectRecord(BAD, ("e-1@1",)))
+    newer = SuspectRecord(BAD, ("e-1@1", "e-2@7"))
     client.on_write = [lambda: put(rows, newer), lambda: None]
     assert part_rows_admin.remove_part(client, BAD).record == newer
     assert rows.find_keys(PARTS_TABLE) == []
 
 
 def test_row_that_changes_each_time_stays(rows, client):
-    record = PartRecord(BAD, ("e-1@1",))
+    record = SuspectRecord(BAD, ("e-1@1",))
     put(rows, record)
     client.on_write = [lambda: put(rows, record)]
     outcome = part_rows_admin.remove_part(client, BAD)
@@ -161,7 +161,7 @@
 
 
 def test_row_that_another_removes_meanwhile_is_not_found(rows, client):
-    put(rows, PartRecord(BAD, ("e-1@1",)))
+    put(rows, SuspectRecord(BAD, ("e-1@1",)))
     client.on_write = [lambda: rows.remove(PARTS_TABLE, BAD)]
     outcome = part_rows_admin.remove_part(client, BAD)
     assert outcome == part_rows_admin.PartNotFound()
@@ -169,7 +169,7 @@
 
 def test_removal_without_an_answer_is_in_doubt(rows, client):
     """Such a removal may have been performed, so it must not look like a refusal."""
-    put(rows, PartRecord(BAD, ("e-1@1",)))
+    put(rows, SuspectRecord(BAD, ("e-1@1",)))
     client.on_write = [lambda: setattr(rows, "fault", StoreFault.RESET)]
     outcome = part_rows_admin.remove_part(client, BAD)
     assert isinstance(outcome, part_rows_admin.RemovalInDoubt)
@@ -178,17 +178,17 @@
 
 def test_row_of_another_version_in_a_later_era_is_read_again(rows, client):
     """The store returns from a copy that holds an older row between read and write."""
-    older = PartRecord(BAD, ("e-1@1",))
+    older = SuspectRecord(BAD, ("e-1@1",))
     put(rows, older)
     copy = rows.take_copy()
-    put(rows, PartRecord(BAD, ("e-1@1", "e-2@7")))
+    put(rows, SuspectRecord(BAD, ("e-1@1", "e-2@7")))
     client.on_write = [lambda: rows.restore(copy), lambda: None]
     assert part_rows_admin.remove_part(client, BAD).record == older
     assert rows.find_keys(PARTS_TABLE) == []
 
 
 def read_book(book, client):
-    """Apply the store's rows to a PartBook, as a gateway that watches them does."""
+    """Apply the store's rows to a SuspectBook, as a gateway that watches them does."""
     listed = {row.key: row for row in client.read_table(PARTS_TABLE).rows}
     for part in set(book.stored_parts()) - listed.keys():
         book.apply(part, None, 0, 0.0)
@@ -197,10 +197,10 @@
 
 
 def test_gateway_that_applies_the_removed_row_sends_the_part_again(rows, client):
-    put(rows, PartRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
-    book = PartBook()
+    put(rows, SuspectRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
+    book = SuspectBook()
     read_book(book, client)
-    assert book.find_refused((SHARED, BAD), 0.0).part == BAD
+    assert book.find_refused((SHARED, BAD), 0.0).suspect_id == BAD
     part_rows_admin.remove_part(client, BAD)
     read_book(book, client)
     assert book.find_refused((SHARED, BAD), 0.0) is None
@@ -208,14 +208,14 @@
 
 def test_crashes_of_a_lifted_part_do_not_refuse_it_again(rows, client):
     """A gateway that saw the crashes itself would bring the refusal back at once."""
-    book = PartBook()
+    book = SuspectBook()
     crashes = [Crash(name, ((BAD,),)) for name in ("e-1@1", "e-2@7")]
     for crash in crashes:
         book.record_own_crash(crash, 0.0)
         for record in book.plan_crash(crash, 0.0):
             put(rows, record)
         read_book(book, client)
-    assert book.find_refused((BAD,), 0.0).part == BAD
+    assert book.find_refused((BAD,), 0.0).suspect_id == BAD
     part_rows_admin.remove_part(client, BAD)
     read_book(book, client)
     for crash in crashes:
@@ -227,8 +227,8 @@
 
 def test_new_crashes_refuse_a_lifted_part_again(rows, client):
     """A part that was lifted although it does crash engines must not stay exempt."""
-    put(rows, PartRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
-    book = PartBook()
+    put(rows, SuspectRecord(BAD, ("e-1@1", "e-2@7"), refused_until_ms=LATER_MS))
+    book = SuspectBook()
     read_book(book, client)
     part_rows_admin.remove_part(client, BAD)
     read_book(book, client)
--- a/nutmegdeal/tests/test_prompt_guard.py
+++ b/nutmegdeal/tests/test_prompt_guard.py
@@ -4,7 +4,7 @@
 import pytest
 
 from nutmegdeal.gateway.crash_blame import FIRST_REFUSAL_MS, PROBE_MS
-from nutmegdeal.gateway.prompt_part_rows import PARTS_TABLE
+from nutmegdeal.gateway.suspect_rows import PARTS_TABLE
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.dispatch_harness import DispatchHarness
 from nutmegdeal.tests.local_store import LocalStore
--- a/nutmegdeal/tests/test_prompt_part_decisions.py
+++ b/nutmegdeal/tests/test_prompt_part_decisions.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from nutmegdeal.gateway import crash_blame, prompt_parts
-from nutmegdeal.gateway.prompt_parts import Crash, PartBook, PartRecord
+from nutmegdeal.gateway import crash_blame, suspect_book
+from nutmegdeal.gateway.suspect_book import Crash, SuspectBook, SuspectRecord
 from nutmegdeal.tests.prompt_part_load import store
 
 SHARED, CRASHING, OTHER = "5c1e07a2", "91bd3f06", "07f3aa10"
@@ -18,12 +18,12 @@
 def refused_part(book, *parts, now_ms=0.0):
     """Return the refused part of a prompt, None if it may be sent."""
     record = book.find_refused(parts, now_ms)
-    return record and record.part
+    return record and record.suspect_id
 
 
 @pytest.fixture
 def book():
-    return PartBook()
+    return SuspectBook()
 
 
 def test_one_crash_refuses_nothing(book):
@@ -124,7 +124,7 @@
     store_crashes(book, (CRASHING,), (CRASHING,))
     assert book.record_sound([SHARED, CRASHING]) == (CRASHING,)
     assert refused_part(book, CRASHING) is None
-    assert book.apply(CRASHING, PartRecord(CRASHING, ("i-3@1",)), 9, 0.0)
+    assert book.apply(CRASHING, SuspectRecord(CRASHING, ("i-3@1",)), 9, 0.0)
 
 
 def test_own_crashes_act_before_they_are_stored(book):
@@ -148,8 +148,8 @@
 
 def test_records_that_a_copy_lacks_are_written_again(book):
     store_crashes(book, (SHARED, CRASHING), (SHARED, CRASHING))
-    older = PartRecord(SHARED, ("i-0@1",))
-    missing = {r.part: r for r in book.missing_records({SHARED: older})}
+    older = SuspectRecord(SHARED, ("i-0@1",))
+    missing = {r.suspect_id: r for r in book.missing_records({SHARED: older})}
     assert missing.keys() == {SHARED, CRASHING}
     assert book.version(CRASHING) == 0
     assert refused_part(book, CRASHING) == CRASHING
@@ -159,28 +159,28 @@
 
 def test_suspects_expire_and_refused_parts_do_not(book):
     store_crashes(book, (SHARED, CRASHING), (OTHER, CRASHING))
-    assert book.expired_parts(prompt_parts.SUSPECT_KEPT_MS - 1) == ()
-    expired = book.expired_parts(prompt_parts.SUSPECT_KEPT_MS)
+    assert book.expired_parts(suspect_book.SUSPECT_KEPT_MS - 1) == ()
+    expired = book.expired_parts(suspect_book.SUSPECT_KEPT_MS)
     assert set(expired) == {SHARED, OTHER}
 
 
 def test_memory_is_bounded(book):
-    book.record_sound(f"s{n}" for n in range(prompt_parts.SOUND_PARTS_MAX + 1))
+    book.record_sound(f"s{n}" for n in range(suspect_book.SOUND_PARTS_MAX + 1))
     assert book.unknown_parts(["s0", "s1"]) == ("s0",)
     store_crashes(book, (CRASHING,), (CRASHING,))
-    for number in range(2 * prompt_parts.ROWS_KEPT_MAX):
-        store(book, [PartRecord(f"p{number}", ("i-9@1",), 0.0, number)])
+    for number in range(2 * suspect_book.ROWS_KEPT_MAX):
+        store(book, [SuspectRecord(f"p{number}", ("i-9@1",), 0.0, number)])
         book.record_own_crash(Crash(f"i-{number}@2", ((f"q{number}",),)), number)
-    assert len(book.stored_parts()) == prompt_parts.ROWS_KEPT_MAX
+    assert len(book.stored_parts()) == suspect_book.ROWS_KEPT_MAX
     assert refused_part(book, CRASHING) == CRASHING
-    excess_count = prompt_parts.ROWS_KEPT_MAX - prompt_parts.SUSPECTS_MAX
+    excess_count = suspect_book.ROWS_KEPT_MAX - suspect_book.SUSPECTS_MAX
     assert len(book.expired_parts(0.0)) == excess_count
 
 
 def test_crashes_that_wait_to_be_stored_are_bounded(book):
-    for number in range(prompt_parts.OWN_CRASHES_MAX + 1):
+    for number in range(suspect_book.OWN_CRASHES_MAX + 1):
         book.record_own_crash(Crash(f"i-{number}@1", ((CRASHING,),)), 0.0)
-    assert len(book.unstored_crashes()) <= prompt_parts.OWN_CRASHES_MAX
+    assert len(book.unstored_crashes()) <= suspect_book.OWN_CRASHES_MAX
     assert refused_part(book, CRASHING) == CRASHING
 
 
@@ -222,9 +222,9 @@
     for crash_id in ("i-8@1", "i-9@1"):
         store(book, book.plan_crash(Crash(crash_id, ((OTHER,),)), 100.0), 100.0)
     record = book.find_refused([CRASHING, OTHER], 5_050.0)
-    assert record.part == OTHER and not book.may_probe(record, 5_050.0)
+    assert record.suspect_id == OTHER and not book.may_probe(record, 5_050.0)
     claims = book.plan_probe([SHARED, CRASHING, OTHER], 5_200.0)
-    assert {claim.part for claim in claims} == {CRASHING, OTHER}
+    assert {claim.suspect_id for claim in claims} == {CRASHING, OTHER}
 
 
 def test_two_crashing_parts_are_both_refused(book):
@@ -242,7 +242,7 @@
 
 def test_loser_of_two_writes_adds_its_crash_to_the_rows():
     """Two gateways see one crash each, and both refer to rows that do not exist."""
-    winner, loser = PartBook(), PartBook()
+    winner, loser = SuspectBook(), SuspectBook()
     (record,) = winner.plan_crash(Crash("i-1@1", ((CRASHING,),)), 0.0)
     own = Crash("i-2@1", ((CRASHING,),))
     loser.record_own_crash(own, 0.0)
@@ -257,13 +257,13 @@
 def test_older_version_of_a_row_is_ignored(book):
     """The feed may return what the gateway has replaced by a write of its own."""
     store_crashes(book, (CRASHING,), (CRASHING,))
-    book.apply(CRASHING, PartRecord(CRASHING, ("i-0@1",)), 1, 0.0)
+    book.apply(CRASHING, SuspectRecord(CRASHING, ("i-0@1",)), 1, 0.0)
     assert refused_part(book, CRASHING) == CRASHING
 
 
 def test_gateway_that_has_just_started_is_corrected(book):
     """It knows no part as sound when engines end, but another gateway does."""
-    other = PartBook()
+    other = SuspectBook()
     other.record_sound([SHARED])
     store_crashes(book, (SHARED,), (SHARED,))
     (part,) = book.stored_parts()
--- a/nutmegdeal/tests/test_prompt_parts_safety.py
+++ b/nutmegdeal/tests/test_prompt_parts_safety.py
@@ -21,7 +21,7 @@
 )
 
 from nutmegdeal.gateway import crash_blame
-from nutmegdeal.gateway.prompt_parts import PartBook, PartRecord
+from nutmegdeal.gateway.suspect_book import SuspectBook, SuspectRecord
 from nutmegdeal.tests.prompt_part_load import ModelSite, WriteOutcome, store
 from nutmegdeal.tests.state_machine_settings import (
     STATE_MACHINE_SETTINGS,
@@ -51,7 +51,7 @@
 class PartsMachine(RuleBasedStateMachine):
     """Gateways that learn which parts crash engines, over one store."""
 
-    book_class = PartBook
+    book_class = SuspectBook
 
     def __init__(self):
         super().__init__()
@@ -200,7 +200,7 @@
             site.crash(engine)
         site.restart_engines()
         self.synchronize()
-        record, _ = site.store.rows.get(part, (PartRecord(part), 0))
+        record, _ = site.store.rows.get(part, (SuspectRecord(part), 0))
         is_long = record.probe_count > crash_blame.UNANSWERED_PROBES_MAX
         wait_ms = max(record.refused_until_ms - site.now_ms, 0.0)
         if is_long or part in site.failed_probes:
@@ -227,19 +227,19 @@
             ended = [
                 crash_id
                 for crash_id in record.crash_ids
-                if record.part in self.site.ended_under[crash_id]
+                if record.suspect_id in self.site.ended_under[crash_id]
             ]
             assert len(ended) == len(record.crash_ids)
             assert len(ended) >= 2 or not record.is_refused
             assert len(record.crashes) <= crash_blame.CRASHES_KEPT_MAX
 
 
-class KeepsEvidenceToItself(PartBook):
+class KeepsEvidenceToItself(SuspectBook):
     """Refuses on the crashes that its own gateway has seen."""
 
     def __init__(self):
         super().__init__()
-        self._alone = PartBook()
+        self._alone = SuspectBook()
 
     def record_sound(self, parts):
         self._alone.record_sound(parts)
@@ -253,7 +253,7 @@
         return self._alone.find_refused(parts, now_ms)
 
 
-class KeepsWrongRefusals(PartBook):
+class KeepsWrongRefusals(SuspectBook):
     """Does not remove the row of a part that has delivered."""
 
     def record_sound(self, parts):
@@ -265,14 +265,14 @@
         return False
 
 
-class RefusesForGood(PartBook):
+class RefusesForGood(SuspectBook):
     """Never probes."""
 
     def may_probe(self, record, now_ms):
         return False
 
 
-class ProbesWithoutClaim(PartBook):
+class ProbesWithoutClaim(SuspectBook):
     """Does not extend the refusal while a probe runs."""
 
     def plan_probe(self, parts, now_ms):
@@ -282,7 +282,7 @@
         )
 
 
-class CountsCrashesTwice(PartBook):
+class CountsCrashesTwice(SuspectBook):
     """Counts one crash for each time that it is reported."""
 
     def plan_crash(self, crash, now_ms):
@@ -293,7 +293,7 @@
         )
 
 
-class ForgetsWhatACopyLacks(PartBook):
+class ForgetsWhatACopyLacks(SuspectBook):
     """Takes the rows of a copy as all that is known."""
 
     def missing_records(self, listed):
@@ -302,7 +302,7 @@
         return ()
 
 
-class ExplainsAllByOnePart(PartBook):
+class ExplainsAllByOnePart(SuspectBook):
     """Takes crashes under a refused part as no evidence against others."""
 
     def _plan_crash(self, *arguments):
@@ -321,7 +321,7 @@
 
 
 def test_crashing_parts_are_refused_and_sound_ones_are_served():
-    run_state_machine_as_test(build_machine(PartBook), settings=MACHINE_SETTINGS)
+    run_state_machine_as_test(build_machine(SuspectBook), settings=MACHINE_SETTINGS)
 
 
 @pytest.mark.parametrize(
@@ -396,6 +396,6 @@
 )
 def test_faulty_version_is_detected_in_a_rare_case(play, faulty_class):
     """Faults that a random search seldom meets, by the checks of the same machine."""
-    play(PartBook)
+    play(SuspectBook)
     with pytest.raises(AssertionError):
         play(faulty_class)
