Gateway: log the content digest of requests whose runs fail

Until now nothing told one request that comes again from many that are lost by chance. The stand-in for a plain server can crash under a target, as the one for engines does under a prompt part; what both share moved to the plain one.

--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -7,24 +7,15 @@
 from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.prompt_crashes import PromptCrashes
 from nutmegdeal.http_connections import find_header
-from nutmegdeal.log import get_logger
-
-logger = get_logger(__name__)
 
 EVENT_INTERVAL_MS = 10.0
 LOAD_MS = 60.0
-# Pause before an engine that returns tries again to listen on its port.
-LISTEN_RETRY_S = 0.1
 EVENT_COUNT = 8
 # For how long an order that gets no answer keeps its connection open; longer than any
 # sender waits.
 NO_ANSWER_MS = 1_000.0
 
 
-def _do_nothing():
-    """Take no notice of a crash."""
-
-
 class PlatformEngine(PlatformBackend):
     """Instance of a model engine with adapters.
 
@@ -57,12 +48,6 @@
         Time from one event of a stream to the next.
     prompts : PromptCrashes
         Parts of prompts that crash the engine as it begins to write its answer.
-        Connections are then reset, and all runs count as cancelled.
-    on_crash : callable
-        Called without arguments when the engine crashes.
-    restart_after_crash : callable
-        Called without arguments when a crashed engine accepts connections again; by
-        default `restart` under a new id.
     """
 
     _break_event = EVENT_COUNT // 2
@@ -81,9 +66,6 @@
         self.refuses_reports = False
         self.event_interval_ms = EVENT_INTERVAL_MS
         self.prompts = PromptCrashes()
-        self.on_crash = _do_nothing
-        self.restart_after_crash = self._restart_under_new_id
-        self._return_greenlet = None
         super().__init__(address, backend_id, service, zone)
 
     def restart(self, backend_id=None):
@@ -94,47 +76,10 @@
         backend_id : str, optional
             By default the engine keeps its id.
         """
-        self.incarnation += 1
-        self.is_leaving = False
-        self.backend_id = backend_id or self.backend_id
+        super().restart(backend_id)
         self.adapters, self.pending, self.order_count = {}, {}, 0
         self.has_model = False
 
-    @property
-    def is_down(self):
-        """Return whether the engine has crashed and not returned yet."""
-        return self._return_greenlet is not None
-
-    def close(self):
-        """Stop listening, also if the engine would return from a crash later."""
-        if self.is_down:
-            self._return_greenlet.kill()
-        super().close()
-
-    def _restart_under_new_id(self):
-        name = self.backend_id.partition("#")[0]
-        self.restart(f"{name}#{self.incarnation + 1}")
-
-    def _crash(self):
-        """Break off all connections, and refuse new ones for a time."""
-        self.on_crash()
-        self.listener.stop_accepting()
-        self._return_greenlet = gevent.spawn_later(
-            self.prompts.crash_down_ms / 1000, self._return_from_crash
-        )
-        self.listener.break_off()
-
-    def _return_from_crash(self):
-        while True:
-            try:
-                self._listen(self.address)
-                break
-            except OSError as error:
-                logger.warning("port_in_use", address=self.address, error=str(error))
-                gevent.sleep(LISTEN_RETRY_S)
-        self._return_greenlet = None
-        self.restart_after_crash()
-
     def execute_delayed_orders(self):
         """Execute the orders that got no answer and are valid now.
 
--- a/nutmegdeal/fakes/platform_server.py
+++ b/nutmegdeal/fakes/platform_server.py
@@ -3,7 +3,9 @@
 import collections
 import itertools
 import json
+import time
 
+import attrs
 import gevent
 
 from nutmegdeal.caller_connections import CallerLeftError
@@ -16,9 +18,41 @@
 from nutmegdeal.fakes.breakable_listener import BreakableListener
 from nutmegdeal.fakes.named_limit import NamedLimit
 from nutmegdeal.http_connections import find_header
+from nutmegdeal.log import get_logger
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
 
+logger = get_logger(__name__)
+
 PLAIN_WORK_MS = 20.0
+CRASH_DOWN_MS = 2_000.0
+# Time for which a request runs before it crashes its server.
+CRASH_AFTER_MS = 10.0
+# Pause before a server that returns tries again to listen on its port.
+LISTEN_RETRY_S = 0.1
+
+
+def _do_nothing():
+    """Take no notice of a crash."""
+
+
+@attrs.frozen
+class RequestRecord:
+    """One crash by a request, or one request that crashes servers.
+
+    Parameters
+    ----------
+    target, request_id : bytes
+    at_ms : float
+        On the monotonic clock.
+    """
+
+    target: bytes
+    request_id: bytes
+    at_ms: float
+
+
+def _record(request, request_id):
+    return RequestRecord(request.target, request_id, time.monotonic() * 1000)
 
 
 class PlatformBackend:
@@ -50,6 +84,19 @@
         Sent with each refusal by 503, if not None.
     faults : AnswerFaults
     limit : NamedLimit
+    crashing_targets : set of bytes
+        Requests for these targets crash the server shortly after it has begun to run
+        them. Connections are then reset, and all runs count as cancelled.
+    request_crashes, request_arrivals : list of RequestRecord
+        Crashes by such requests, and all such requests that the server received.
+    crash_down_ms : float
+        Time from a crash to the start of the next incarnation. Until then the server
+        refuses connections.
+    on_crash : callable
+        Called without arguments when the server crashes.
+    restart_after_crash : callable
+        Called without arguments when a crashed server accepts connections again; by
+        default `restart` under a new id.
     """
 
     # Number of the event at which a stream breaks off.
@@ -71,6 +118,13 @@
         self.retry_after_s = None
         self.faults = AnswerFaults()
         self.limit = NamedLimit()
+        self.crashing_targets = set()
+        self.request_crashes = []
+        self.request_arrivals = []
+        self.crash_down_ms = CRASH_DOWN_MS
+        self.on_crash = _do_nothing
+        self.restart_after_crash = self._restart_under_new_id
+        self._return_greenlet = None
         self._listen(address)
         self._address = (address[0], self.listener.port)
 
@@ -86,10 +140,53 @@
         self.listener.start()
 
     def close(self):
-        """Stop listening and reset all connections."""
+        """Stop listening, also if the server would return from a crash later."""
+        if self.is_down:
+            self._return_greenlet.kill()
+        self.listener.stop_accepting()
+        self.listener.break_off()
+
+    def restart(self, backend_id=None):
+        """Begin a new incarnation.
+
+        Parameters
+        ----------
+        backend_id : str, optional
+            By default the server keeps its id.
+        """
+        self.incarnation += 1
+        self.is_leaving = False
+        self.backend_id = backend_id or self.backend_id
+
+    @property
+    def is_down(self):
+        """Return whether the server has crashed and not returned yet."""
+        return self._return_greenlet is not None
+
+    def _restart_under_new_id(self):
+        name = self.backend_id.partition("#")[0]
+        self.restart(f"{name}#{self.incarnation + 1}")
+
+    def _crash(self):
+        """Break off all connections, and refuse new ones for a time."""
+        self.on_crash()
         self.listener.stop_accepting()
+        self._return_greenlet = gevent.spawn_later(
+            self.crash_down_ms / 1000, self._return_from_crash
+        )
         self.listener.break_off()
 
+    def _return_from_crash(self):
+        while True:
+            try:
+                self._listen(self.address)
+                break
+            except OSError as error:
+                logger.warning("port_in_use", address=self.address, error=str(error))
+                gevent.sleep(LISTEN_RETRY_S)
+        self._return_greenlet = None
+        self.restart_after_crash()
+
     def registration(self):
         """Return the value of its registration row (bytes)."""
         return json.dumps(self._registration_fields()).encode()
@@ -112,6 +209,8 @@
         self.faults.wait_while_silent()
         request_id = find_header(request.headers, b"x-request-id") or b""
         self.limit.record_arrival(request_id.decode())
+        if request.target in self.crashing_targets:
+            self.request_arrivals.append(_record(request, request_id))
         target_id = find_header(request.headers, b"x-target-instance")
         if target_id is not None and target_id.decode() != self.backend_id:
             self._refuse(request, responder, 421)
@@ -146,12 +245,24 @@
         request_id = find_header(request.headers, b"x-request-id").decode()
         self.runs[request_id] += 1
         try:
+            self._crash_by(request, request_id)
             self._execute(request, request_id, responder)
         except CallerLeftError:
             self.cancelled[request_id] += 1
             raise
         self.completed[request_id] += 1
 
+    def _crash_by(self, request, request_id):
+        """Crash if the request is a crashing one."""
+        if request.target not in self.crashing_targets:
+            return
+        gevent.sleep(CRASH_AFTER_MS / 1000)
+        if self.is_down:
+            # The connection was accepted just before another crash.
+            self.listener.break_off()
+        self.request_crashes.append(_record(request, request_id.encode()))
+        self._crash()
+
     def _execute(self, request, request_id, responder):
         gevent.sleep(PLAIN_WORK_MS / 1000)
         headers = [*self._common_headers(request), (b"x-response-signature", b"s")]
--- a/nutmegdeal/fakes/prompt_crashes.py
+++ b/nutmegdeal/fakes/prompt_crashes.py
@@ -42,15 +42,11 @@
     ----------
     crashing_parts : set of str
         Ids in lower case.
-    crash_down_ms : float
-        Time from a crash to the start of the next incarnation. Until then the engine
-        refuses connections.
     crashes, arrivals : list of PartRecord
         Crashes, and requests with a crashing part that the engine received.
     """
 
     crashing_parts: set = attrs.field(factory=set)
-    crash_down_ms: float = 2_000.0
     crashes: list = attrs.field(factory=list)
     arrivals: list = attrs.field(factory=list)
 
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -1,9 +1,11 @@
 """Types that describe a request in the gateway, its runs and how it ended."""
 
 import enum
+import functools
 
 import attrs
 
+from nutmegdeal.gateway.request_content import digest_request
 from nutmegdeal.site_configuration import Route, RouteKind
 
 
@@ -101,7 +103,7 @@
     reason: str = ""
 
 
-@attrs.define
+@attrs.define(slots=False)
 class Request:
     """One request, with the record of its runs.
 
@@ -173,6 +175,11 @@
     waited_ms: float = 0.0
     paced_ms: float = 0.0
 
+    @functools.cached_property
+    def content_digest(self):
+        """Return the digest of the request's content (str)."""
+        return digest_request(self.incoming)
+
     @property
     def is_stream(self):
         """Return whether the answer is a stream of events."""
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -281,6 +281,8 @@
             silent_ms=round(outcome.silent_ms, 1),
             events=outcome.event_count,
             parts=list(request.shared_parts),
+            content=request.content_digest,
+            broken_off=outcome.is_broken_off,
             failure_rate=round(member.history.failure_rate_at_update, 3),
         )
 
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -74,6 +74,12 @@
             "parts": names_field(
                 "ids of the prompt parts that other requests may share"
             ),
+            "content": text_field(
+                "digest of the request, the same in all attempts at all gateways"
+            ),
+            "broken_off": flag_field(
+                "whether the server or its host ended the connection"
+            ),
             "failure_rate": ratio_field(
                 "fraction of the server's recent answers that failed"
             ),
--- a/nutmegdeal/platform/headers.py
+++ b/nutmegdeal/platform/headers.py
@@ -51,6 +51,18 @@
 # request or its session; the others may be shared with other requests.
 PROMPT_PARTS = b"x-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+# Headers that differ between two attempts of one caller at the same request.
+ATTEMPT_HEADERS = frozenset(
+    (
+        REQUEST_ID,
+        DEADLINE,
+        LAST_EVENT_ID,
+        b"x-length-hint",
+        b"date",
+        b"traceparent",
+        b"tracestate",
+    )
+)
 # A backend server's proof that it produced the answer (a "receipt" on the platform).
 SIGNATURE = b"x-response-signature"
 NOT_EXECUTED = b"x-not-executed"
@@ -140,6 +152,20 @@
     return tuple(dict.fromkeys(shared[:SHARED_PARTS_MAX]))
 
 
+def select_content_headers(headers):
+    """Return the headers that are the same in all attempts at a request, sorted.
+
+    They tell the host and the caller, if the request names one.
+    """
+    return sorted(
+        item
+        for item in headers
+        if item[0] not in HOP_BY_HOP_HEADERS
+        and item[0] not in GATEWAY_HEADERS
+        and item[0] not in ATTEMPT_HEADERS
+    )
+
+
 def build_backend_headers(
     headers, remaining_ms, backend_id, priority, version, last_event_id
 ):
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -230,7 +230,7 @@
 
     def _crash_prompts(self, duration_s):
         for engine in self._site.engines:
-            engine.prompts.crash_down_ms = CRASH_DOWN_MS
+            engine.crash_down_ms = CRASH_DOWN_MS
             proxy = self._site.proxies[engine.backend_id]
             engine.on_crash = proxy.stop_listening
             engine.restart_after_crash = functools.partial(
--- a/nutmegdeal/tests/test_prompt_crashes.py
+++ b/nutmegdeal/tests/test_prompt_crashes.py
@@ -95,7 +95,7 @@
 
 def test_the_restart_after_a_crash_can_keep_the_id(engine):
     engine.prompts.crashing_parts.add(BAD_PART)
-    engine.prompts.crash_down_ms = 10.0
+    engine.crash_down_ms = 10.0
     engine.restart_after_crash = engine.restart
     with pytest.raises(ConnectionResetError):
         read_to_end(connect(engine, extra=BAD_PROMPT))
