Tests that fail: a request that crashes servers reaches one after the other

Three gateways, six plain servers (two engines for a request that crashes by its own last part), each back 1 s after a crash; the same request every 0.2 s at the gateways in turn, sound ones beside it. In the log all runs of the request have one content digest, on routes with one attempt too.

--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -1,5 +1,6 @@
 """A gateway, placers and stand-ins for the users' platform in one process."""
 
+import functools
 import os
 import time
 
@@ -56,13 +57,13 @@
 
 
 class PlatformSite:
-    """Two engines with placers, two plain servers, a store and a gateway.
+    """Two engines with placers, some plain servers, a store and a gateway.
 
     Each engine with its placer has its own loopback address, as all placers listen on
     the same port.
     """
 
-    def __init__(self, monkeypatch, bridge):
+    def __init__(self, monkeypatch, bridge, server_count=2):
         self.bridge = bridge
         self.port = free_port(loopback_address(1))
         monkeypatch.setattr(gateway_process, "METRICS_PORT", 0)
@@ -73,7 +74,7 @@
             PlatformBackend(
                 (loopback_address(1), 0), f"p-{number}", build.PLAIN_SERVICE
             )
-            for number in (1, 2)
+            for number in range(1, server_count + 1)
         ]
         for backend in (*self.engines, *self.servers):
             self.register(backend)
@@ -145,6 +146,16 @@
         """Write the registration of a backend server to the store."""
         self.store.put("servers", backend.backend_id, backend.registration())
 
+    def return_after_crashes(self):
+        """Let servers that crash come back as new incarnations under new ids."""
+        for backend in (*self.engines, *self.servers):
+            backend.restart_after_crash = functools.partial(self._return, backend)
+
+    def _return(self, backend):
+        self.store.remove("servers", backend.backend_id)
+        backend.restart(f"{backend.backend_id.partition('#')[0]}#{backend.incarnation}")
+        self.register(backend)
+
     def call(self, path, request_id, adapter="a1", gateway=None):
         """Send a request on a new connection; return (status, headers, body)."""
         gateway = gateway or self.gateway
