Requests that crash servers are suspects like prompt parts

Callers saw bookings and look-ups fail on a whole service, again and again, while one request that nobody misses ended server after server.

Cause: evidence of a crash was kept only for shared parts of prompts.

Now: a suspect is a shared part, or a request by the digest of host, caller, method, target and body. A run that broke off at a server that then refuses connections makes its request a suspect; the second crash under one request refuses it at all gateways by the same rows, probes and operator commands (request_refused: 503 if nothing of it ran, else 502). A first crash costs nothing: the run is repeated as before and does not wait for the check. New requests beside a refused one are not stored, and do not make a probe inconclusive. Delivery of a suspect removes its row. Digests are computed only while there is a suspect.

Five tests of prompt parts compared all rows with one part; they now compare the rows of parts, as requests have rows too; the tests that expect no row at all are unchanged.

--- a/nutmegdeal/gateway/crash_blame.py
+++ b/nutmegdeal/gateway/crash_blame.py
@@ -1,4 +1,9 @@
-"""Which prompt parts are to blame for the crash of an engine, and for how long.
+"""Which suspects are to blame for the crash of a server, and for how long.
+
+A suspect is a shared part of prompts, or the content of a whole request. Nearly all
+parts are known to be sound after a while, but a request is nearly always new: each
+crash makes suspects of all requests that ran there. So a request counts only from its
+second crash on.
 
 Points in time are on the store's clock, and given by the caller.
 """
@@ -20,6 +25,20 @@
 UNANSWERED_PROBES_MAX = 1
 
 
+# Prompt parts have no colon in their ids.
+_REQUEST_PREFIX = "request:"
+
+
+def build_request_id(content_digest):
+    """Return the id of a request as a suspect (str)."""
+    return f"{_REQUEST_PREFIX}{content_digest}"
+
+
+def is_request(suspect_id):
+    """Return whether a suspect is a whole request, and not a prompt part."""
+    return suspect_id.startswith(_REQUEST_PREFIX)
+
+
 @attrs.frozen
 class SuspectRecord:
     """What the store holds of one suspect.
@@ -61,6 +80,11 @@
         """Return whether no more crashes are kept, except failed probes (bool)."""
         return CRASHES_KEPT_MAX in (len(self.crashes), len(self.explained))
 
+    @property
+    def is_new_request(self):
+        """Return whether it is a request without any crash so far (bool)."""
+        return is_request(self.suspect_id) and not self.crash_ids
+
     def covers(self, other):
         """Return whether this record says at least what another says (bool)."""
         return (
@@ -111,8 +135,9 @@
 def plan_records(crash, prompts, known, is_explained, now_ms):
     """Return the records that change with a crash (tuple of SuspectRecord).
 
-    One part is blamed: of those with enough crashes the one with most; among equals the
-    last in its prompt, which fewer requests share. A crash that a refused part explains
+    One suspect is blamed: of those with enough crashes the one with most; among equals
+    a part before a request, and the last in its prompt, which fewer requests share. A
+    crash that a refused part explains
     counts for no other part until that has `CERTAIN_CRASHES`: a part that is always
     beside refused ones has to be found too.
 
@@ -125,7 +150,8 @@
     ----------
     crash : Crash
     prompts : list of tuple of str
-        Those of its parts that are not known to be sound, for each run.
+        Those of its suspects that are not known to be sound, for each run, without
+        new requests.
     known : dict of str to SuspectRecord
         The records of these parts.
     is_explained : bool
@@ -161,7 +187,12 @@
     counted = [record for record in suspects if len(record.crashes) >= REFUSED_CRASHES]
     return max(
         counted,
-        key=lambda r: (len(r.crashes), places[r.suspect_id], r.suspect_id),
+        key=lambda r: (
+            len(r.crashes),
+            not is_request(r.suspect_id),
+            places[r.suspect_id],
+            r.suspect_id,
+        ),
         default=None,
     )
 
--- a/nutmegdeal/gateway/crash_guard.py
+++ b/nutmegdeal/gateway/crash_guard.py
@@ -1,4 +1,4 @@
-"""Keeps requests with prompt parts that crash engines away from them.
+"""Keeps requests that crash servers, or whose prompt parts do, away from them.
 
 `suspect_book` decides; this module brings it the observations of one gateway's runs.
 """
@@ -11,6 +11,21 @@
 from nutmegdeal.gateway.exchange import DELIVERED_COUNT
 
 
+@attrs.frozen
+class RefusedSuspect:
+    """Why a request is refused.
+
+    Parameters
+    ----------
+    suspect_id : str
+    remaining_ms : float
+        Until when no probe may be sent either.
+    """
+
+    suspect_id: str
+    remaining_ms: float
+
+
 @attrs.define
 class _EndedRuns:
     """The runs that broke off at one engine, while it is checked.
@@ -18,7 +33,7 @@
     Parameters
     ----------
     prompts : list of tuple of str
-        Shared parts of their prompts.
+        Their suspects: the shared parts of the prompt, then the request.
     probed_parts : set of str
         The refused parts that they probed.
     checked : gevent.event.AsyncResult
@@ -53,8 +68,7 @@
 
     def begin(self, request):
         """Record that a request is being served."""
-        if request.shared_parts:
-            self._open[id(request)] = request
+        self._open[id(request)] = request
 
     def end(self, request):
         """Record that a request has ended."""
@@ -63,49 +77,61 @@
             self._writer.release_probe(request.probed_parts)
 
     def refuses(self, request):
-        """Return for how long a request is refused, in ms (float); None if it is not.
+        """Return the RefusedSuspect of a request, None if it may be sent.
 
-        One request may be sent as a probe when the refusal of its part has ended.
+        One request may be sent as a probe when the refusal of its suspect has ended.
         """
-        if not request.shared_parts:
+        if not self._book.has_suspects:
             return None
         now_ms = self._board.store_now_ms()
-        record = self._book.find_refused(request.shared_parts, now_ms)
+        record = self._book.find_refused(request.suspect_ids, now_ms)
         if record is None or record.suspect_id in request.probed_parts:
             return None
         if self._book.may_probe(record, now_ms):
-            request.probed_parts = self._writer.claim_probe(request.shared_parts)
+            request.probed_parts = self._writer.claim_probe(request.suspect_ids)
         if request.probed_parts:
             self._telemetry.record_part("probed", record)
             return None
-        return max(record.refused_until_ms - now_ms, 0.0)
+        remaining_ms = max(record.refused_until_ms - now_ms, 0.0)
+        return RefusedSuspect(record.suspect_id, remaining_ms)
 
     def record_delivered(self, request):
-        """Record that the prompt of a request has proved to be sound."""
+        """Record that a request has proved to be sound.
+
+        Sound requests are many and mostly different, so only suspects are recorded.
+        """
         request.is_delivered = True
-        removed = self._book.record_sound(request.shared_parts)
+        sound_ids = request.shared_parts
+        if self._book.has_suspects and self._book.is_suspect(request.suspect_ids[-1]):
+            sound_ids = request.suspect_ids
+        removed = self._book.record_sound(sound_ids)
         if removed:
             self._writer.remove(removed)
 
     def record_broken_run(self, request, member, outcome):
-        """Record a run that broke off; return whether its prompt is suspected (bool).
+        """Record a run that broke off; return whether the request is suspected (bool).
 
-        Waits for a few ms for the check whether the engine has ended.
+        Only a request that may be the cause waits for a few ms for the check whether
+        the server has ended. The first crash under a request says little: it is
+        repeated as its route allows.
         """
         if not outcome.is_broken_off or outcome.event_count >= DELIVERED_COUNT:
             return False
         if member.availability.is_leaving:
             return False
-        if not self._book.unknown_parts(request.shared_parts):
-            return False
+        may_be_cause = (
+            self._book.unknown_parts(request.shared_parts)
+            or request.probed_parts
+            or self._book.is_suspect(request.suspect_ids[-1])
+        )
         key = id(member)
         runs = self._checks.get(key)
         if runs is None:
             runs = self._checks[key] = _EndedRuns()
             gevent.spawn(self._check, key, member, runs)
-        runs.prompts.append(request.shared_parts)
+        runs.prompts.append(request.suspect_ids)
         runs.probed_parts.update(request.probed_parts)
-        return runs.checked.get()
+        return bool(may_be_cause) and runs.checked.get()
 
     def _check(self, key, member, runs):
         has_ended = False
@@ -128,11 +154,13 @@
 
     def cancel_refused(self):
         """End the runs whose part is refused by now and that have delivered nothing."""
+        if not self._book.has_suspects:
+            return
         now_ms = self._board.store_now_ms()
         for request in list(self._open.values()):
             exchange = request.exchange
             if exchange is None or exchange.event_count:
                 continue
-            record = self._book.find_refused(request.shared_parts, now_ms)
+            record = self._book.find_refused(request.suspect_ids, now_ms)
             if record is not None and record.suspect_id not in request.probed_parts:
                 exchange.cancel()
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -4,6 +4,7 @@
 
 from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.gateway.answer_progress import AnswerProgress
+from nutmegdeal.gateway.crash_blame import is_request
 from nutmegdeal.gateway.requests import Attempt, Ending, Refusal, Request, RunFate
 from nutmegdeal.gateway.retries import RetryDecision, may_run_beside
 from nutmegdeal.gateway.search import NotFound
@@ -158,7 +159,7 @@
         outcome = None
         while True:
             request.last_event_ms = progress.last_byte_ms
-            refusal = self._find_prompt_refusal(request)
+            refusal = self._find_crash_refusal(request)
             if refusal is not None:
                 return self._finish_failed(request, progress, outcome, refusal)
             member = self._search.find(request)
@@ -166,7 +167,7 @@
                 refusal = self._build_not_run_refusal(member.reason, member.excess_ms)
             else:
                 # It may have changed during the wait for the adapter.
-                refusal = self._find_prompt_refusal(request)
+                refusal = self._find_crash_refusal(request)
             if refusal is not None:
                 return self._finish_failed(request, progress, outcome, refusal)
             ended = self.attempt(request, member, progress)
@@ -180,12 +181,15 @@
                 refusal = self._build_not_run_refusal(f"gave_up_{outcome.fate.value}")
                 return self._finish_failed(request, progress, outcome, refusal)
 
-    def _find_prompt_refusal(self, request):
-        """Return the Refusal of a request whose prompt crashes engines, or None."""
-        refused_ms = self._guard.refuses(request)
-        if refused_ms is None:
+    def _find_crash_refusal(self, request):
+        """Return the Refusal of a request that crashes servers, or None."""
+        refused = self._guard.refuses(request)
+        if refused is None:
             return None
-        return self._build_not_run_refusal("prompt_refused", refused_ms)
+        reason = "prompt_refused"
+        if is_request(refused.suspect_id):
+            reason = "request_refused"
+        return self._build_not_run_refusal(reason, refused.remaining_ms)
 
     def attempt(self, request, member, progress, rival=None):
         """Run a request once, or until another run has taken over.
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from nutmegdeal.gateway.crash_blame import build_request_id
 from nutmegdeal.gateway.request_content import digest_request
 from nutmegdeal.site_configuration import Route, RouteKind
 
@@ -180,6 +181,11 @@
         """Return the digest of the request's content (str)."""
         return digest_request(self.incoming)
 
+    @functools.cached_property
+    def suspect_ids(self):
+        """Return what may crash servers: shared prompt parts, then the request."""
+        return (*self.shared_parts, build_request_id(self.content_digest))
+
     @property
     def is_stream(self):
         """Return whether the answer is a stream of events."""
--- a/nutmegdeal/gateway/suspect_book.py
+++ b/nutmegdeal/gateway/suspect_book.py
@@ -133,8 +133,25 @@
         is_explained = crash.crash_id in explained_ids or any(
             record.is_refused for record in known.values()
         )
+        new_ids = {r.suspect_id for r in known.values() if r.is_new_request}
+        if new_ids:
+            prompts = [[p for p in prompt if p not in new_ids] for prompt in prompts]
+        if is_explained:
+            known = {part: known[part] for part in known.keys() - new_ids}
         return crash_blame.plan_records(crash, prompts, known, is_explained, now_ms)
 
+    @property
+    def has_suspects(self):
+        """Return whether anything is suspected (bool)."""
+        return bool(self._rows or self._lost or self._own_crashes)
+
+    def is_suspect(self, suspect_id):
+        """Return whether a server has ended under a suspect (bool)."""
+        if not self.has_suspects:
+            return False
+        self._decide_own_records()
+        return self._find_known(suspect_id) is not None
+
     def find_refused(self, parts, now_ms):
         """Return the SuspectRecord of a refused part, None if the request may be sent.
 
--- a/nutmegdeal/gateway/suspect_rows.py
+++ b/nutmegdeal/gateway/suspect_rows.py
@@ -125,6 +125,11 @@
         self._removing.update(new_parts)
         self._add(_Change(removed_parts=new_parts))
 
+    def _remove_expired(self):
+        expired = self._book.expired_parts(self._board.store_now_ms())
+        if expired:
+            self.remove(expired)
+
     def _add(self, change):
         if len(self._changes) == CHANGES_MAX:
             dropped = self._changes.popleft()
@@ -162,6 +167,9 @@
             if self._try_change(change):
                 self._changes.popleft()
                 self._removing.difference_update(change.removed_parts)
+                if change.crash is not None:
+                    # Each crash brings new rows, so one gateway looks for old ones.
+                    self._remove_expired()
                 failure_count = 0
                 continue
             failure_count += 1
--- a/nutmegdeal/tests/test_prompt_guard.py
+++ b/nutmegdeal/tests/test_prompt_guard.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 
-from nutmegdeal.gateway.crash_blame import FIRST_REFUSAL_MS, PROBE_MS
+from nutmegdeal.gateway.crash_blame import FIRST_REFUSAL_MS, PROBE_MS, is_request
 from nutmegdeal.gateway.suspect_rows import PARTS_TABLE
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.dispatch_harness import DispatchHarness
@@ -76,6 +76,10 @@
         """Return the keys of the stored suspects."""
         return self.store.history.find_keys(PARTS_TABLE)
 
+    def find_part_rows(self):
+        """Return the keys of the stored suspects that are prompt parts."""
+        return [key for key in self.find_rows() if not is_request(key)]
+
     def refuse_part(self):
         """Let the part crash engines of two gateways until both refuse it."""
         first, second = self.start(), self.start()
@@ -165,7 +169,7 @@
     assert gateways.call(harness, SHARED, CRASHING) == 503
     assert not gateways.find_rows()
     gateways.store.is_silent = False
-    wait_until(lambda: gateways.find_rows() == [CRASHING.decode()])
+    wait_until(lambda: gateways.find_part_rows() == [CRASHING.decode()])
 
 
 def test_part_that_another_gateway_knows_as_sound_is_no_suspect(gateways):
@@ -173,7 +177,7 @@
     knowing = gateways.start()
     assert gateways.call(knowing, SHARED) == 200
     gateways.call(harness, SHARED, CRASHING)
-    wait_until(lambda: gateways.find_rows() == [CRASHING.decode()])
+    wait_until(lambda: gateways.find_part_rows() == [CRASHING.decode()])
 
 
 def pass_store_time(gateways, harnesses, step_ms):
@@ -190,7 +194,7 @@
             engine.is_sound = True
     pass_store_time(gateways, harnesses, FIRST_REFUSAL_MS)
     assert gateways.call(harnesses[0], SHARED, CRASHING) == 200
-    wait_until(lambda: not gateways.find_rows())
+    wait_until(lambda: not gateways.find_part_rows())
     for harness in harnesses:
         wait_until(
             lambda book=harness.book: (
@@ -254,21 +258,21 @@
     gateways.refuse_part()
     assert gateways.find_rows()
     gateways.store.history.restore(copy)
-    wait_until(lambda: gateways.find_rows() == [CRASHING.decode()])
+    wait_until(lambda: gateways.find_part_rows() == [CRASHING.decode()])
     assert gateways.call(gateways.start(), SHARED, CRASHING) == 503
 
 
 def test_sound_requests_do_not_displace_evidence_while_the_store_is_silent(gateways):
     harness = gateways.start()
     gateways.call(harness, SHARED, CRASHING)
-    wait_until(lambda: len(gateways.find_rows()) == 2)
+    wait_until(lambda: len(gateways.find_part_rows()) == 2)
     gateways.store.is_silent = True
     for _ in range(3):
         assert gateways.call(harness, SHARED) == 200
     gateways.call(harness, SHARED, CRASHING)
     assert harness.writer.waiting_count == 2
     gateways.store.is_silent = False
-    wait_until(lambda: gateways.find_rows() == [CRASHING.decode()])
+    wait_until(lambda: gateways.find_part_rows() == [CRASHING.decode()])
     wait_until(lambda: harness.writer.waiting_count == 0)
     assert gateways.call(harness, SHARED, CRASHING) == 503
 
