Soak: requests that crash servers; the machine of suspects plays them

The state machine of prompt parts has requests too, with a bound from the third crash on, and detects a version that knows only parts. The stand-ins' records of both kinds are one type.

--- a/nutmegdeal/fakes/platform_server.py
+++ b/nutmegdeal/fakes/platform_server.py
@@ -5,7 +5,6 @@
 import json
 import time
 
-import attrs
 import gevent
 
 from nutmegdeal.caller_connections import CallerLeftError
@@ -17,6 +16,7 @@
 )
 from nutmegdeal.fakes.breakable_listener import BreakableListener
 from nutmegdeal.fakes.named_limit import NamedLimit
+from nutmegdeal.fakes.prompt_crashes import CauseRecord
 from nutmegdeal.http_connections import find_header
 from nutmegdeal.log import get_logger
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
@@ -35,24 +35,9 @@
     """Take no notice of a crash."""
 
 
-@attrs.frozen
-class RequestRecord:
-    """One crash by a request, or one request that crashes servers.
-
-    Parameters
-    ----------
-    target, request_id : bytes
-    at_ms : float
-        On the monotonic clock.
-    """
-
-    target: bytes
-    request_id: bytes
-    at_ms: float
-
-
 def _record(request, request_id):
-    return RequestRecord(request.target, request_id, time.monotonic() * 1000)
+    now_ms = time.monotonic() * 1000
+    return CauseRecord(request.target.decode(), request_id.decode(), now_ms)
 
 
 class PlatformBackend:
@@ -87,7 +72,7 @@
     crashing_targets : set of bytes
         Requests for these targets crash the server shortly after it has begun to run
         them. Connections are then reset, and all runs count as cancelled.
-    request_crashes, request_arrivals : list of RequestRecord
+    request_crashes, request_arrivals : list of CauseRecord
         Crashes by such requests, and all such requests that the server received.
     crash_down_ms : float
         Time from a crash to the start of the next incarnation. Until then the server
--- a/nutmegdeal/fakes/prompt_crashes.py
+++ b/nutmegdeal/fakes/prompt_crashes.py
@@ -19,17 +19,18 @@
 
 
 @attrs.frozen
-class PartRecord:
-    """One crash by a part of a prompt, or one request with such a part.
+class CauseRecord:
+    """One crash, or the arrival of one request that crashes servers.
 
     Parameters
     ----------
-    part_id, request_id : str
+    cause, request_id : str
+        The cause is the part of a prompt, or the target of the request.
     at_ms : float
         On the monotonic clock.
     """
 
-    part_id: str
+    cause: str
     request_id: str
     at_ms: float
 
@@ -42,7 +43,7 @@
     ----------
     crashing_parts : set of str
         Ids in lower case.
-    crashes, arrivals : list of PartRecord
+    crashes, arrivals : list of CauseRecord
         Crashes, and requests with a crashing part that the engine received.
     """
 
@@ -68,5 +69,5 @@
         part_ids = [part for part in shared_parts if part in self.crashing_parts]
         if part_ids:
             now_ms = time.monotonic() * 1000
-            records.append(PartRecord(part_ids[0], request_id, now_ms))
+            records.append(CauseRecord(part_ids[0], request_id, now_ms))
         return bool(part_ids)
--- a/nutmegdeal/soak/callers.py
+++ b/nutmegdeal/soak/callers.py
@@ -24,6 +24,10 @@
 # First part of all prompts, and number of the second parts that sound ones share.
 FIRST_PART = "5c1e07a2"
 SHARED_PART_COUNT = 4
+# Prompt of a request that comes again and again.
+SAME_PROMPT = b"5c1e07a2:300,00000000:200,0000000a:200"
+# Share of the requests of a kind that crash servers while there is such a request.
+CRASHING_REQUEST_SHARE = 0.1
 # Share of the requests whose prompts have the crashing part while there is one.
 CRASHING_SHARE = 0.25
 
@@ -81,7 +85,14 @@
     def run(self):
         """Send random requests until the greenlet is killed."""
         while True:
-            self.call(self._random.choice(REQUEST_KINDS))
+            kind = self._random.choice(REQUEST_KINDS)
+            paths = [
+                path
+                for path in self._site.crashing_paths
+                if path.startswith(f"/{kind}/")
+            ]
+            is_crashing = paths and self._random.random() < CRASHING_REQUEST_SHARE
+            self.call(kind, paths[0] if is_crashing else None)
             gevent.sleep(MEAN_PAUSE_S * self._random.random() * 2)
 
     def call(self, kind, path=None):
@@ -113,13 +124,15 @@
         except OSError:
             return 0, None, False
         deadline_ms = time.monotonic() * 1000 + TIMEOUT_MS + ANSWER_MARGIN_MS
-        adapter = self._random.randrange(ADAPTER_COUNT)
+        is_crashing = path in self._site.crashing_paths
+        adapter = 0 if is_crashing else self._random.randrange(ADAPTER_COUNT)
+        prompt = SAME_PROMPT if is_crashing else self._draw_prompt()
         headers = [
             (b"host", HOST.encode()),
             (b"x-request-id", request_id.encode()),
             (b"x-model", f"{MODEL}/a{adapter}".encode()),
             (b"x-token-usage", b"700,50"),
-            (b"x-prompt-prefix", self._draw_prompt()),
+            (b"x-prompt-prefix", prompt),
             (b"x-deadline-ms", b"%d" % TIMEOUT_MS),
         ]
         status_code = 0
--- a/nutmegdeal/soak/fault_records.py
+++ b/nutmegdeal/soak/fault_records.py
@@ -4,6 +4,7 @@
 
 # Kinds of faults that the checks treat apart.
 CRASHING_PROMPTS_KIND = "crashing_prompts"
+CRASHING_REQUESTS_KIND = "crashing_requests"
 ENDLESS_ANSWERS_KIND = "endless_answers"
 LIMITS_KIND = "limits"
 SILENCE_KIND = "silence"
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -10,8 +10,10 @@
 from nutmegdeal.fakes.endless_answers import ENDLESS_ANSWERS
 from nutmegdeal.fakes.platform_store import StoreFault
 from nutmegdeal.log import get_logger
+from nutmegdeal.soak.callers import REQUEST_KINDS
 from nutmegdeal.soak.fault_records import (
     CRASHING_PROMPTS_KIND,
+    CRASHING_REQUESTS_KIND,
     ENDLESS_ANSWERS_KIND,
     LIMITS_KIND,
     SILENCE_KIND,
@@ -66,6 +68,8 @@
     has_crashing_prompts : bool
         Whether callers send a part of prompts that crashes engines, for
         `CRASHING_PROMPTS_S` beside planned work.
+    has_crashing_requests : bool
+        The same with one request that crashes servers.
     has_limits : bool
         Whether an engine and a server at a time name a limit, beside all other faults.
 
@@ -75,8 +79,16 @@
         Faults that have ended.
     """
 
-    def __init__(self, site, seed, has_crashing_prompts=False, has_limits=False):
+    def __init__(
+        self,
+        site,
+        seed,
+        has_crashing_prompts=False,
+        has_limits=False,
+        has_crashing_requests=False,
+    ):
         self.records = []
+        self._has_crashing_requests = has_crashing_requests
         self._has_limits = has_limits
         self._has_crashing_prompts = has_crashing_prompts
         self._site = site
@@ -121,6 +133,9 @@
         if self._has_crashing_prompts:
             crash_prompts = (CRASHING_PROMPTS_KIND, self._crash_prompts, False)
             self._spawn(crash_prompts, CRASHING_PROMPTS_S)
+        if self._has_crashing_requests:
+            crash_requests = (CRASHING_REQUESTS_KIND, self._crash_requests, False)
+            self._spawn(crash_requests, CRASHING_PROMPTS_S)
             started_s += CRASHING_PROMPTS_S
         self._start(planned, started_s + fault_period_s * PLANNED_ONLY_SHARE)
         self._start(self._actions, started_s + fault_period_s)
@@ -209,7 +224,7 @@
         # A placer that has restarted does not know the delayed orders, and could not
         # prevent their execution under the same id.
         if self._random.random() < 0.5 and not engine.delayed_orders:
-            self._site.restart_engine(engine, engine.backend_id)
+            self._site.restart_backend(engine, engine.backend_id)
         else:
             self._restart_under_new_id(engine)
         return engine.backend_id
@@ -217,7 +232,7 @@
     def _restart_under_new_id(self, engine):
         self._restart_count += 1
         name = engine.backend_id.partition("#")[0]
-        self._site.restart_engine(engine, f"{name}#{self._restart_count}")
+        self._site.restart_backend(engine, f"{name}#{self._restart_count}")
 
     def _name_limits(self, backends, duration_s):
         end_s = time.monotonic() + duration_s
@@ -229,13 +244,8 @@
         return backends[0].service
 
     def _crash_prompts(self, duration_s):
+        self._prepare_crashes(self._site.engines)
         for engine in self._site.engines:
-            engine.crash_down_ms = CRASH_DOWN_MS
-            proxy = self._site.proxies[engine.backend_id]
-            engine.on_crash = proxy.stop_listening
-            engine.restart_after_crash = functools.partial(
-                self._return_engine, engine, proxy
-            )
             engine.faults.sends_head_early = self._random.random() < 0.5
         part_id = f"{self._random.getrandbits(32):08x}"
         self._site.set_crashing_part(part_id)
@@ -243,12 +253,32 @@
         self._site.set_crashing_part("")
         return part_id
 
-    def _return_engine(self, engine, proxy):
+    def _crash_requests(self, duration_s):
+        self._prepare_crashes(self._site.backends)
+        kinds = self._random.sample(REQUEST_KINDS, 2)
+        paths = [f"/{kind}/bad-{self._random.getrandbits(32):08x}" for kind in kinds]
+        self._site.set_crashing_paths(paths)
+        gevent.sleep(duration_s)
+        self._site.set_crashing_paths([])
+        return " ".join(paths)
+
+    def _prepare_crashes(self, backends):
+        for backend in backends:
+            backend.crash_down_ms = CRASH_DOWN_MS
+            proxy = self._site.proxies[backend.backend_id]
+            backend.on_crash = proxy.stop_listening
+            backend.restart_after_crash = functools.partial(
+                self._return_backend, backend, proxy
+            )
+
+    def _return_backend(self, backend, proxy):
         proxy.listen()
-        if self._random.random() < NEW_ID_SHARE or engine.delayed_orders:
-            self._restart_under_new_id(engine)
+        # A delayed order could be executed under the same id.
+        has_delayed_orders = bool(getattr(backend, "delayed_orders", ()))
+        if self._random.random() < NEW_ID_SHARE or has_delayed_orders:
+            self._restart_under_new_id(backend)
         else:
-            self._site.restart_engine(engine, engine.backend_id)
+            self._site.restart_backend(backend, backend.backend_id)
 
     def _delay_orders(self, duration_s):
         engine = self._random.choice(self._site.engines)
--- a/nutmegdeal/soak/rule_checks.py
+++ b/nutmegdeal/soak/rule_checks.py
@@ -6,6 +6,7 @@
 from nutmegdeal.soak.callers import ANSWER_MARGIN_MS
 from nutmegdeal.soak.fault_records import (
     CRASHING_PROMPTS_KIND,
+    CRASHING_REQUESTS_KIND,
     ENDLESS_ANSWERS_KIND,
     SILENCE_KIND,
 )
@@ -15,10 +16,11 @@
 # A fault may still affect requests for this long after its end: it takes probes 3 s
 # to detect a silent connection.
 FAULT_EFFECT_S = 4.0
-# From this long after so many crashes by one part of prompts, gateways may send no more
-# than so many further requests with that part to engines.
+# From this long after so many crashes by a part of prompts, or by a request, gateways
+# may send no more than so many further requests of that kind to servers.
 CONTACT_S = BOUNDS["contact_ms"] / 1000
 CRASHES_MAX = 5
+REQUEST_CRASHES_MAX = 3
 LATE_ARRIVALS_MAX = 3
 # Faults that excuse a gateway from a server's limit, and one that holds requests up.
 RESTART_KINDS = ("kill", "pause", "terminate")
@@ -54,7 +56,12 @@
     crashes = [item for engine in site.engines for item in engine.prompts.crashes]
     arrivals = [item for engine in site.engines for item in engine.prompts.arrivals]
     gateways = {record.request_id: record.gateway for record in records}
-    violations += find_late_arrivals(crashes, arrivals, gateways, faults)
+    violations += find_late_arrivals(crashes, arrivals, gateways, faults, CRASHES_MAX)
+    crashes = [item for backend in site.backends for item in backend.request_crashes]
+    arrivals = [item for backend in site.backends for item in backend.request_arrivals]
+    violations += find_late_arrivals(
+        crashes, arrivals, gateways, faults, REQUEST_CRASHES_MAX
+    )
     for backend in site.backends:
         violations += find_exceeded_limits(backend, gateways, faults)
     return violations
@@ -101,34 +108,36 @@
     )
 
 
-def find_late_arrivals(crashes, arrivals, gateways, faults):
-    """Yield a description of each part that reached engines too often (str).
+def find_late_arrivals(crashes, arrivals, gateways, faults, crashes_max):
+    """Yield a description of each cause of crashes that came too often (str).
 
     Parameters
     ----------
-    crashes, arrivals : list of PartRecord
-        Of all engines.
+    crashes, arrivals : list of CauseRecord
+        Of all servers.
     gateways : dict of str to int
         Numbers of the gateways that got the requests, by request id.
     faults : list of FaultRecord
+    crashes_max : int
+        Crashes after which a cause has to be known.
     """
-    for part_id in sorted({crash.part_id for crash in crashes}):
+    for cause in sorted({crash.cause for crash in crashes}):
         crashed_s = sorted(
-            crash.at_ms / 1000 for crash in crashes if crash.part_id == part_id
+            crash.at_ms / 1000 for crash in crashes if crash.cause == cause
         )
-        if len(crashed_s) < CRASHES_MAX:
+        if len(crashed_s) < crashes_max:
             continue
-        known_from_s = crashed_s[CRASHES_MAX - 1] + CONTACT_S
+        known_from_s = crashed_s[crashes_max - 1] + CONTACT_S
         late_ids = [
             arrival.request_id
             for arrival in arrivals
-            if arrival.part_id == part_id
+            if arrival.cause == cause
             and arrival.at_ms / 1000 > known_from_s
             and not _is_excused(arrival, gateways.get(arrival.request_id), faults)
         ]
         if len(late_ids) > LATE_ARRIVALS_MAX:
             yield (
-                f"part {part_id} reached engines {len(late_ids)} times after its "
+                f"{cause} reached servers {len(late_ids)} times after its "
                 f"crashes were known, {len(crashed_s)} crashes in all: {late_ids}"
             )
 
@@ -138,7 +147,7 @@
     return any(
         fault.started_s <= arrival.at_ms / 1000 <= fault.ended_s + FAULT_EFFECT_S
         for fault in faults
-        if fault.kind != CRASHING_PROMPTS_KIND
+        if fault.kind not in (CRASHING_PROMPTS_KIND, CRASHING_REQUESTS_KIND)
         and (not fault.is_planned or fault.target == f"gateway-{gateway}")
     )
 
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -32,7 +32,7 @@
     unsent_count : int
         Requests for which no connection to a gateway could be opened.
     crash_count : int
-        Crashes of engines by prompts.
+        Crashes of servers by requests and their prompts.
     limit_count : int
         Times that a server named a limit.
     violations : tuple of str
@@ -49,7 +49,12 @@
 
 
 def run_soak(
-    seed, fault_period_s, folder, has_crashing_prompts=False, has_limits=False
+    seed,
+    fault_period_s,
+    folder,
+    has_crashing_prompts=False,
+    has_limits=False,
+    has_crashing_requests=False,
 ):
     """Run the programs under load and faults, and check the rules.
 
@@ -62,6 +67,8 @@
         For settings and logs, which are kept.
     has_crashing_prompts : bool
         Whether callers also send prompts that crash engines.
+    has_crashing_requests : bool
+        Whether callers also send a request that crashes servers.
     has_limits : bool
         Whether servers name limits, which more gateways then have to keep.
 
@@ -76,7 +83,9 @@
     try:
         probe = Caller("probe", site, seed, records)
         violations = _wait_until_served(probe, site)
-        fault_injector = FaultInjector(site, seed, has_crashing_prompts, has_limits)
+        fault_injector = FaultInjector(
+            site, seed, has_crashing_prompts, has_limits, has_crashing_requests
+        )
         restart_greenlet = gevent.spawn(fault_injector.restart_ended_programs)
         callers = [
             Caller(number, site, seed, records) for number in range(CALLER_COUNT)
@@ -97,7 +106,8 @@
         fault_count=len(fault_injector.records),
         unsent_count=sum(not item.was_sent for item in records),
         limit_count=sum(len(item.limit.periods) for item in site.backends),
-        crash_count=sum(engine.prompts.crash_count for engine in site.engines),
+        crash_count=sum(engine.prompts.crash_count for engine in site.engines)
+        + sum(len(backend.request_crashes) for backend in site.backends),
         violations=tuple(violations),
     )
 
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -118,6 +118,8 @@
     ----------
     crashing_part : str
         Part of prompts that crashes engines and that callers send, "" for none.
+    crashing_paths : tuple of str
+        Paths of requests that crash servers and that callers send.
     """
 
     def __init__(self, folder, prefix, retry_bounds, gateway_count=GATEWAY_COUNT):
@@ -126,6 +128,7 @@
         self._prefix = prefix
         self.configuration_version = 1
         self.crashing_part = ""
+        self.crashing_paths = ()
         self._versions = {}
         self.store = PlatformStore((self._ip(1), 0))
         self.store_proxy = FaultyProxy((self._ip(1), 0), (self._ip(1), self.store.port))
@@ -195,13 +198,13 @@
         row["address"] = f"{host}:{port}"
         self.store.put("servers", backend.backend_id, json.dumps(row).encode())
 
-    def restart_engine(self, engine, backend_id):
-        """Restart an engine under an id, which may be its present one."""
-        self.store.remove("servers", engine.backend_id)
-        self.proxies[backend_id] = self.proxies.pop(engine.backend_id)
-        engine.limit.end()
-        engine.restart(backend_id)
-        self.register(engine)
+    def restart_backend(self, backend, backend_id):
+        """Restart a backend server under an id, which may be its present one."""
+        self.store.remove("servers", backend.backend_id)
+        self.proxies[backend_id] = self.proxies.pop(backend.backend_id)
+        backend.limit.end()
+        backend.restart(backend_id)
+        self.register(backend)
 
     def set_crashing_part(self, part_id):
         """Make callers send a part that crashes engines, or none if it is ""."""
@@ -210,6 +213,12 @@
             for engine in self.engines:
                 engine.prompts.crashing_parts.add(part_id)
 
+    def set_crashing_paths(self, paths):
+        """Make callers send requests that crash the servers which run them."""
+        self.crashing_paths = paths
+        for backend in self.backends:
+            backend.crashing_targets.update(path.encode() for path in paths)
+
     def put_configuration(self):
         """Store the configuration of the operator with the next version number."""
         self.configuration_version += 1
--- a/nutmegdeal/tests/test_prompt_crashes.py
+++ b/nutmegdeal/tests/test_prompt_crashes.py
@@ -87,7 +87,7 @@
     )
     read_stream(connect(engine, request_id="q-2"))
     arrivals = engine.prompts.arrivals
-    assert [(item.part_id, item.request_id) for item in arrivals] == [
+    assert [(item.cause, item.request_id) for item in arrivals] == [
         (SHARED_PART, "q-1")
     ]
     assert not engine.prompts.crash_count
--- a/nutmegdeal/tests/test_prompt_parts_safety.py
+++ b/nutmegdeal/tests/test_prompt_parts_safety.py
@@ -1,4 +1,4 @@
-"""Crashing prompt parts are refused everywhere, and wrong refusals end.
+"""Crashing prompt parts and requests are refused everywhere, and wrong refusals end.
 
 Gateways learn from crashes and from one another over a store that loses answers, writes
 late and returns to a copy. Engines end under crashing parts and for other reasons, one
@@ -21,6 +21,7 @@
 )
 
 from nutmegdeal.gateway import crash_blame
+from nutmegdeal.gateway.crash_blame import build_request_id, is_request
 from nutmegdeal.gateway.suspect_book import SuspectBook, SuspectRecord
 from nutmegdeal.tests.prompt_part_load import ModelSite, WriteOutcome, store
 from nutmegdeal.tests.state_machine_settings import (
@@ -29,6 +30,7 @@
 )
 
 FIRST, SECOND, BAD, WORSE = "a", "s", "p", "q"
+REQUEST, SOUND_REQUEST = build_request_id("r"), build_request_id("s")
 PROMPTS = (
     (FIRST,),
     (FIRST, SECOND),
@@ -40,9 +42,20 @@
     (FIRST, BAD, WORSE),
     (BAD,),
     (SECOND,),
+    (REQUEST,),
+    (REQUEST,),
+    (FIRST, REQUEST),
+    (SOUND_REQUEST,),
+    (FIRST, BAD, SOUND_REQUEST),
+)
+CRASHING_SETS = tuple(
+    map(
+        frozenset,
+        ({BAD}, {BAD}, {BAD, WORSE}, {FIRST}, {REQUEST}, {REQUEST, BAD}, set()),
+    )
 )
-CRASHING_SETS = tuple(map(frozenset, ({BAD}, {BAD}, {BAD, WORSE}, {FIRST}, set())))
 KNOWN_CRASHES = 5
+KNOWN_REQUEST_CRASHES = 3
 FURTHER_SENDS_MAX = 3
 INDEXES = st.integers(0, 5)
 OUTCOMES = st.sampled_from([*[WriteOutcome.DONE] * 3, *WriteOutcome])
@@ -186,7 +199,8 @@
         for gateway in self.site.gateways:
             assert not gateway.delivered.intersection(self.site.store.rows)
         for part in self.site.crashing - self.further_sends.keys():
-            if self.site.count_known_crashes(part) >= KNOWN_CRASHES:
+            known_from = KNOWN_REQUEST_CRASHES if is_request(part) else KNOWN_CRASHES
+            if self.site.count_known_crashes(part) >= known_from:
                 self.further_sends[part] = 0
 
     @rule(part=st.sampled_from([FIRST, SECOND, WORSE, BAD]), index=INDEXES)
@@ -310,6 +324,14 @@
         return tuple(r for r in records if not r.explained)
 
 
+class KnowsOnlyParts(SuspectBook):
+    """Takes no notice of requests that crash servers."""
+
+    def unknown_parts(self, parts):
+        known = super().unknown_parts(parts)
+        return tuple(part for part in known if not is_request(part))
+
+
 MACHINE_SETTINGS = settings(STATE_MACHINE_SETTINGS, stateful_step_count=30)
 FAULTY_VERSION_SETTINGS = settings(
     faulty_version_settings(1_000), stateful_step_count=30
@@ -331,6 +353,7 @@
         KeepsWrongRefusals,
         RefusesForGood,
         CountsCrashesTwice,
+        KnowsOnlyParts,
     ],
 )
 def test_faulty_version_is_detected(book_class):
--- a/nutmegdeal/tests/test_soak.py
+++ b/nutmegdeal/tests/test_soak.py
@@ -17,6 +17,7 @@
 RUN_TIMEOUT_S = 300
 
 LIMITS_SEED = 301
+CRASHING_REQUESTS_SEED = 401
 CRASHING_PROMPTS_SEED = 41
 CRASHING_PROMPTS_FAULTS_FOR_S = 6
 
@@ -57,3 +58,14 @@
 def test_limits_of_servers_are_kept_by_all_gateways(tmp_path):
     result = run_soak(LIMITS_SEED, FAULTS_FOR_S, tmp_path, "--limits")
     assert result["limit_count"] > 0
+
+
+@pytest.mark.processes
+def test_crashing_requests_are_kept_away_from_servers(tmp_path):
+    result = run_soak(
+        CRASHING_REQUESTS_SEED,
+        CRASHING_PROMPTS_FAULTS_FOR_S,
+        tmp_path,
+        "--crashing-requests",
+    )
+    assert result["crash_count"] > 0
--- a/nutmegdeal/tests/test_soak_checks.py
+++ b/nutmegdeal/tests/test_soak_checks.py
@@ -6,7 +6,7 @@
 
 from nutmegdeal.fakes.endless_answers import ENDLESS_EVENT_TEXT
 from nutmegdeal.fakes.named_limit import NamedLimit, NamedPeriod
-from nutmegdeal.fakes.prompt_crashes import PartRecord
+from nutmegdeal.fakes.prompt_crashes import CauseRecord
 from nutmegdeal.soak.callers import CallRecord
 from nutmegdeal.soak.fault_records import (
     CRASHING_PROMPTS_KIND,
@@ -91,14 +91,14 @@
 
 def find_late(crash_count=CRASHES_MAX, late_s=CONTACT_S + 0.1, faults=(CRASHING,)):
     """Return what is found if one request too many is sent with a part."""
-    crashes = [PartRecord("bad", "c-0", second * 1e3) for second in range(crash_count)]
+    crashes = [CauseRecord("bad", "c-0", second * 1e3) for second in range(crash_count)]
     late_ms = (CRASHED_S + late_s) * 1e3
     arrivals = [
-        PartRecord("bad", f"c-{number}", late_ms)
+        CauseRecord("bad", f"c-{number}", late_ms)
         for number in range(LATE_ARRIVALS_MAX + 1)
     ]
     gateways = {arrival.request_id: 0 for arrival in arrivals}
-    return list(find_late_arrivals(crashes, arrivals, gateways, faults))
+    return list(find_late_arrivals(crashes, arrivals, gateways, faults, CRASHES_MAX))
 
 
 def build_restart(gateway):
--- a/nutmegdeal/tools/soak.py
+++ b/nutmegdeal/tools/soak.py
@@ -29,6 +29,7 @@
     folder: str = "",
     crashing_prompts: bool = False,
     limits: bool = False,
+    crashing_requests: bool = False,
 ):
     """Run the soak test with `count` consecutive seeds, starting at `seed`.
 
@@ -45,6 +46,8 @@
     crashing_prompts
         Callers also send prompts that crash engines, beside planned work and before
         the other faults.
+    crashing_requests
+        The same with requests that crash servers.
     limits
         Servers name limits on their requests a second, with more gateways.
     """
@@ -54,7 +57,9 @@
     for number in range(seed, seed + count):
         run_folder = base / str(number)
         run_folder.mkdir(parents=True, exist_ok=True)
-        result = run_soak(number, for_s, run_folder, crashing_prompts, limits)
+        result = run_soak(
+            number, for_s, run_folder, crashing_prompts, limits, crashing_requests
+        )
         print(json.dumps(attrs.asdict(result)), flush=True)
         is_violated = is_violated or bool(result.violations)
     sys.exit(EXIT_RULES_VIOLATED if is_violated else 0)
