Gateway: requests that wait for an adapter are refused before the grace time ends

Callers saw a closed connection: the process exited while the request waited, although it had reached no server. Cause: the end of the grace time only counted what was open.

--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -22,6 +22,10 @@
             event = self._events[adapter] = gevent.event.Event()
         event.wait(max(within_ms, 0.0) / 1000)
 
+    def wake_all(self):
+        """Wake all greenlets that wait."""
+        self.wake(list(self._events))
+
     def wake(self, adapters):
         """Wake all greenlets that wait for one of the adapters."""
         for adapter in adapters:
@@ -49,6 +53,8 @@
     prompt_parts_era : int
         Era of the store in which the suspected prompt parts were read.
     is_draining : bool
+    is_ending : bool
+        Requests that have not been sent are refused, as the grace time ends.
     store_clock_offset_ms : float
         Store's clock less the monotonic clock.
     last_trouble_ms : float
@@ -69,6 +75,7 @@
     has_prompt_parts: bool = False
     prompt_parts_era: int = 0
     is_draining: bool = False
+    is_ending: bool = False
     store_clock_offset_ms: float = 0.0
     last_trouble_ms: float = float("-inf")
     initialized: gevent.event.Event = attrs.field(factory=gevent.event.Event)
@@ -99,6 +106,11 @@
         """Record that a backend server has ended or a call to the store has failed."""
         self.last_trouble_ms = self.clock.monotonic_ms()
 
+    def refuse_waiting(self):
+        """Refuse the requests that have not been sent."""
+        self.is_ending = True
+        self.waiters.wake_all()
+
     @property
     def limits(self):
         """Return the CallerLimits in force."""
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -53,6 +53,8 @@
 ACCEPT_AFTER_TERM_MS = 2_600.0
 # Unfinished requests are cut off this long before SIGKILL.
 KILL_MARGIN_MS = 300.0
+# Requests that have not been sent are refused this long before that.
+REFUSE_MARGIN_MS = 300.0
 # A stream ends after four missed heartbeats: 2 s, which is below the 3 s in which the
 # platform expects a lost stream to be noticed.
 CHANNEL_HEARTBEAT_EVERY_MS = 500
@@ -237,6 +239,8 @@
         gevent.sleep(ACCEPT_AFTER_TERM_MS / 1000)
         self._listener.stop_accepting()
         self._listener.close_idle()
+        wait_until_idle(self._listener, self._clock, end_ms - REFUSE_MARGIN_MS)
+        self._board.refuse_waiting()
         cut_off_count = wait_until_idle(self._listener, self._clock, end_ms)
         logger.info("stopped", cut_off_count=cut_off_count)
         return cut_off_count == 0
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -77,6 +77,8 @@
         board = self._board
         until_ms = useful_until_ms(request)
         while True:
+            if board.is_ending:
+                return NotFound("stopping")
             now_ms = board.clock.monotonic_ms()
             usable = board.membership.usable(request.service.name, now_ms)
             self._limits.record_withheld(request.service.name, now_ms)
