Callers of HTTP/1.0: a process that ends within an answer resets the connection

The reset was set only where the application ended within the process. Now the socket resets on close from the first byte of such an answer until its end.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -20,6 +20,7 @@
 from nutmegdeal.responders import Responder
 from nutmegdeal.socket_closing import (
     discard_until_closed,
+    end_on_close,
     has_unread_bytes,
     reset_on_close,
 )
@@ -152,6 +153,13 @@
         except OSError as error:
             raise CallerLeftError from error
 
+    def set_reset_on_close(self, is_reset):
+        """Choose whether a close, also by the end of the process, is a reset."""
+        try:
+            (reset_on_close if is_reset else end_on_close)(self._socket)
+        except OSError as error:
+            raise CallerLeftError from error
+
     def _serve_request(self):
         self.is_idle = not self._protocol.trailing_data[0]
         try:
@@ -173,8 +181,6 @@
             self._handle_crash(request, responder)
         finally:
             self._stop_watching()
-            if responder.is_cut_unnoticed:
-                reset_on_close(self._socket)
         if self._has_caller_left or not responder.is_finished:
             return False
         return self._start_next_request()
--- a/nutmegdeal/responders.py
+++ b/nutmegdeal/responders.py
@@ -47,12 +47,6 @@
         """Return whether `start` was called, even if nothing was sent yet."""
         return self.status_code != 0
 
-    @property
-    def is_cut_unnoticed(self):
-        """Return whether a part was sent that an end of stream would complete."""
-        is_cut = self.is_head_sent and not self.is_finished
-        return is_cut and self._ends_with_connection
-
     def start(self, status_code, headers):
         """Begin the response; the head is sent with the first bytes of the body."""
         if self._connection.is_closing:
@@ -75,9 +69,14 @@
         unsent_head, self._unsent_head = self._unsent_head, b""
         if unsent_head or end:
             self._write(unsent_head + end)
+        if self._ends_with_connection:
+            self._connection.set_reset_on_close(False)
         self.is_finished = True
 
     def _write(self, data):
+        if self._ends_with_connection and not self.is_head_sent:
+            # An end of stream would complete a part of the response.
+            self._connection.set_reset_on_close(True)
         self.is_head_sent = True
         self._connection.write(data)
 
--- a/nutmegdeal/socket_closing.py
+++ b/nutmegdeal/socket_closing.py
@@ -11,6 +11,7 @@
 DISCARD_CHUNK_BYTES = 65_536
 # SO_LINGER with a timeout of 0 s: close sends a reset instead of an end of stream.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 def reset_on_close(sock):
@@ -18,6 +19,11 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
+def end_on_close(sock):
+    """Make the next close of a socket send an end of stream, as usual."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, END_ON_CLOSE)
+
+
 def has_unread_bytes(sock):
     """Return whether bytes have arrived at a gevent socket that were not read."""
     try:
