--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -186,6 +186,7 @@
         refused = self._guard.refuses(request)
         if refused is None:
             return None
+        request.refused_suspect_id = refused.suspect_id
         reason = "prompt_refused"
         if is_request(refused.suspect_id):
             reason = "request_refused"
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -132,6 +132,8 @@
         A run has delivered so much that the prompt has proved sound.
     is_suspected : bool
         An engine has ended under the request, and its prompt may be the cause.
+    refused_suspect_id : str
+        Prompt part or request for which it was refused, ``""`` if it was not.
     connect_count : int
         Failed attempts to open a connection for the request.
     sent_count : int
@@ -166,6 +168,7 @@
     probed_parts: tuple[str, ...] = ()
     is_delivered: bool = False
     is_suspected: bool = False
+    refused_suspect_id: str = ""
     connect_count: int = 0
     sent_count: int = 0
     run_count: int = 0
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -37,7 +37,7 @@
         )
         self._refused = Counter(
             "nutmegdeal_refusals",
-            "Requests refused on arrival",
+            "Requests that were refused and have not run",
             ("reason",),
             registry=self.registry,
         )
@@ -321,6 +321,8 @@
         end = ending.name
         arrived_ms = request.incoming.arrived_ms
         self._ended.labels(kind, end).inc()
+        if end == "not_run":
+            self._refused.labels(ending.reason).inc()
         self._whole.labels(kind).observe((now_ms - arrived_ms) / 1000)
         first_ms = None
         if progress.first_byte_ms:
@@ -337,6 +339,7 @@
             kind=kind,
             end=end,
             reason=ending.reason,
+            suspect=request.refused_suspect_id,
             adapter=request.adapter,
             backends=sorted(request.tried_ids),
             sent=request.sent_count,
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -162,6 +162,9 @@
             "kind": text_field("`safe`, `unsafe` or `stream`"),
             "end": text_field("how the request ended"),
             "reason": text_field("reason, if the request was not served"),
+            "suspect": text_field(
+                "prompt part or request for which it was refused, empty for none"
+            ),
             "adapter": _ADAPTER,
             "backends": Field((list,), "ids of the backend servers tried"),
             "sent": count_field("backend servers that the request was sent to"),
--- a/nutmegdeal/tests/platform_builders.py
+++ b/nutmegdeal/tests/platform_builders.py
@@ -179,6 +179,7 @@
         "kind": "stream",
         "end": "completed",
         "reason": "",
+        "suspect": "",
         "adapter": "a1",
         "backends": ["i-1"],
         "sent": 1,
--- a/nutmegdeal/tests/test_prompt_guard.py
+++ b/nutmegdeal/tests/test_prompt_guard.py
@@ -113,6 +113,14 @@
         assert count_requests(harness) == before_count
 
 
+def test_refusals_for_a_part_are_counted(gateways):
+    harness, _ = gateways.refuse_part()
+    gateways.call(harness, SHARED, CRASHING)
+    labels = {"reason": "prompt_refused"}
+    registry = harness.telemetry.registry
+    assert registry.get_sample_value("nutmegdeal_refusals_total", labels) == 1.0
+
+
 def test_sound_requests_with_the_same_first_part_are_served(gateways):
     for harness in gateways.refuse_part():
         assert gateways.call(harness, SHARED) == 200
