Suspects: many servers that end at once make few calls to the store

Every gateway with a run at a server that ends writes one transaction, and every write wakes every gateway's watcher at most 20 ms later.

Now a crash under new requests alone is not written while three changes wait; it counts at its own gateway, and a second crash under one of its requests is always written. A watcher pauses for 200 ms after an answer with changes, so it reads several gateways' rows at once; the first change still arrives at once.

--- a/nutmegdeal/gateway/crash_guard.py
+++ b/nutmegdeal/gateway/crash_guard.py
@@ -10,6 +10,11 @@
 from nutmegdeal.gateway.crash_blame import Crash
 from nutmegdeal.gateway.exchange import DELIVERED_COUNT
 
+# Crashes under new requests alone that may wait for the store. Beyond it they count for
+# this gateway only: many servers that end at once are an outage, and all gateways would
+# write of each of them.
+NEW_CRASHES_WAITING_MAX = 3
+
 
 @attrs.frozen
 class RefusedSuspect:
@@ -36,12 +41,15 @@
         Their suspects: the shared parts of the prompt, then the request.
     probed_parts : set of str
         The refused parts that they probed.
+    may_have_cause : bool
+        One of them was suspected before, or has parts that are not known to be sound.
     checked : gevent.event.AsyncResult
         Gets whether the engine has ended.
     """
 
     prompts: list = attrs.field(factory=list)
     probed_parts: set = attrs.field(factory=set)
+    may_have_cause: bool = False
     checked: object = attrs.field(factory=gevent.event.AsyncResult)
 
 
@@ -119,7 +127,7 @@
             return False
         if member.availability.is_leaving:
             return False
-        may_be_cause = (
+        may_be_cause = bool(
             self._book.unknown_parts(request.shared_parts)
             or request.probed_parts
             or self._book.is_suspect(request.suspect_ids[-1])
@@ -131,7 +139,8 @@
             gevent.spawn(self._check, key, member, runs)
         runs.prompts.append(request.suspect_ids)
         runs.probed_parts.update(request.probed_parts)
-        return bool(may_be_cause) and runs.checked.get()
+        runs.may_have_cause |= may_be_cause
+        return may_be_cause and runs.checked.get()
 
     def _check(self, key, member, runs):
         has_ended = False
@@ -149,7 +158,9 @@
         crash = Crash(crash_id, prompts, tuple(sorted(runs.probed_parts)))
         self._telemetry.record_crash(crash)
         self._book.record_own_crash(crash, self._board.store_now_ms())
-        self._writer.submit(crash)
+        has_room = self._writer.waiting_count < NEW_CRASHES_WAITING_MAX
+        if runs.may_have_cause or has_room:
+            self._writer.submit(crash)
         self.cancel_refused()
 
     def cancel_refused(self):
--- a/nutmegdeal/gateway/suspect_rows.py
+++ b/nutmegdeal/gateway/suspect_rows.py
@@ -20,8 +20,8 @@
 CONFLICTS_MAX = 8
 # Changes that wait for the store; the oldest one is dropped first.
 CHANGES_MAX = 256
-# Pause after an answer with changes.
-PARTS_PAUSE_MS = 20.0
+# Pause after an answer with changes: many gateways write of one crash at the same time.
+PARTS_PAUSE_MS = 200.0
 # Longest wait for a change while no engine has crashed and no call has failed lately. A
 # lost answer is noticed only after it.
 QUIET_WAIT_MS = 8_000.0
