--- a/nutmegdeal/tests/test_prompt_guard.py
+++ b/nutmegdeal/tests/test_prompt_guard.py
@@ -236,14 +236,10 @@
     for member in harnesses[0].members:
         member.availability.record_leaving()
     assert gateways.call(harnesses[0], SHARED, CRASHING) == 503
-    other = harnesses[1]
-
-    def may_be_probed():
-        now_ms = other.board.store_now_ms()
-        record = other.book.find_refused((CRASHING.decode(),), now_ms)
-        return record.probe_count == 0 and other.book.may_probe(record, now_ms)
-
-    wait_until(may_be_probed, within_s=3.0)
+    first, other = harnesses
+    part = CRASHING.decode()
+    wait_until(lambda: first.writer.waiting_count == 0)
+    wait_until(lambda: other.book.version(part) == first.book.version(part), 3.0)
     assert gateways.call(other, SHARED, CRASHING) == 200
 
 
