--- a/nutmegdeal/gateway/crash_guard.py
+++ b/nutmegdeal/gateway/crash_guard.py
@@ -33,7 +33,7 @@
 
 @attrs.define
 class _EndedRuns:
-    """The runs that broke off at one engine, while it is checked.
+    """The runs that broke off at one server, while it is checked.
 
     Parameters
     ----------
@@ -44,7 +44,7 @@
     may_have_cause : bool
         One of them was suspected before, or has parts that are not known to be sound.
     checked : gevent.event.AsyncResult
-        Gets whether the engine has ended.
+        Gets whether the server has ended.
     """
 
     prompts: list = attrs.field(factory=list)
@@ -164,7 +164,7 @@
         self.cancel_refused()
 
     def cancel_refused(self):
-        """End the runs whose part is refused by now and that have delivered nothing."""
+        """End the runs that are refused by now and have delivered nothing."""
         if not self._book.has_suspects:
             return
         now_ms = self._board.store_now_ms()
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -101,7 +101,7 @@
         )
         self._crashes = Counter(
             "nutmegdeal_engine_crashes",
-            "Engines that ended under a run whose prompt is not known to be sound",
+            "Backend servers that ended under a run that had not delivered",
             registry=self.registry,
         )
         self._parts = Counter(
@@ -200,7 +200,7 @@
         )
 
     def record_crash(self, crash):
-        """Record the crash of an engine, and the prompt parts that are suspected.
+        """Record the crash of a server, and the parts and requests that are suspected.
 
         Parameters
         ----------
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -86,16 +86,18 @@
     LogEvent(
         "engine_crashed",
         Process.GATEWAY,
-        "engine that ended under runs whose prompts are not known to be sound",
+        "backend server that ended under runs that had not delivered",
         {
             "engine": text_field("id of the backend server and its start time"),
-            "parts": names_field("ids of the shared parts of these prompts"),
+            "parts": names_field(
+                "suspects: shared parts of their prompts, and `request:` with a digest"
+            ),
         },
     ),
     LogEvent(
         "prompt_part",
         Process.GATEWAY,
-        "change of what is stored of a prompt part",
+        "change of what is stored of a suspect, a prompt part or a request",
         {
             "change": text_field("`suspected`, `refused`, `probed` or `removed`"),
             "part": text_field("id of the prompt part"),
