Gateway: log which of two runs of a silent stream is given up, and on what evidence

Nothing said which one and why. New: `overlap_ended` with heard, reported_reachable and kept, the counter nutmegdeal_overlaps_ended_total, and in `request_ended` the versions of the configuration on arrival and at the end. No change of what is decided.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -104,7 +104,8 @@
         finally:
             self._guard.end(admitted)
             now_ms = self._board.clock.monotonic_ms()
-            self._telemetry.record_ended(admitted, progress, ending, now_ms)
+            version = self._board.configuration.version
+            self._telemetry.record_ended(admitted, progress, ending, now_ms, version)
 
     def _admit(self, incoming):
         """Return the Request to serve, or a Refusal."""
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -182,20 +182,20 @@
         return self._rival is not None and not self._rival.is_over
 
     def _end_overlap(self):
-        """Keep one of two runs: the first one if its engine is known to run.
+        """Keep one of two runs, as they may not overlap for longer.
 
         Raises
         ------
         OvertakenError
             If this one is given up.
         """
-        if self._rival.is_server_heard():
+        if self._rival.is_kept():
             raise OvertakenError("the other server runs, and this one took long")
         self._take_over()
 
-    def is_server_heard(self):
-        """Return whether the server is known to run."""
-        return self._member.is_heard(self._clock.monotonic_ms())
+    def is_kept(self):
+        """Return whether this silent run goes on, and not the one beside it."""
+        return self._silence_handler.keeps_run(self)
 
     def silent_ms(self):
         """Return for how long the server has sent nothing (float)."""
--- a/nutmegdeal/gateway/silence.py
+++ b/nutmegdeal/gateway/silence.py
@@ -25,6 +25,23 @@
             None if the silent run goes on.
         """
 
+    @abc.abstractmethod
+    def keeps_run(self, exchange):
+        """Decide which of two runs goes on, as they may not overlap for longer.
+
+        The other one has delivered nothing so far.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The silent one.
+
+        Returns
+        -------
+        bool
+            False if the silent run is given up for the other one.
+        """
+
     @abc.abstractmethod
     def record_abandoned(self):
         """Record that the silent run has ended, as another has taken over."""
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -90,6 +90,14 @@
         )
         return None
 
+    def keeps_run(self, exchange):
+        """Return whether the server of the silent run is known to run."""
+        is_heard = self._member.is_heard(self._clock.monotonic_ms())
+        self._telemetry.record_overlap_ended(
+            self._request, self._member, exchange.silent_ms(), is_heard
+        )
+        return is_heard
+
     def record_abandoned(self):
         """Record that the silent run has ended, as another has taken over."""
         self.has_replaced = True
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -53,6 +53,12 @@
             ("replacement",),
             registry=self.registry,
         )
+        self._overlaps = Counter(
+            "nutmegdeal_overlaps_ended",
+            "Silent runs and replacements of which one was given up undelivered",
+            ("kept",),
+            registry=self.registry,
+        )
         self._first = Histogram(
             "nutmegdeal_first_byte_seconds",
             "From the arrival to the first part of the answer",
@@ -307,7 +313,31 @@
             replacement=replacement,
         )
 
-    def record_ended(self, request, progress, ending, now_ms):
+    def record_overlap_ended(self, request, member, silent_ms, is_heard):
+        """Record that one of two runs is given up before either has delivered more.
+
+        Parameters
+        ----------
+        request : Request
+        member : Member
+            The server of the silent run.
+        silent_ms : float
+        is_heard : bool
+            Its placer has just reported that it responds, so its run is kept.
+        """
+        kept = "first" if is_heard else "second"
+        self._overlaps.labels(kept).inc()
+        logger.info(
+            "overlap_ended",
+            request=request.request_id,
+            backend=member.backend_id,
+            silent_ms=round(silent_ms, 1),
+            heard=is_heard,
+            reported_reachable=member.is_reachable,
+            kept=kept,
+        )
+
+    def record_ended(self, request, progress, ending, now_ms, configuration_version):
         """Record the end of a request.
 
         Parameters
@@ -316,6 +346,8 @@
         progress : AnswerProgress
         ending : Ending
         now_ms : float
+        configuration_version : int
+            Version of the configuration in force at the end.
         """
         kind = request.route.kind.value
         end = ending.name
@@ -352,4 +384,6 @@
             waited_ms=round(request.waited_ms, 1),
             paced_ms=round(request.paced_ms, 1),
             tokens=request.prompt_tokens,
+            configuration=request.configuration_version,
+            configuration_at_end=configuration_version,
         )
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -135,6 +135,24 @@
             ),
         },
     ),
+    LogEvent(
+        "overlap_ended",
+        Process.GATEWAY,
+        "end of the time for which two servers may run one stream, before the second "
+        "one has delivered a part; one run is given up",
+        {
+            "request": _REQUEST,
+            "backend": _BACKEND,
+            "silent_ms": ms_field("for how long the first server had sent nothing"),
+            "heard": flag_field(
+                "whether its placer has just reported that it responds"
+            ),
+            "reported_reachable": flag_field(
+                "whether the last report of its placer said so, however old"
+            ),
+            "kept": text_field("`first` or `second`, the run that goes on"),
+        },
+    ),
     LogEvent(
         "request_refused",
         Process.GATEWAY,
@@ -178,6 +196,10 @@
             "whole_ms": ms_field("time from arrival to the end"),
             "waited_ms": ms_field("time spent waiting for the adapter"),
             "paced_ms": ms_field("time spent waiting to send the prompt"),
+            "configuration": count_field("version of the configuration on arrival"),
+            "configuration_at_end": count_field(
+                "version of the configuration at the end"
+            ),
             "tokens": count_field("number of tokens in the prompt"),
         },
     ),
--- a/nutmegdeal/tests/test_gateway_telemetry.py
+++ b/nutmegdeal/tests/test_gateway_telemetry.py
@@ -24,7 +24,7 @@
     for kind, end in itertools.product(RouteKind, END_TEXTS):
         request = build.build_request(build.build_route(kind=kind))
         progress = AnswerProgress(None, first_byte_ms=1.0)
-        telemetry.record_ended(request, progress, Ending(end), 2.0)
+        telemetry.record_ended(request, progress, Ending(end), 2.0, 1)
     for fate, verdict in itertools.product(RunFate, RetryDecision):
         telemetry.record_failed_run(request, member, RunOutcome(fate), verdict)
     for reason in REASONS:
@@ -42,7 +42,7 @@
     telemetry = GatewayTelemetry()
     request = build.build_request(adapter="a1")
     request.waited_ms, request.paced_ms = 400.0, 60.0
-    telemetry.record_ended(request, AnswerProgress(None), Ending("not_run"), 500.0)
+    telemetry.record_ended(request, AnswerProgress(None), Ending("not_run"), 500.0, 1)
     sample = telemetry.registry.get_sample_value
     assert sample("nutmegdeal_load_wait_seconds_sum") == 0.4
     assert sample("nutmegdeal_turn_wait_seconds_sum") == 0.06
