--- a/nutmegdeal/tests/conftest.py
+++ b/nutmegdeal/tests/conftest.py
@@ -9,6 +9,7 @@
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.http_listener import CallerListener
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
+from nutmegdeal.tests.dispatch_harness import DispatchHarness
 from nutmegdeal.tests.process_site import Site
 from nutmegdeal.tests.transport_harness import TransportHarness
 
@@ -68,3 +69,17 @@
     yield start
     for listener in listeners:
         listener.stop_accepting()
+
+
+@pytest.fixture
+def start_dispatcher():
+    """Return a function that starts a DispatchHarness."""
+    harnesses = []
+
+    def start(*args, **options):
+        harnesses.append(DispatchHarness(*args, **options))
+        return harnesses[-1]
+
+    yield start
+    for harness in harnesses:
+        harness.close()
--- a/nutmegdeal/tests/test_gateway_silence.py
+++ b/nutmegdeal/tests/test_gateway_silence.py
@@ -9,84 +9,29 @@
 
 from nutmegdeal.gateway.exchange import GAP_TIMEOUT_MIN_MS, OVERLAP_MAX_MS
 from nutmegdeal.tests import platform_builders as build
-from nutmegdeal.tests.dispatch_harness import DispatchHarness
-
-SILENCE_S = 1.5 * GAP_TIMEOUT_MIN_MS / 1000
-TARGET_MS = 300.0
-EVENTS = range(6)
-WHOLE_STREAM = b"".join(map(build.build_event, EVENTS))
-HEAD, *_ = build.build_stream_answer("q-1", []).partition(b"0\r\n\r\n")
-
-
-def encode_events(numbers):
-    return b"".join(build.encode_chunk(build.build_event(n)) for n in numbers)
-
-
-def pause_in_stream(sock, _request):
-    """Send three events, fall silent, and send the rest."""
-    sock.sendall(HEAD + encode_events(range(3)))
-    gevent.sleep(SILENCE_S)
-    sock.sendall(encode_events(range(3, 6)) + b"0\r\n\r\n")
-
-
-def pause_before_stream(sock, _request):
-    """Fall silent before a whole stream."""
-    gevent.sleep(SILENCE_S)
-    sock.sendall(build.build_stream_answer("q-1", EVENTS))
-
-
-def pause_before_answer(sock, _request):
-    """Fall silent before a plain answer."""
-    gevent.sleep(SILENCE_S)
-    sock.sendall(build.build_plain_answer("q-1"))
-
-
-def resume_stream(sock, request):
-    """Send the events after those that the caller has."""
-    first = int(request.get(b"last-event-id", b"-1")) + 1
-    sock.sendall(build.build_stream_answer("q-1", range(first, len(EVENTS))))
-
-
-def refuse(sock, _request):
-    """Say that the request was not run."""
-    sock.sendall(
-        build.build_plain_answer(
-            "q-1", b"", "503 Service Unavailable", "X-Not-Executed: 1\r\n"
-        )
-    )
-
-
-def break_off(_sock, _request):
-    """Close the connection without an answer."""
-    return False
-
-
-def never_answer(_sock, _request):
-    """Read the request and send nothing."""
-    gevent.event.Event().wait()
+from nutmegdeal.tests.silent_answers import (
+    HEAD,
+    SILENCE_S,
+    TARGET_MS,
+    break_off,
+    break_off_later,
+    build_stream_route,
+    check_whole_stream,
+    encode_events,
+    never_answer,
+    never_answer_after_events,
+    pause_before_answer,
+    pause_before_stream,
+    pause_in_stream,
+    refuse,
+    resume_late,
+    resume_stream,
+)
 
 
 @pytest.fixture
-def start():
-    harnesses = []
-
-    def start_harness(*args, **options):
-        harnesses.append(DispatchHarness(*args, **options))
-        return harnesses[-1]
-
-    yield start_harness
-    for harness in harnesses:
-        harness.close()
-
-
-def build_stream_route(**changes):
-    return build.build_route(target_ms=TARGET_MS, gap_target_ms=100.0, **changes)
-
-
-def check_whole_stream(harness):
-    assert harness.responder.status_code == 200
-    assert harness.responder.body == WHOLE_STREAM
-    assert harness.responder.is_finished
+def start(start_dispatcher):
+    return start_dispatcher
 
 
 @pytest.mark.parametrize("first", [pause_in_stream, pause_before_stream])
@@ -277,12 +222,6 @@
     assert sample(ended, {"kind": "stream", "end": "caller_left"}) is None
 
 
-def resume_late(sock, request):
-    """Send the events after those that the caller has, a second later."""
-    gevent.sleep(1.0)
-    resume_stream(sock, request)
-
-
 def test_two_engines_work_on_a_stream_for_less_than_the_platform_allows(start):
     spans_s = []
 
@@ -310,12 +249,6 @@
     check_whole_stream(harness)
 
 
-def never_answer_after_events(sock, _request):
-    """Send three events, and nothing more."""
-    sock.sendall(HEAD + encode_events(range(3)))
-    gevent.event.Event().wait()
-
-
 def test_silent_stream_is_kept_beside_high_descriptors(start):
     harness = start([pause_in_stream, never_answer], route=build_stream_route())
     held = []
@@ -435,13 +368,6 @@
     check_whole_stream(harness)
 
 
-def break_off_later(sock, _request):
-    """Send three events, fall silent, and break off."""
-    sock.sendall(HEAD + encode_events(range(3)))
-    gevent.sleep(SILENCE_S)
-    return False
-
-
 @pytest.mark.parametrize("first", [never_answer_after_events, break_off_later])
 def test_third_server_gets_a_stream_whose_two_servers_are_silent(start, first):
     route = build_stream_route(attempts_max=3)
