Gateway: a silent run is given up only on evidence that its server is gone

Cause: 300 ms after a replacement began, the silent run was given up unless its placer had reported within the last second that the engine responds. A placer's report of a silent engine fails as well (three times within 1.2 s), and messages are late when gateways or placers are held up, so what nobody had heard of counted as gone, and the run was given up for one that had delivered nothing. When that one refused, broke off or stayed silent, the stream was cut.

Now the first run goes on unless a connection to its server is refused or not answered within 250 ms (a check that runs beside the overlap; a timeout that is noticed late, or an error of this process such as a lack of descriptors, is no evidence), or the caller has received nothing for 2 s. A replacement that was given up so may be begun again at the same server when the first one ends, or so that it can outlast the 2 s; before, it had used up the route's attempts.

Ruled out: to keep the silent run whatever the check says; streams of hosts that are gone would wait for 2 s.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -5,6 +5,7 @@
 from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.gateway.answer_progress import AnswerProgress
 from nutmegdeal.gateway.crash_blame import is_request
+from nutmegdeal.gateway.engine_check import ConnectCheck
 from nutmegdeal.gateway.requests import Attempt, Ending, Refusal, Request, RunFate
 from nutmegdeal.gateway.retries import RetryDecision, may_run_beside
 from nutmegdeal.gateway.search import NotFound
@@ -42,6 +43,7 @@
     telemetry : GatewayTelemetry
     guard : CrashGuard
     random_state : random.Random
+    end_check : EndCheck, optional
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         telemetry,
         guard,
         random_state,
+        end_check=None,
     ):
         self._board = board
         self._transport = transport
@@ -67,6 +70,7 @@
         self._telemetry = telemetry
         self._guard = guard
         self._random = random_state
+        self._end_check = end_check or ConnectCheck()
 
     def __call__(self, incoming, responder):
         """Serve one request.
@@ -215,6 +219,7 @@
             link.record_started(adapter)
         takeover = self._build_takeover(request, member, progress, link)
         request.tried_ids.add(member.backend_id)
+        request.superseded_ids.discard(member.backend_id)
         version = self._required_version(adapter, member)
         now_ms = self._board.clock.monotonic_ms()
         self._telemetry.record_selection(request, member, version, now_ms)
@@ -255,6 +260,7 @@
             progress,
             self._guard,
             link,
+            self._end_check,
         )
 
     def record_unresponsive(self, member, now_ms):
@@ -277,6 +283,8 @@
             request.sent_count += 1
         if fate not in (RunFate.NOT_SENT, RunFate.NOT_RUN):
             request.run_count += 1
+        if fate is RunFate.SUPERSEDED:
+            request.superseded_ids.add(member.backend_id)
         if outcome.is_unresponsive:
             self.record_unresponsive(member, now_ms)
         if fate is RunFate.NOT_RUN:
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -201,6 +201,15 @@
         """Return for how long the server has sent nothing (float)."""
         return self._clock.monotonic_ms() - self._connection.last_active_ms
 
+    def undelivered_ms(self):
+        """Return for how long nothing has arrived that the caller waits for (float)."""
+        return self._clock.monotonic_ms() - self._active_ms
+
+    @property
+    def has_caller_events(self):
+        """Return whether the caller has a part of the stream."""
+        return self._progress.last_event_id is not None
+
     def _is_silent(self, error):
         """Return whether a timeout is one of waiting, and before the deadline."""
         if error.errno is not None:
@@ -454,7 +463,7 @@
 
     def _overlap_limit_ms(self):
         """Return until when this exchange may go on beside its rival (float)."""
-        if self._progress.last_event_id is None:
+        if not self.has_caller_events:
             return self._request.deadline_ms
         return min(self._request.deadline_ms, self._sent_ms + OVERLAP_MAX_MS)
 
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -144,6 +144,9 @@
         Silent runs that go on while another server is asked to take over.
     tried_ids : set of str
         Ids of the backend servers tried.
+    superseded_ids : set of str
+        Ids of those whose run was given up for a silent one that goes on. They may run
+        the request again without being a further server.
     queued_at_id : str
         Id of the engine at which the request last waited for its adapter, ``""`` if it
         has not waited.
@@ -174,6 +177,7 @@
     run_count: int = 0
     open_run_count: int = 0
     tried_ids: set = attrs.field(factory=set)
+    superseded_ids: set = attrs.field(factory=set)
     queued_at_id: str = ""
     last_event_ms: float = 0.0
     waited_ms: float = 0.0
--- a/nutmegdeal/gateway/retries.py
+++ b/nutmegdeal/gateway/retries.py
@@ -97,15 +97,29 @@
     def _may_run_again(self, request):
         if not request.route.is_repeatable:
             return False
+        if request.superseded_ids:
+            return True
         return request.run_count < request.route.attempts_max
 
 
+def has_further_server(request, is_running):
+    """Return whether a server that has not run a request yet may run it (bool).
+
+    Parameters
+    ----------
+    request : Request
+    is_running : bool
+        Whether a server runs the request now, apart from its `open_run_count`.
+    """
+    begun_count = request.run_count + request.open_run_count + is_running
+    return begun_count < request.route.attempts_max
+
+
 def may_run_beside(request):
     """Return whether another server may run a request that runs now (bool)."""
     if not request.route.is_repeatable:
         return False
-    begun_count = request.run_count + request.open_run_count + 1
-    return begun_count < request.route.attempts_max
+    return has_further_server(request, is_running=True) or bool(request.superseded_ids)
 
 
 class RetryBudgets:
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -16,6 +16,7 @@
     select_plain,
 )
 from nutmegdeal.gateway.blackboard import BASE_MODEL
+from nutmegdeal.gateway.retries import has_further_server
 from nutmegdeal.site_configuration import UNCONTENDED_LOAD_MS
 
 # A request that waits for an adapter repeats the search for an engine after this time.
@@ -82,9 +83,9 @@
             now_ms = board.clock.monotonic_ms()
             usable = board.membership.usable(request.service.name, now_ms)
             self._limits.record_withheld(request.service.name, now_ms)
-            members = [
-                item for item in usable if item.backend_id not in request.tried_ids
-            ] or usable
+            members = _find_candidates(request, usable, is_running=False) or (
+                usable if has_further_server(request, is_running=False) else []
+            )
             if not members:
                 return self._explain_no_member(request, now_ms)
             if now_ms >= until_ms:
@@ -111,10 +112,11 @@
         now_ms = self._board.clock.monotonic_ms()
         if now_ms >= useful_until_ms(request):
             return None
+        usable = self._board.membership.usable(request.service.name, now_ms)
         members = [
             item
-            for item in self._board.membership.usable(request.service.name, now_ms)
-            if item.backend_id not in request.tried_ids and has_free_slot(item, now_ms)
+            for item in _find_candidates(request, usable, is_running=True)
+            if has_free_slot(item, now_ms)
         ]
         if not members:
             return None
@@ -241,3 +243,13 @@
         request.paced_ms += waited_until_ms - now_ms
         is_held = member.holds(request.adapter, None) or not request.adapter
         return is_held and member.is_usable(waited_until_ms)
+
+
+def _find_candidates(request, members, is_running):
+    """Return the members that have not been tried, or that were superseded.
+
+    The latter only if no further server may run the request.
+    """
+    if has_further_server(request, is_running):
+        return [item for item in members if item.backend_id not in request.tried_ids]
+    return [item for item in members if item.backend_id in request.superseded_ids]
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -1,9 +1,35 @@
 """Replacement of a run whose server sends nothing for a while."""
 
+import gevent
+
 from nutmegdeal.gateway.backend_selection import LoadFirst
-from nutmegdeal.gateway.retries import RetryDecision
+from nutmegdeal.gateway.exchange import OVERLAP_MAX_MS
+from nutmegdeal.gateway.retries import RetryDecision, has_further_server
 from nutmegdeal.gateway.silence import SilenceHandler
 
+# Longest silence of a sound server.
+SOUND_SILENCE_MAX_MS = 2_000.0
+
+
+def keeps_silent_run(undelivered_ms, is_heard, is_unreachable):
+    """Return whether a silent run goes on, and not one that has delivered nothing.
+
+    That nobody has heard of its server lately says nothing: reports of a silent server
+    fail, too, and messages may be late.
+
+    Parameters
+    ----------
+    undelivered_ms : float
+        For how long the caller has received nothing.
+    is_heard : bool
+        Its placer has just reported that the server responds.
+    is_unreachable : bool
+        The server is known to have ended or to be out of reach.
+    """
+    if is_heard:
+        return True
+    return not is_unreachable and undelivered_ms < SOUND_SILENCE_MAX_MS
+
 
 class Takeover(SilenceHandler):
     """Replaces the silent run of one request as soon as another server can take it.
@@ -23,6 +49,7 @@
     guard : CrashGuard
     link : PlacerLink or None
         Counts the uses of the adapter.
+    end_check : EndCheck
 
     Attributes
     ----------
@@ -42,6 +69,7 @@
         progress,
         guard,
         link,
+        end_check,
     ):
         self._dispatcher = dispatcher
         self._search = search
@@ -53,6 +81,8 @@
         self._progress = progress
         self._guard = guard
         self._link = link
+        self._end_check = end_check
+        self._checked = None
         self.has_replaced = False
         self._load_link = None
         self._silent_since_ms = None
@@ -67,6 +97,8 @@
         """
         request = self._request
         request.last_event_ms = self._progress.last_byte_ms
+        if not self._may_search(exchange):
+            return None
         choice = self._search.find_replacement(request)
         self._record_silence(exchange, choice)
         if isinstance(choice, LoadFirst):
@@ -76,6 +108,8 @@
             return None
         if not self._try_spend():
             return None
+        if exchange.has_caller_events:
+            self._checked = gevent.spawn(self._end_check.is_unreachable, self._member)
         request.open_run_count += 1
         try:
             attempt = self._dispatcher.attempt(
@@ -90,13 +124,27 @@
         )
         return None
 
+    def _may_search(self, exchange):
+        """Return whether it is time to search for another server.
+
+        A run that was superseded is begun again only if it may outlast the silent one.
+        """
+        if has_further_server(self._request, is_running=True):
+            return True
+        if self._member.is_heard(self._clock.monotonic_ms()):
+            return False
+        return exchange.undelivered_ms() >= SOUND_SILENCE_MAX_MS - OVERLAP_MAX_MS
+
     def keeps_run(self, exchange):
-        """Return whether the server of the silent run is known to run."""
+        """Return whether the silent run goes on, see `keeps_silent_run`."""
         is_heard = self._member.is_heard(self._clock.monotonic_ms())
+        # The check has a shorter timeout than the overlap.
+        is_unreachable = not is_heard and self._checked.get()
+        is_kept = keeps_silent_run(exchange.undelivered_ms(), is_heard, is_unreachable)
         self._telemetry.record_overlap_ended(
-            self._request, self._member, exchange.silent_ms(), is_heard
+            self._request, self._member, exchange, is_heard, is_unreachable, is_kept
         )
-        return is_heard
+        return is_kept
 
     def record_abandoned(self):
         """Record that the silent run has ended, as another has taken over."""
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -313,7 +313,9 @@
             replacement=replacement,
         )
 
-    def record_overlap_ended(self, request, member, silent_ms, is_heard):
+    def record_overlap_ended(
+        self, request, member, exchange, is_heard, is_unreachable, is_kept
+    ):
         """Record that one of two runs is given up before either has delivered more.
 
         Parameters
@@ -321,19 +323,26 @@
         request : Request
         member : Member
             The server of the silent run.
-        silent_ms : float
+        exchange : Exchange
+            The silent run.
         is_heard : bool
-            Its placer has just reported that it responds, so its run is kept.
+            Its placer has just reported that it responds.
+        is_unreachable : bool
+            It is known to have ended or to be out of reach.
+        is_kept : bool
+            Its run goes on.
         """
-        kept = "first" if is_heard else "second"
+        kept = "first" if is_kept else "second"
         self._overlaps.labels(kept).inc()
         logger.info(
             "overlap_ended",
             request=request.request_id,
             backend=member.backend_id,
-            silent_ms=round(silent_ms, 1),
+            silent_ms=round(exchange.silent_ms(), 1),
+            undelivered_ms=round(exchange.undelivered_ms(), 1),
             heard=is_heard,
             reported_reachable=member.is_reachable,
+            unreachable=is_unreachable,
             kept=kept,
         )
 
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -144,6 +144,10 @@
             "request": _REQUEST,
             "backend": _BACKEND,
             "silent_ms": ms_field("for how long the first server had sent nothing"),
+            "undelivered_ms": ms_field("for how long the caller had received nothing"),
+            "unreachable": flag_field(
+                "whether a connection to it was refused or not answered"
+            ),
             "heard": flag_field(
                 "whether its placer has just reported that it responds"
             ),
--- a/nutmegdeal/tests/test_crash_waves.py
+++ b/nutmegdeal/tests/test_crash_waves.py
@@ -23,6 +23,9 @@
     def has_ended(self, member):
         return True
 
+    def is_unreachable(self, member):
+        return True
+
 
 def build_lookup(number):
     route = build.build_lookup_route()
--- a/nutmegdeal/tests/test_silent_runs_overlap.py
+++ b/nutmegdeal/tests/test_silent_runs_overlap.py
@@ -1,11 +1,19 @@
 """Tests of a silent run and its replacement, of which only one can go on."""
 
+import errno
+
 import gevent
 import pytest
 
+from nutmegdeal import http_connections
+from nutmegdeal.gateway.engine_check import CHECK_TIMEOUT_MS, ConnectCheck
 from nutmegdeal.gateway.exchange import OVERLAP_MAX_MS
+from nutmegdeal.gateway.takeover import SOUND_SILENCE_MAX_MS, keeps_silent_run
+from nutmegdeal.tests import platform_builders as build
+from nutmegdeal.tests.scripted_server import ScriptedServer
 from nutmegdeal.tests.silent_answers import (
     break_off,
+    break_off_later,
     build_stream_route,
     check_whole_stream,
     never_answer,
@@ -13,6 +21,7 @@
     pause_in_stream,
     refuse,
     resume_late,
+    resume_stream,
 )
 
 LATE_S = (OVERLAP_MAX_MS + 50.0) / 1000
@@ -72,3 +81,71 @@
     harness.call()
     check_whole_stream(harness)
     assert len(harness.servers[1].requests) == 1
+
+
+def test_stream_goes_on_at_its_superseded_server_when_the_silent_one_ends(
+    start_dispatcher,
+):
+    harness = start_dispatcher(
+        [break_off_later, resume_late, resume_stream], route=build_stream_route()
+    )
+    harness.call()
+    check_whole_stream(harness)
+    assert len(harness.servers[1].requests) == 2
+    assert not harness.servers[2].requests
+
+
+@pytest.mark.parametrize(
+    ("undelivered_ms", "is_heard", "is_unreachable", "is_kept"),
+    [
+        (SOUND_SILENCE_MAX_MS - 1, False, False, True),
+        (SOUND_SILENCE_MAX_MS, False, False, False),
+        (SOUND_SILENCE_MAX_MS, True, False, True),
+        (1_000.0, False, True, False),
+        (1_000.0, True, False, True),
+    ],
+)
+def test_silent_run_is_kept_without_evidence_against_it(
+    undelivered_ms, is_heard, is_unreachable, is_kept
+):
+    assert keeps_silent_run(undelivered_ms, is_heard, is_unreachable) is is_kept
+
+
+class TestIsUnreachable:
+    """Tests of `ConnectCheck.is_unreachable`."""
+
+    @pytest.fixture
+    def server(self):
+        server = ScriptedServer(never_answer)
+        yield server
+        server.close()
+
+    def check(self, server):
+        host, port = server.address
+        return ConnectCheck().is_unreachable(build.build_member(host=host, port=port))
+
+    def test_silent_server_is_not(self, server):
+        assert not self.check(server)
+
+    def test_ended_server_is(self, server):
+        server.stop_listening()
+        assert self.check(server)
+
+    @pytest.mark.parametrize(
+        ("error", "taken_ms", "is_unreachable"),
+        [
+            (TimeoutError("timed out"), CHECK_TIMEOUT_MS, True),
+            (TimeoutError("timed out"), 3 * CHECK_TIMEOUT_MS, False),
+            (OSError(errno.EMFILE, "too many open files"), 0.0, False),
+            (OSError(errno.EADDRNOTAVAIL, "no port is left"), 0.0, False),
+        ],
+    )
+    def test_trouble_of_this_process_is_no_evidence(
+        self, server, monkeypatch, error, taken_ms, is_unreachable
+    ):
+        def fail(*_args):
+            gevent.sleep(taken_ms / 1000)
+            raise error
+
+        monkeypatch.setattr(http_connections.gevent.socket, "create_connection", fail)
+        assert self.check(server) is is_unreachable
