Gateway: an error beside a silent run does not end it

What callers saw: a stream of a sound, silent engine was cut, or a look-up got 500, when anything unexpected went wrong in the search for another server, its start or the check of the silent one: all of it runs inside the silent run. An OSError of the other connection was blamed on the silent server, counted in its failure rate and given to the crash guard as evidence.

The error now costs the replacement, once for each run, with a log line and its trace; the callers' leaving still passes.

--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -2,10 +2,14 @@
 
 import gevent
 
+from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.gateway.backend_selection import LoadFirst
 from nutmegdeal.gateway.exchange import OVERLAP_MAX_MS
 from nutmegdeal.gateway.retries import RetryDecision, has_further_server
 from nutmegdeal.gateway.silence import SilenceHandler
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
 
 # Longest silence of a sound server.
 SOUND_SILENCE_MAX_MS = 2_000.0
@@ -85,16 +89,33 @@
         self._checked = None
         self.has_replaced = False
         self._load_link = None
+        self._has_failed = False
         self._silent_since_ms = None
 
     def replace(self, exchange):
         """Run the request at another server if one can take it now.
 
+        An unexpected error costs the replacement, and not the silent run.
+
         Returns
         -------
         Attempt or None
             None if the silent run goes on.
         """
+        if self._has_failed:
+            return None
+        try:
+            return self._replace(exchange)
+        except CallerLeftError:
+            raise
+        except Exception:
+            if exchange.is_abandoned:
+                raise
+            self._has_failed = True
+            logger.exception("replacement_crashed", request=self._request.request_id)
+            return None
+
+    def _replace(self, exchange):
         request = self._request
         request.last_event_ms = self._progress.last_byte_ms
         if not self._may_search(exchange):
@@ -109,7 +130,7 @@
         if not self._try_spend():
             return None
         if exchange.has_caller_events:
-            self._checked = gevent.spawn(self._end_check.is_unreachable, self._member)
+            self._checked = gevent.spawn(self._check_server)
         request.open_run_count += 1
         try:
             attempt = self._dispatcher.attempt(
@@ -124,6 +145,14 @@
         )
         return None
 
+    def _check_server(self):
+        """Return whether the silent server is known to be gone (bool)."""
+        try:
+            return self._end_check.is_unreachable(self._member)
+        except Exception:
+            logger.exception("server_check_crashed", backend=self._member.backend_id)
+            return False
+
     def _may_search(self, exchange):
         """Return whether it is time to search for another server.
 
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -157,6 +157,19 @@
             "kept": text_field("`first` or `second`, the run that goes on"),
         },
     ),
+    LogEvent(
+        "replacement_crashed",
+        Process.GATEWAY,
+        "unexpected error, with its trace, of a run that was to replace a silent one, "
+        "which goes on",
+        {"request": _REQUEST, "exception": text_field("traceback")},
+    ),
+    LogEvent(
+        "server_check_crashed",
+        Process.GATEWAY,
+        "unexpected error, with its trace, of the check of a silent server",
+        {"backend": _BACKEND, "exception": text_field("traceback")},
+    ),
     LogEvent(
         "request_refused",
         Process.GATEWAY,
