Gateway: a run that a third one has served is not begun again

What callers saw: two answers to one request, or a stream that was served and logged as cut. While a second run was beside a silent one, the silent one failed and the second fell silent; a third one served the request and abandoned only the second. The first run's stored failure was then taken for the request's, and it was tried once more. A run that is abandoned now abandons the one that it was to replace.

--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -251,11 +251,16 @@
             self._ready = self._read_events(limit_ms)
 
     def abandon(self):
-        """Close the connection and free its place, as another run has taken over."""
+        """Close the connection and free its place, as another run has taken over.
+
+        The run that this one was to replace has then been replaced, too.
+        """
         self.is_abandoned = True
         self._connection.close()
         self._member.in_flight_count -= 1
         self._silence_handler.record_abandoned()
+        if self._rival is not None:
+            self._rival.abandon()
 
     def cancel(self):
         """End the exchange from another greenlet; `follow` raises an error."""
