Gateway: a refused or unanswered connection is no evidence by itself

What callers saw: a stream of a sound, silent engine was cut after 1.1 s when its server leaves and no longer listens, or when its host did not accept a connection within 250 ms, as one whose queue of connections is full.

A refusal now counts only for a server that is not known to leave. Without an answer both runs go on until one delivers or the caller has received nothing for 2 s: the limit of 400 ms for two runs holds only where the first server is reached. To give the second one up there would leave streams of hosts that are gone waiting for 2 s, so that was ruled out.

--- a/nutmegdeal/gateway/engine_check.py
+++ b/nutmegdeal/gateway/engine_check.py
@@ -1,6 +1,7 @@
 """Checks whether the process of a backend server has ended, or its host is gone."""
 
 import abc
+import enum
 import errno
 import time
 
@@ -11,9 +12,22 @@
 # A timeout that is noticed later than this was not one of the host: this process was
 # held up, and the answer may have arrived meanwhile.
 CHECK_DELAY_MAX_MS = 50.0
-# Errors of a connection attempt that say something about the server's host. Others, as
-# a lack of descriptors, are of this process.
-_GONE_ERRORS = (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH)
+_UNANSWERED_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+
+
+class Reachability(enum.Enum):
+    """What a new connection says of the host of a server.
+
+    ``ANSWERS``: it accepts connections.
+    ``REFUSES``: it refuses them, so no server runs there, or one that leaves.
+    ``UNANSWERED``: it may be gone, or too busy to accept a connection.
+    ``UNKNOWN``: the attempt failed for a reason of this process.
+    """
+
+    ANSWERS = "answers"
+    REFUSES = "refuses"
+    UNANSWERED = "unanswered"
+    UNKNOWN = "unknown"
 
 
 class EndCheck(abc.ABC):
@@ -24,8 +38,8 @@
         """Return whether the process of a Member has ended (bool)."""
 
     @abc.abstractmethod
-    def is_unreachable(self, member):
-        """Return whether a Member is known to be ended or out of reach (bool)."""
+    def find_reachability(self, member):
+        """Return the Reachability of a Member."""
 
 
 class ConnectCheck(EndCheck):
@@ -44,19 +58,25 @@
         connection.close()
         return False
 
-    def is_unreachable(self, member):
-        """Return whether the server's host refuses a connection or does not answer."""
+    def find_reachability(self, member):
+        """Return the Reachability of the server's host."""
         started_ms = time.monotonic() * 1000
         try:
             connection = ClientConnection(member.backend.address, CHECK_TIMEOUT_MS)
         except ConnectError as error:
             taken_ms = time.monotonic() * 1000 - started_ms
-            return _is_gone(error.__cause__, taken_ms)
+            return _classify(error.__cause__, taken_ms)
         connection.close()
-        return False
+        return Reachability.ANSWERS
 
 
-def _is_gone(error, taken_ms):
-    if isinstance(error, TimeoutError) and error.errno is None:
-        return taken_ms <= CHECK_TIMEOUT_MS + CHECK_DELAY_MAX_MS
-    return getattr(error, "errno", None) in _GONE_ERRORS
+def _classify(error, taken_ms):
+    number = getattr(error, "errno", None)
+    if number == errno.ECONNREFUSED:
+        return Reachability.REFUSES
+    if isinstance(error, TimeoutError) and number is None:
+        is_delayed = taken_ms > CHECK_TIMEOUT_MS + CHECK_DELAY_MAX_MS
+        return Reachability.UNKNOWN if is_delayed else Reachability.UNANSWERED
+    if number in _UNANSWERED_ERRORS:
+        return Reachability.UNANSWERED
+    return Reachability.UNKNOWN
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -8,7 +8,7 @@
 from nutmegdeal.gateway.availability import LeavingSource, LimitSource
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.requests import HeldAnswer, RunFate, RunOutcome
-from nutmegdeal.gateway.silence import OvertakenError
+from nutmegdeal.gateway.silence import OverlapEnd, OvertakenError
 from nutmegdeal.http_connections import (
     BrokenAnswerError,
     find_header,
@@ -88,6 +88,7 @@
         self._rival = rival
         self._head = None
         self._sent_ms = 0.0
+        self._overlap_end_ms = 0.0
         self._active_ms = 0.0
         self._gaps_ms = []
         self._splitter = EventSplitter(progress.last_event_id)
@@ -147,6 +148,7 @@
             request.deadline_ms,
         )
         self._sent_ms = self._active_ms = self._clock.monotonic_ms()
+        self._overlap_end_ms = self._sent_ms + OVERLAP_MAX_MS
         if self._rival is not None:
             self._connection.wait_for_data = self._wait_beside_rival
 
@@ -182,20 +184,24 @@
         return self._rival is not None and not self._rival.is_over
 
     def _end_overlap(self):
-        """Keep one of two runs, as they may not overlap for longer.
+        """Keep one of two runs, or both for as long as the silent one may be sound.
 
         Raises
         ------
         OvertakenError
             If this one is given up.
         """
-        if self._rival.is_kept():
+        decision = self._rival.decide_overlap()
+        if decision is OverlapEnd.FIRST:
             raise OvertakenError("the other server runs, and this one took long")
-        self._take_over()
+        if decision is OverlapEnd.SECOND:
+            self._take_over()
+            return
+        self._overlap_end_ms = self._clock.monotonic_ms() + SILENCE_RECHECK_MS
 
-    def is_kept(self):
-        """Return whether this silent run goes on, and not the one beside it."""
-        return self._silence_handler.keeps_run(self)
+    def decide_overlap(self):
+        """Return the OverlapEnd of this silent run and the one beside it."""
+        return self._silence_handler.decide_overlap(self)
 
     def silent_ms(self):
         """Return for how long the server has sent nothing (float)."""
@@ -470,7 +476,7 @@
         """Return until when this exchange may go on beside its rival (float)."""
         if not self.has_caller_events:
             return self._request.deadline_ms
-        return min(self._request.deadline_ms, self._sent_ms + OVERLAP_MAX_MS)
+        return min(self._request.deadline_ms, self._overlap_end_ms)
 
 
 def _check_success(head):
--- a/nutmegdeal/gateway/silence.py
+++ b/nutmegdeal/gateway/silence.py
@@ -1,6 +1,20 @@
 """What happens to a run whose server sends nothing for a while."""
 
 import abc
+import enum
+
+
+class OverlapEnd(enum.Enum):
+    """What follows when two runs of a stream have overlapped for the allowed time.
+
+    ``FIRST``: the silent run goes on, and the other is given up.
+    ``SECOND``: the silent run is given up.
+    ``BOTH``: both go on until one of them delivers.
+    """
+
+    FIRST = "first"
+    SECOND = "second"
+    BOTH = "both"
 
 
 class OvertakenError(Exception):
@@ -26,8 +40,8 @@
         """
 
     @abc.abstractmethod
-    def keeps_run(self, exchange):
-        """Decide which of two runs goes on, as they may not overlap for longer.
+    def decide_overlap(self, exchange):
+        """Decide which of two runs goes on after the time that they may overlap.
 
         The other one has delivered nothing so far.
 
@@ -38,8 +52,7 @@
 
         Returns
         -------
-        bool
-            False if the silent run is given up for the other one.
+        OverlapEnd
         """
 
     @abc.abstractmethod
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -4,9 +4,10 @@
 
 from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.gateway.backend_selection import LoadFirst
+from nutmegdeal.gateway.engine_check import Reachability
 from nutmegdeal.gateway.exchange import OVERLAP_MAX_MS
 from nutmegdeal.gateway.retries import RetryDecision, has_further_server
-from nutmegdeal.gateway.silence import SilenceHandler
+from nutmegdeal.gateway.silence import OverlapEnd, SilenceHandler
 from nutmegdeal.log import get_logger
 
 logger = get_logger(__name__)
@@ -15,11 +16,13 @@
 SOUND_SILENCE_MAX_MS = 2_000.0
 
 
-def keeps_silent_run(undelivered_ms, is_heard, is_unreachable):
-    """Return whether a silent run goes on, and not one that has delivered nothing.
+def decide_overlap(undelivered_ms, is_heard, is_leaving, reachability):
+    """Return the OverlapEnd of a silent run and one that has delivered nothing.
 
     That nobody has heard of its server lately says nothing: reports of a silent server
-    fail, too, and messages may be late.
+    fail, too, and messages may be late. A server that leaves may refuse connections
+    and finish its runs. While its host does not answer, the platform's limit on two
+    runs of one stream does not hold.
 
     Parameters
     ----------
@@ -27,12 +30,18 @@
         For how long the caller has received nothing.
     is_heard : bool
         Its placer has just reported that the server responds.
-    is_unreachable : bool
-        The server is known to have ended or to be out of reach.
+    is_leaving : bool
+    reachability : Reachability
     """
     if is_heard:
-        return True
-    return not is_unreachable and undelivered_ms < SOUND_SILENCE_MAX_MS
+        return OverlapEnd.FIRST
+    if reachability is Reachability.REFUSES and not is_leaving:
+        return OverlapEnd.SECOND
+    if undelivered_ms >= SOUND_SILENCE_MAX_MS:
+        return OverlapEnd.SECOND
+    if reachability is Reachability.UNANSWERED:
+        return OverlapEnd.BOTH
+    return OverlapEnd.FIRST
 
 
 class Takeover(SilenceHandler):
@@ -146,12 +155,12 @@
         return None
 
     def _check_server(self):
-        """Return whether the silent server is known to be gone (bool)."""
+        """Return the Reachability of the silent server."""
         try:
-            return self._end_check.is_unreachable(self._member)
+            return self._end_check.find_reachability(self._member)
         except Exception:
             logger.exception("server_check_crashed", backend=self._member.backend_id)
-            return False
+            return Reachability.UNKNOWN
 
     def _may_search(self, exchange):
         """Return whether it is time to search for another server.
@@ -164,16 +173,22 @@
             return False
         return exchange.undelivered_ms() >= SOUND_SILENCE_MAX_MS - OVERLAP_MAX_MS
 
-    def keeps_run(self, exchange):
-        """Return whether the silent run goes on, see `keeps_silent_run`."""
-        is_heard = self._member.is_heard(self._clock.monotonic_ms())
+    def decide_overlap(self, exchange):
+        """Return the OverlapEnd, see the function `decide_overlap`."""
+        member = self._member
+        is_heard = member.is_heard(self._clock.monotonic_ms())
         # The check has a shorter timeout than the overlap.
-        is_unreachable = not is_heard and self._checked.get()
-        is_kept = keeps_silent_run(exchange.undelivered_ms(), is_heard, is_unreachable)
+        reachability = self._checked.get()
+        decision = decide_overlap(
+            exchange.undelivered_ms(),
+            is_heard,
+            member.availability.is_leaving,
+            reachability,
+        )
         self._telemetry.record_overlap_ended(
-            self._request, self._member, exchange, is_heard, is_unreachable, is_kept
+            self._request, member, exchange, is_heard, reachability, decision
         )
-        return is_kept
+        return decision
 
     def record_abandoned(self):
         """Record that the silent run has ended, as another has taken over."""
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -55,7 +55,7 @@
         )
         self._overlaps = Counter(
             "nutmegdeal_overlaps_ended",
-            "Silent runs and replacements of which one was given up undelivered",
+            "Ends of the time for which a silent run and its replacement may overlap",
             ("kept",),
             registry=self.registry,
         )
@@ -314,9 +314,9 @@
         )
 
     def record_overlap_ended(
-        self, request, member, exchange, is_heard, is_unreachable, is_kept
+        self, request, member, exchange, is_heard, reachability, decision
     ):
-        """Record that one of two runs is given up before either has delivered more.
+        """Record what follows when two runs have overlapped and delivered nothing.
 
         Parameters
         ----------
@@ -327,12 +327,10 @@
             The silent run.
         is_heard : bool
             Its placer has just reported that it responds.
-        is_unreachable : bool
-            It is known to have ended or to be out of reach.
-        is_kept : bool
-            Its run goes on.
+        reachability : Reachability
+        decision : OverlapEnd
         """
-        kept = "first" if is_kept else "second"
+        kept = decision.value
         self._overlaps.labels(kept).inc()
         logger.info(
             "overlap_ended",
@@ -342,7 +340,7 @@
             undelivered_ms=round(exchange.undelivered_ms(), 1),
             heard=is_heard,
             reported_reachable=member.is_reachable,
-            unreachable=is_unreachable,
+            reachability=reachability.value,
             kept=kept,
         )
 
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -139,14 +139,14 @@
         "overlap_ended",
         Process.GATEWAY,
         "end of the time for which two servers may run one stream, before the second "
-        "one has delivered a part; one run is given up",
+        "one has delivered a part; one of them is given up, or neither for now",
         {
             "request": _REQUEST,
             "backend": _BACKEND,
             "silent_ms": ms_field("for how long the first server had sent nothing"),
             "undelivered_ms": ms_field("for how long the caller had received nothing"),
-            "unreachable": flag_field(
-                "whether a connection to it was refused or not answered"
+            "reachability": text_field(
+                "`answers`, `refuses`, `unanswered` or `unknown`, by a new connection"
             ),
             "heard": flag_field(
                 "whether its placer has just reported that it responds"
@@ -154,7 +154,7 @@
             "reported_reachable": flag_field(
                 "whether the last report of its placer said so, however old"
             ),
-            "kept": text_field("`first` or `second`, the run that goes on"),
+            "kept": text_field("`first`, `second` or `both`, the runs that go on"),
         },
     ),
     LogEvent(
