Gateway: a superseded server is not forgotten as long as it may serve the request

Untried servers are searched first and superseded ones after them; a try that did not run leaves a server superseded. SENDS_MAX, the limit on failed connects and the retry budget bound the tries.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -219,6 +219,7 @@
             link.record_started(adapter)
         takeover = self._build_takeover(request, member, progress, link)
         request.tried_ids.add(member.backend_id)
+        was_superseded = member.backend_id in request.superseded_ids
         request.superseded_ids.discard(member.backend_id)
         version = self._required_version(adapter, member)
         now_ms = self._board.clock.monotonic_ms()
@@ -236,6 +237,10 @@
         if link is not None and outcome.longest_gap_ms:
             link.record_gap(outcome.longest_gap_ms)
         self._record_outcome(request, member, outcome)
+        if outcome.fate is RunFate.SUPERSEDED or (
+            was_superseded and outcome.fate in (RunFate.NOT_SENT, RunFate.NOT_RUN)
+        ):
+            request.superseded_ids.add(member.backend_id)
         if outcome.fate is RunFate.COMPLETED:
             self._guard.record_delivered(request)
         elif self._guard.record_broken_run(request, member, outcome):
@@ -283,8 +288,6 @@
             request.sent_count += 1
         if fate not in (RunFate.NOT_SENT, RunFate.NOT_RUN):
             request.run_count += 1
-        if fate is RunFate.SUPERSEDED:
-            request.superseded_ids.add(member.backend_id)
         if outcome.is_unresponsive:
             self.record_unresponsive(member, now_ms)
         if fate is RunFate.NOT_RUN:
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -83,9 +83,7 @@
             now_ms = board.clock.monotonic_ms()
             usable = board.membership.usable(request.service.name, now_ms)
             self._limits.record_withheld(request.service.name, now_ms)
-            members = _find_candidates(request, usable, is_running=False) or (
-                usable if has_further_server(request, is_running=False) else []
-            )
+            members = _find_candidates(request, usable)
             if not members:
                 return self._explain_no_member(request, now_ms)
             if now_ms >= until_ms:
@@ -97,12 +95,14 @@
             if found is not None:
                 return found
 
-    def find_replacement(self, request):
+    def find_replacement(self, request, may_repeat=False):
         """Find a backend server that can take over a silent run.
 
         Parameters
         ----------
         request : Request
+        may_repeat : bool, optional
+            Whether servers that were superseded may run it again.
 
         Returns
         -------
@@ -112,12 +112,21 @@
         now_ms = self._board.clock.monotonic_ms()
         if now_ms >= useful_until_ms(request):
             return None
-        usable = self._board.membership.usable(request.service.name, now_ms)
         members = [
             item
-            for item in _find_candidates(request, usable, is_running=True)
+            for item in self._board.membership.usable(request.service.name, now_ms)
             if has_free_slot(item, now_ms)
         ]
+        choice = None
+        if has_further_server(request, is_running=True):
+            untried = _find_untried(request, members)
+            choice = self._choose_replacement(request, untried, now_ms)
+        if choice is None and may_repeat:
+            superseded = _find_superseded(request, members)
+            choice = self._choose_replacement(request, superseded, now_ms)
+        return choice
+
+    def _choose_replacement(self, request, members, now_ms):
         if not members:
             return None
         if not request.adapter:
@@ -245,11 +254,17 @@
         return is_held and member.is_usable(waited_until_ms)
 
 
-def _find_candidates(request, members, is_running):
-    """Return the members that have not been tried, or that were superseded.
+def _find_untried(request, members):
+    return [item for item in members if item.backend_id not in request.tried_ids]
 
-    The latter only if no further server may run the request.
-    """
-    if has_further_server(request, is_running):
-        return [item for item in members if item.backend_id not in request.tried_ids]
+
+def _find_superseded(request, members):
     return [item for item in members if item.backend_id in request.superseded_ids]
+
+
+def _find_candidates(request, members):
+    """Return the members that may run a request which does not run now."""
+    superseded = _find_superseded(request, members)
+    if not has_further_server(request, is_running=False):
+        return superseded
+    return _find_untried(request, members) or superseded or members
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -6,7 +6,7 @@
 from nutmegdeal.gateway.backend_selection import LoadFirst
 from nutmegdeal.gateway.engine_check import Reachability
 from nutmegdeal.gateway.exchange import OVERLAP_MAX_MS
-from nutmegdeal.gateway.retries import RetryDecision, has_further_server
+from nutmegdeal.gateway.retries import RetryDecision
 from nutmegdeal.gateway.silence import OverlapEnd, SilenceHandler
 from nutmegdeal.log import get_logger
 
@@ -127,9 +127,7 @@
     def _replace(self, exchange):
         request = self._request
         request.last_event_ms = self._progress.last_byte_ms
-        if not self._may_search(exchange):
-            return None
-        choice = self._search.find_replacement(request)
+        choice = self._search.find_replacement(request, self._may_repeat(exchange))
         self._record_silence(exchange, choice)
         if isinstance(choice, LoadFirst):
             self._request_load(choice.member)
@@ -162,13 +160,11 @@
             logger.exception("server_check_crashed", backend=self._member.backend_id)
             return Reachability.UNKNOWN
 
-    def _may_search(self, exchange):
-        """Return whether it is time to search for another server.
+    def _may_repeat(self, exchange):
+        """Return whether a server that was superseded may run the request again.
 
-        A run that was superseded is begun again only if it may outlast the silent one.
+        That is of use only if its run can outlast the silent one.
         """
-        if has_further_server(self._request, is_running=True):
-            return True
         if self._member.is_heard(self._clock.monotonic_ms()):
             return False
         return exchange.undelivered_ms() >= SOUND_SILENCE_MAX_MS - OVERLAP_MAX_MS
--- a/nutmegdeal/tests/test_silent_runs_review.py
+++ b/nutmegdeal/tests/test_silent_runs_review.py
@@ -235,7 +235,7 @@
             [pause_in_stream, resume_stream], route=build_stream_route()
         )
 
-        def fail(_request):
+        def fail(*_args):
             raise error
 
         monkeypatch.setattr(harness.dispatcher._search, "find_replacement", fail)
