Tests: each field of the configuration is changed beside each state of a request

A whole gateway, with a store, scripted servers and scripted placers, holds one request in each of 14 states (a part of the head or the body read, read before the store was, waiting for an adapter or a grant, sent, within a stream, silent, with a replacement beside, pipelined, on a kept connection). Then each of 41 changes is put in force, one version for each in a burst, new versions of adapters, and rows that cannot be read. Each request has to get its whole answer, or, if its route was not chosen before, a refusal that the change explains; no exception may be logged.

--- /dev/null
+++ b/nutmegdeal/tests/test_configuration_changes.py
@@ -0,0 +1,104 @@
+"""Each field of the configuration is changed beside a request in each state."""
+
+import gevent
+import pytest
+import structlog
+
+from nutmegdeal.tests.configuration_builders import CHANGES
+from nutmegdeal.tests.held_gateway import ADAPTER, HeldGateway
+from nutmegdeal.tests.request_states import STATES, WaitingForLoad
+
+CRASH_EVENTS = {
+    "request_crashed",
+    "connection_crashed",
+    "placer_link_crashed",
+    "controller_crashed",
+}
+
+
+@pytest.fixture(scope="module")
+def running_gateway(bridge):
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        running = HeldGateway(monkeypatch, bridge)
+        yield running
+        running.close()
+
+
+@pytest.fixture
+def gateway(running_gateway):
+    running_gateway.change()
+    yield running_gateway
+    running_gateway.holds.release()
+
+
+@pytest.fixture
+def crashes():
+    """Return the log entries of exceptions, of which a test must cause none."""
+    with structlog.testing.capture_logs() as entries:
+        found = []
+        yield found
+        found += [item for item in entries if item["event"] in CRASH_EVENTS]
+    assert not found
+
+
+def begin_all(gateway):
+    """Bring a request into each state."""
+    states = [build_state(gateway) for build_state in STATES]
+    for state in states:
+        state.begin()
+    for state in states:
+        state.wait()
+    return states
+
+
+def finish_all(gateway, states, refusals):
+    """Let all requests go on, and check that each gets a whole answer or a refusal."""
+    for state in states:
+        state.go_on()
+    gateway.holds.release()
+    finishing = [gevent.spawn(state.finish) for state in states]
+    gevent.joinall(finishing)
+    wrong = {}
+    for state, greenlet in zip(states, finishing, strict=True):
+        answer = greenlet.get()
+        is_served = answer.status_code == 200 and answer.body == state.expected_body
+        is_refused = answer.status_code in refusals and not state.is_admitted
+        if not (answer.is_whole and (is_served or is_refused)):
+            wrong[type(state).__name__] = answer
+        state.close()
+    assert not wrong
+
+
+@pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.name)
+def test_requests_in_all_states_outlast_a_change(gateway, crashes, change):
+    states = begin_all(gateway)
+    gateway.change(change)
+    finish_all(gateway, states, change.refusals)
+
+
+def test_requests_in_all_states_outlast_new_versions_of_their_adapters(
+    gateway, crashes
+):
+    states = begin_all(gateway)
+    waiting = next(item for item in states if type(item) is WaitingForLoad)
+    for adapter in (ADAPTER, waiting.adapter):
+        gateway.announce_version(adapter)
+    gateway.board.update_initialized()
+    finish_all(gateway, states, ())
+
+
+def test_requests_in_all_states_outlast_a_burst_of_versions(gateway, crashes):
+    states = begin_all(gateway)
+    gateway.write_versions(CHANGES)
+    gateway.change()
+    finish_all(gateway, states, ())
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b'{"version": 9e9}', b"[" * 10_000])
+def test_requests_in_all_states_outlast_a_row_that_cannot_be_read(
+    gateway, crashes, value
+):
+    states = begin_all(gateway)
+    gateway.write_row(value)
+    gateway.change()
+    finish_all(gateway, states, ())
