Callers' connections: limits are those in force when a request begins

What callers saw: after a change had raised a limit, requests on connections that were open before were refused with 431, 413 or 408 for as long as the connection lived or had been idle, though the configuration allowed them; and a kept connection was closed at the idle timeout of the old configuration, over a caller that counted on the new one.

Cause: the limit on a head was set once for each connection, the others when the connection began to wait for its next request, which may be idle_timeout_ms earlier.

Evidence: without the change of caller_connections.py, the four new tests fail (431, 413, 408, and a connection closed without an answer); with it they pass.

Why it works: the wait for the first byte of a request ends only at the idle timeout in force at its end, and limits are read when that byte has arrived. h11 takes its limit on construction, so a new one is built, from the bytes not parsed yet, if the limit differs. A request that has begun keeps the limits with which it began.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -81,10 +81,7 @@
     def __init__(self, sock, listener):
         self._socket = sock
         self._listener = listener
-        self._protocol = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=listener.limits().header_bytes_max,
-        )
+        self._set_protocol(listener.limits().header_bytes_max)
         self._greenlet = None
         self._watcher = None
         self._has_caller_left = False
@@ -92,6 +89,23 @@
         self._discards_rest = False
         self.is_idle = True
 
+    def _set_protocol(self, header_bytes_max):
+        self._header_bytes_max = header_bytes_max
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=header_bytes_max
+        )
+
+    def _limit_head(self, header_bytes_max):
+        """Set the limit on the next request's head, of which nothing was parsed."""
+        if header_bytes_max == self._header_bytes_max:
+            return
+        arrived, has_ended = self._protocol.trailing_data
+        self._set_protocol(header_bytes_max)
+        if arrived:
+            self._protocol.receive_data(arrived)
+        if has_ended:
+            self._protocol.receive_data(b"")
+
     @property
     def is_closing(self):
         """Return whether a response that starts now is the connection's last one."""
@@ -209,13 +223,19 @@
 
     def _read_request(self):
         """Return an IncomingRequest, or None if the connection has to be closed."""
+        first_data = b""
+        if self.is_idle:
+            first_data = self._wait_for_request()
+            if not first_data:
+                return None
+            self.is_idle = False
+        # The limits may have changed since the request before.
         limits = self._listener.limits()
-        head, arrived_ms = None, 0.0
-        deadline_s = time.monotonic() + limits.idle_timeout_ms / 1000
-        if not self.is_idle:
-            # Its first bytes arrived during the request before.
-            arrived_ms = time.monotonic() * 1000
-            deadline_s = time.monotonic() + limits.header_timeout_ms / 1000
+        self._limit_head(limits.header_bytes_max)
+        if first_data:
+            self._protocol.receive_data(first_data)
+        head, arrived_ms = None, time.monotonic() * 1000
+        deadline_s = time.monotonic() + limits.header_timeout_ms / 1000
         body = bytearray()
         while True:
             event = self._protocol.next_event()
@@ -224,20 +244,12 @@
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     self.write(self.encode(interim))
                 data = self._receive(deadline_s)
-                if data is None and not arrived_ms and has_unread_bytes(self._socket):
-                    # A request that arrived together with the idle timeout.
-                    data = self._socket.recv(RECEIVE_BYTES)
                 if data is None:
-                    return self._refuse_timed_out(head, arrived_ms)
-                if not arrived_ms:
-                    self.is_idle = False
-                    arrived_ms = time.monotonic() * 1000
-                    deadline_s = time.monotonic() + limits.header_timeout_ms / 1000
+                    self._refuse_timed_out(head)
+                    return None
                 self._protocol.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
-                self.is_idle = False
-                arrived_ms = arrived_ms or time.monotonic() * 1000
                 if _has_ambiguous_length(head.headers):
                     self._refuse(400, "both Content-Length and Transfer-Encoding")
                     return None
@@ -258,6 +270,23 @@
             else:
                 return None
 
+    def _wait_for_request(self):
+        """Return the first bytes of a request, empty if the connection has to close.
+
+        The idle timeout may change meanwhile.
+        """
+        idle_since_s = time.monotonic()
+        while True:
+            timeout_ms = self._listener.limits().idle_timeout_ms
+            data = self._receive(idle_since_s + timeout_ms / 1000)
+            if data is not None:
+                return data
+            if has_unread_bytes(self._socket):
+                # A request that arrived together with the idle timeout.
+                return self._socket.recv(RECEIVE_BYTES)
+            if self._listener.limits().idle_timeout_ms <= timeout_ms:
+                return b""
+
     def _receive(self, deadline_s):
         """Return received bytes, empty at the end of the stream; None on timeout."""
         remaining_s = deadline_s - time.monotonic()
@@ -269,9 +298,8 @@
         except TimeoutError:
             return None
 
-    def _refuse_timed_out(self, head, arrived_ms):
-        if arrived_ms:
-            self._refuse(408, "timeout in the body" if head else "timeout in the head")
+    def _refuse_timed_out(self, head):
+        self._refuse(408, "timeout in the body" if head else "timeout in the head")
 
     def _refuse(self, status_code, detail):
         logger.info("request_refused_unread", status=status_code, detail=detail)
--- a/nutmegdeal/tests/test_configuration_changes.py
+++ b/nutmegdeal/tests/test_configuration_changes.py
@@ -4,10 +4,20 @@
 import pytest
 import structlog
 
-from nutmegdeal.tests.configuration_builders import CHANGES
+from nutmegdeal.tests.configuration_builders import (
+    BODY_BYTES_MAX,
+    CHANGES,
+    HEADER_BYTES_MAX,
+    change_limits,
+)
 from nutmegdeal.tests.held_gateway import ADAPTER, HeldGateway
-from nutmegdeal.tests.request_states import STATES, WaitingForLoad
+from nutmegdeal.tests.request_states import STATES, KeptConnection, WaitingForLoad
 
+# Pause that lets the gateway read the first piece of a head.
+PIECE_PAUSE_S = 0.05
+SLOW_HEAD_S = 0.2
+# Longer than a change takes to be in force.
+IDLE_TIMEOUT_MS = 600
 CRASH_EVENTS = {
     "request_crashed",
     "connection_crashed",
@@ -94,6 +104,72 @@
     finish_all(gateway, states, ())
 
 
+class KeptWithLargeHead(KeptConnection):
+    """The same with a head that only the changed limit allows, in two pieces."""
+
+    def begin(self):
+        """Get an answer, so that the connection is idle."""
+        super().begin()
+        data = self.encode(extra=b"X-Filler: %s\r\n" % (b"x" * 2 * HEADER_BYTES_MAX))
+        self._pieces = data[:-1], data[-1:]
+
+    def go_on(self):
+        """Send the head without its end, and then the end."""
+        self.caller.send(self._pieces[0])
+        gevent.sleep(PIECE_PAUSE_S)
+        self.caller.send(self._pieces[1])
+
+
+class KeptWithLargeBody(KeptConnection):
+    """The same with a body that only the changed limit allows."""
+
+    def begin(self):
+        """Get an answer, so that the connection is idle."""
+        super().begin()
+        self._rest = self.encode(body=b"x" * 2 * BODY_BYTES_MAX)
+
+
+class KeptWithSlowHead(KeptConnection):
+    """The same with a head that only the changed timeout allows."""
+
+    def go_on(self):
+        """Send the head with a pause."""
+        self.caller.send(self._rest[:30])
+        gevent.sleep(SLOW_HEAD_S)
+        self.caller.send(self._rest[30:])
+
+
+@pytest.mark.parametrize(
+    ("build_state", "before", "after"),
+    [
+        (KeptWithLargeHead, {}, {"max_header_bytes": 4 * HEADER_BYTES_MAX}),
+        (KeptWithLargeBody, {}, {"max_body_bytes": 4 * BODY_BYTES_MAX}),
+        (
+            KeptWithSlowHead,
+            {"header_timeout_ms": SLOW_HEAD_S * 1000 / 2},
+            {"header_timeout_ms": 20_000},
+        ),
+    ],
+)
+def test_requests_on_kept_connections_are_held_to_the_limits_in_force(
+    gateway, crashes, build_state, before, after
+):
+    gateway.change(change_limits("before", **before))
+    state = build_state(gateway)
+    state.begin()
+    gateway.change(change_limits("after", **after))
+    finish_all(gateway, [state], ())
+
+
+def test_connection_is_kept_for_the_idle_timeout_in_force(gateway, crashes):
+    gateway.change(change_limits("before", idle_timeout_ms=IDLE_TIMEOUT_MS))
+    state = KeptConnection(gateway)
+    state.begin()
+    gateway.change(change_limits("after", idle_timeout_ms=20_000))
+    gevent.sleep(1.5 * IDLE_TIMEOUT_MS / 1000)
+    finish_all(gateway, [state], ())
+
+
 @pytest.mark.parametrize("value", [b"", b"{}", b'{"version": 9e9}', b"[" * 10_000])
 def test_requests_in_all_states_outlast_a_row_that_cannot_be_read(
     gateway, crashes, value
