Soak: changes of the configuration touch all values, in bursts, beside silences

Now each version draws timeouts (never below the time that callers give), targets, attempts, splits with weights of zero, limits and adapter slots; up to five versions come in a burst, and further servers fall silent beside it, several at once. A silence begins at the earliest 0.5 s after the server's last one, as two in a row would be longer than one of a sound server.

The result counts the requests that got neither a whole answer nor a refusal beside changes of the configuration, and otherwise. 413 and 431 are violations, as no version forbids what callers send. The details are drawn apart, so that a seed keeps its faults.

--- a/nutmegdeal/soak/callers.py
+++ b/nutmegdeal/soak/callers.py
@@ -13,7 +13,8 @@
     ClientConnection,
     find_header,
 )
-from nutmegdeal.soak.site import HOST, TIMEOUT_MS
+from nutmegdeal.soak.configurations import TIMEOUT_MS
+from nutmegdeal.soak.site import HOST
 
 ANSWER_BYTES_MAX = 1_048_576
 MEAN_PAUSE_S = 0.03
--- a/nutmegdeal/soak/fault_records.py
+++ b/nutmegdeal/soak/fault_records.py
@@ -3,6 +3,7 @@
 import attrs
 
 # Kinds of faults that the checks treat apart.
+CONFIGURATION_KIND = "configuration"
 CRASHING_PROMPTS_KIND = "crashing_prompts"
 CRASHING_REQUESTS_KIND = "crashing_requests"
 ENDLESS_ANSWERS_KIND = "endless_answers"
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -11,7 +11,9 @@
 from nutmegdeal.fakes.platform_store import StoreFault
 from nutmegdeal.log import get_logger
 from nutmegdeal.soak.callers import REQUEST_KINDS
+from nutmegdeal.soak.configurations import draw_values
 from nutmegdeal.soak.fault_records import (
+    CONFIGURATION_KIND,
     CRASHING_PROMPTS_KIND,
     CRASHING_REQUESTS_KIND,
     ENDLESS_ANSWERS_KIND,
@@ -31,6 +33,14 @@
 PLANNED_ONLY_SHARE = 0.4
 # For how long a sound server may send nothing.
 SILENCE_S = (0.8, 1.6)
+# Least time between two silences of a server.
+SILENCES_APART_MS = 500.0
+# Share of the silences, and of the changes of the configuration, with which further
+# servers fall silent.
+FURTHER_SILENCES_SHARE = 0.5
+# Versions of the configuration that come in a burst, and the pauses between them.
+BURST_VERSIONS_MAX = 5
+BURST_PAUSE_S = (0.0, 0.4)
 ENDLESS_INTERVAL_MS = 2.0
 # For how long callers send a crashing part of prompts.
 CRASHING_PROMPTS_S = 15.0
@@ -58,6 +68,12 @@
 )
 
 
+def _may_fall_silent(backend):
+    """Return whether a silence would not be longer than one of a sound server."""
+    until_ms = backend.faults.silent_until_ms + SILENCES_APART_MS
+    return time.monotonic() * 1000 >= until_ms
+
+
 class FaultInjector:
     """Draws faults and applies them to a SoakSite.
 
@@ -93,6 +109,8 @@
         self._has_crashing_prompts = has_crashing_prompts
         self._site = site
         self._random = random.Random(seed)
+        # Draws the details of changes, so that a seed keeps its faults.
+        self._details = random.Random(f"{seed}-details")
         self._running = []
         self._restart_count = 0
         self._actions = (
@@ -109,7 +127,7 @@
             ("store_copy", self._restore_store, False),
             ("server_pause", self._pause_server, False),
             ("server_leaving", self._announce_leaving, True),
-            ("configuration", self._change_configuration, True),
+            (CONFIGURATION_KIND, self._change_configuration, True),
             ("version", self._increment_version, True),
             ("drain", self._drain_server, True),
             (SILENCE_KIND, self._silence_server, True),
@@ -300,7 +318,11 @@
         return engine.backend_id
 
     def _change_configuration(self, _duration_s):
-        self._site.put_configuration()
+        if self._details.random() < FURTHER_SILENCES_SHARE:
+            self._silence_further()
+        for _ in range(self._details.randint(1, BURST_VERSIONS_MAX)):
+            self._site.put_configuration(draw_values(self._details))
+            gevent.sleep(self._details.uniform(*BURST_PAUSE_S))
         return "configuration"
 
     def _increment_version(self, _duration_s):
@@ -341,12 +363,33 @@
     def _silence_server(self, _duration_s):
         backend = self._random.choice(self._site.backends)
         silence_s = self._random.uniform(*SILENCE_S)
-        # Two overlapping silences would be longer than one of a sound server.
-        if not backend.faults.is_silent():
+        if self._details.random() < FURTHER_SILENCES_SHARE:
+            self._silence_further()
+        if _may_fall_silent(backend):
             backend.faults.fall_silent(silence_s * 1000)
             gevent.sleep(silence_s)
         return backend.backend_id
 
+    def _silence_further(self):
+        """Let some further servers fall silent, each as long as a sound one may be."""
+        backends = self._site.backends
+        count = self._details.randint(1, len(backends))
+        for backend in self._details.sample(backends, count):
+            silence_s = self._details.uniform(*SILENCE_S)
+            if not _may_fall_silent(backend):
+                continue
+            backend.faults.fall_silent(silence_s * 1000)
+            started_s = time.monotonic()
+            self.records.append(
+                FaultRecord(
+                    SILENCE_KIND,
+                    backend.backend_id,
+                    started_s,
+                    started_s + silence_s,
+                    is_planned=True,
+                )
+            )
+
     def _send_endless_answers(self, duration_s):
         backend = self._random.choice(self._site.backends)
         backend.faults.endless = self._random.choice(ENDLESS_ANSWERS)
--- a/nutmegdeal/soak/rule_checks.py
+++ b/nutmegdeal/soak/rule_checks.py
@@ -1,21 +1,29 @@
 """Checks the rules of the platform against the records of callers and backends."""
 
+import attrs
+
 from nutmegdeal.fakes.endless_answers import ENDLESS_EVENT_TEXT
 from nutmegdeal.fakes.named_limit import allowed_count, most_in_window
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.soak.callers import ANSWER_MARGIN_MS
+from nutmegdeal.soak.configurations import TIMEOUT_MS
 from nutmegdeal.soak.fault_records import (
+    CONFIGURATION_KIND,
     CRASHING_PROMPTS_KIND,
     CRASHING_REQUESTS_KIND,
     ENDLESS_ANSWERS_KIND,
     SILENCE_KIND,
 )
-from nutmegdeal.soak.site import BOUNDS, TIMEOUT_MS
+from nutmegdeal.soak.site import BOUNDS
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# All configurations allow all requests of the callers.
+NEVER_ANSWERED_STATUSES = (400, 404, 413, 431)
 # A fault may still affect requests for this long after its end: it takes probes 3 s
 # to detect a silent connection.
 FAULT_EFFECT_S = 4.0
+# Time within which gateways act on a configuration, and 1 s for requests in progress.
+CONFIGURATION_EFFECT_S = 2.0
 # From this long after so many crashes by a part of prompts, or by a request, gateways
 # may send no more than so many further requests of that kind to servers.
 CONTACT_S = BOUNDS["contact_ms"] / 1000
@@ -27,6 +35,14 @@
 LINK_KIND = "backend_link"
 
 
+@attrs.frozen
+class CutCounts:
+    """Requests, and those that got neither a whole answer nor a refusal."""
+
+    request_count: int
+    cut_count: int
+
+
 def expected_body(record):
     """Return the complete body of the correct answer to a request."""
     if record.kind in ("chat", "quote"):
@@ -164,7 +180,7 @@
             yield f"{name} was answered with a wrong body: {record.body[:200]!r}"
         if not run_count:
             yield f"{name} was answered but did not run"
-    if record.status_code in (400, 404):
+    if record.status_code in NEVER_ANSWERED_STATUSES:
         yield f"{name} was answered {record.status_code}"
     overlaps_fault = _overlaps(
         record, [fault for fault in faults if not fault.is_planned]
@@ -181,15 +197,46 @@
     took_ms = (record.ended_s - record.started_s) * 1000
     if took_ms >= TIMEOUT_MS + ANSWER_MARGIN_MS and not overlaps_delaying_fault:
         yield f"{name} had no final answer after {took_ms:.0f} ms"
+    if _is_cut(record, faults) and not overlaps_fault:
+        yield f"{name} was cut off, with only planned work at the time"
+
+
+def _is_cut(record, faults):
+    """Return whether a request got neither a whole answer nor a refusal."""
+    if not record.was_sent or record.body is not None:
+        return False
     # A stream is cut if its server is silent until the caller's deadline.
+    took_ms = (record.ended_s - record.started_s) * 1000
     is_ended_by_deadline = (
         record.status_code == 200
         and took_ms >= TIMEOUT_MS
         and _overlaps(record, [fault for fault in faults if fault.kind == SILENCE_KIND])
     )
-    is_whole = record.body is not None or is_ended_by_deadline
-    if record.was_sent and not is_whole and not overlaps_fault:
-        yield f"{name} was cut off, with only planned work at the time"
+    return not is_ended_by_deadline
+
+
+def count_cuts(records, faults):
+    """Count the requests, and those that were cut, beside changes and otherwise.
+
+    Parameters
+    ----------
+    records : list of CallRecord
+    faults : list of FaultRecord
+
+    Returns
+    -------
+    tuple of CutCounts
+        Beside a change of the configuration, and otherwise.
+    """
+    changes = [fault for fault in faults if fault.kind == CONFIGURATION_KIND]
+    beside, otherwise = [], []
+    for record in records:
+        is_beside = _overlaps(record, changes, CONFIGURATION_EFFECT_S)
+        (beside if is_beside else otherwise).append(_is_cut(record, faults))
+    return (
+        CutCounts(len(beside), sum(beside)),
+        CutCounts(len(otherwise), sum(otherwise)),
+    )
 
 
 def _has_endless_events(record):
@@ -201,9 +248,9 @@
     return record.kind == "chat" and ENDLESS_EVENT_TEXT in record.body
 
 
-def _overlaps(record, faults):
+def _overlaps(record, faults, effect_s=FAULT_EFFECT_S):
     return any(
         fault.started_s <= record.ended_s
-        and record.started_s <= fault.ended_s + FAULT_EFFECT_S
+        and record.started_s <= fault.ended_s + effect_s
         for fault in faults
     )
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -7,7 +7,7 @@
 
 from nutmegdeal.soak.callers import REQUEST_KINDS, Caller
 from nutmegdeal.soak.faults import FaultInjector
-from nutmegdeal.soak.rule_checks import find_violations
+from nutmegdeal.soak.rule_checks import CutCounts, count_cuts, find_violations
 from nutmegdeal.soak.site import (
     GATEWAY_COUNT,
     LIMITED_GATEWAY_COUNT,
@@ -35,6 +35,8 @@
         Crashes of servers by requests and their prompts.
     limit_count : int
         Times that a server named a limit.
+    beside_changes, otherwise : CutCounts
+        Requests beside changes of the configuration, and all others.
     violations : tuple of str
     """
 
@@ -45,6 +47,8 @@
     unsent_count: int
     crash_count: int
     limit_count: int
+    beside_changes: CutCounts
+    otherwise: CutCounts
     violations: tuple[str, ...]
 
 
@@ -97,6 +101,7 @@
         violations += find_violations(records, fault_injector.records, site)
     finally:
         site.close()
+    beside_changes, otherwise = count_cuts(records, fault_injector.records)
     return SoakResult(
         seed=seed,
         request_count=len(records),
@@ -108,6 +113,8 @@
         limit_count=sum(len(item.limit.periods) for item in site.backends),
         crash_count=sum(engine.prompts.crash_count for engine in site.engines)
         + sum(len(backend.request_crashes) for backend in site.backends),
+        beside_changes=beside_changes,
+        otherwise=otherwise,
         violations=tuple(violations),
     )
 
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -18,11 +18,11 @@
     ENGINE_SERVICE,
     MODEL,
     PLAIN_SERVICE,
-    encode_configuration,
 )
 from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.platform_store import PlatformStore
 from nutmegdeal.platform.settings import SETTINGS_PATH_VARIABLE
+from nutmegdeal.soak.configurations import ConfigurationValues
 from nutmegdeal.soak.proxy import FaultyProxy
 
 GATEWAY_COUNT = 2
@@ -32,13 +32,6 @@
 SERVER_COUNT = 2
 GRACE_S = 8
 HOST = "soak.example"
-# timeout_ms of every route; the backend stand-ins take less than 0.5 s for a request.
-TIMEOUT_MS = 6_000
-# Target latency of every route, and the target for the time between two events of a
-# stream. With them, the gateways' timeouts for events are shorter than the silence of a
-# sound server.
-TARGET_MS = 400
-GAP_TARGET_MS = 150
 # Streams last long enough that a silence of their engine mostly meets some of them.
 EVENT_INTERVAL_MS = 40.0
 BOUNDS = {
@@ -127,6 +120,7 @@
         self._bounds = {**BOUNDS, **retry_bounds}
         self._prefix = prefix
         self.configuration_version = 1
+        self._configuration_values = ConfigurationValues()
         self.crashing_part = ""
         self.crashing_paths = ()
         self._versions = {}
@@ -219,15 +213,20 @@
         for backend in self.backends:
             backend.crashing_targets.update(path.encode() for path in paths)
 
-    def put_configuration(self):
-        """Store the configuration of the operator with the next version number."""
+    def put_configuration(self, values=None):
+        """Store the configuration of the operator with the next version number.
+
+        Parameters
+        ----------
+        values : ConfigurationValues, optional
+            Those of the version before by default.
+        """
         self.configuration_version += 1
+        self._configuration_values = values or self._configuration_values
         self._write_configuration()
 
     def _write_configuration(self):
-        body = encode_configuration(
-            self.configuration_version, HOST, TIMEOUT_MS, TARGET_MS, GAP_TARGET_MS
-        )
+        body = self._configuration_values.encode(self.configuration_version, HOST)
         self.store.put("op", "config", body)
 
     def increment_version(self, adapter):
--- a/nutmegdeal/tests/test_soak_checks.py
+++ b/nutmegdeal/tests/test_soak_checks.py
@@ -1,14 +1,20 @@
 """Tests that the checks of the soak test find violations and excuse what is allowed."""
 
+import random
 import types
 
+import attrs
 import pytest
 
 from nutmegdeal.fakes.endless_answers import ENDLESS_EVENT_TEXT
 from nutmegdeal.fakes.named_limit import NamedLimit, NamedPeriod
+from nutmegdeal.fakes.platform_configuration import ADAPTER_SLOTS, ENGINE_SERVICE
 from nutmegdeal.fakes.prompt_crashes import CauseRecord
+from nutmegdeal.platform.rows import decode_configuration
 from nutmegdeal.soak.callers import CallRecord
+from nutmegdeal.soak.configurations import TIMEOUT_MS, draw_values
 from nutmegdeal.soak.fault_records import (
+    CONFIGURATION_KIND,
     CRASHING_PROMPTS_KIND,
     ENDLESS_ANSWERS_KIND,
     SILENCE_KIND,
@@ -16,16 +22,20 @@
 )
 from nutmegdeal.soak.rule_checks import (
     ANSWER_MARGIN_MS,
+    CONFIGURATION_EFFECT_S,
     CONTACT_S,
     CRASHES_MAX,
     FAULT_EFFECT_S,
     LATE_ARRIVALS_MAX,
+    CutCounts,
+    count_cuts,
     find_exceeded_limits,
     find_late_arrivals,
     find_violations,
 )
-from nutmegdeal.soak.site import TIMEOUT_MS
+from nutmegdeal.soak.site import HOST
 
+CHANGE = FaultRecord(CONFIGURATION_KIND, "configuration", 0.0, 0.5, True)
 EMPTY_SITE = types.SimpleNamespace(backends=[], engines=[])
 SILENCE = FaultRecord(SILENCE_KIND, "e-0", 0.0, 1.0, True)
 ENDLESS = FaultRecord(ENDLESS_ANSWERS_KIND, "e-0", 0.0, 1.0, False)
@@ -69,6 +79,38 @@
     assert not find_violations([record], faults, EMPTY_SITE)
 
 
+@pytest.mark.parametrize("status_code", [413, 431])
+def test_a_refusal_that_no_configuration_allows_is_a_violation(status_code):
+    record = attrs.evolve(build_cut(status_code=status_code), body=b"")
+    assert find_violations([record], [CHANGE], EMPTY_SITE)
+
+
+def test_cuts_are_counted_beside_changes_and_otherwise():
+    late_s = CHANGE.ended_s + CONFIGURATION_EFFECT_S + 0.1
+    late = attrs.evolve(build_cut(), started_s=late_s, ended_s=late_s + 1)
+    served = attrs.evolve(late, body=b"", status_code=503)
+    unsent = attrs.evolve(late, was_sent=False)
+    records = [build_cut(), late, late, served, unsent]
+    assert count_cuts(records, [CHANGE]) == (CutCounts(1, 1), CutCounts(4, 2))
+
+
+def test_a_stream_that_its_deadline_ended_is_not_counted_as_cut():
+    record = build_cut(ended_s=DEADLINE_S)
+    assert count_cuts([record], [SILENCE]) == (CutCounts(0, 0), CutCounts(1, 0))
+
+
+def test_drawn_configurations_leave_callers_what_they_need():
+    random_state = random.Random(1)
+    for version in range(200):
+        row = draw_values(random_state).encode(version, HOST)
+        configuration = decode_configuration(row)
+        for route in configuration.routes:
+            assert route.timeout_ms >= TIMEOUT_MS
+            assert any(target.weight > 0 for target in route.targets)
+        engine = configuration.services[ENGINE_SERVICE].engine
+        assert 0 < engine.adapter_slots_max <= ADAPTER_SLOTS
+
+
 def build_stream(kind, body):
     """Return the CallRecord of a complete stream."""
     return CallRecord("c-1", kind, 0, 0.0, 1.0, 200, body, True)
