Tests: changes of the configuration in any order beside requests in any state

A state machine begins requests in any of the 14 states, puts single and combined changes in force, alone and in bursts, announces versions, and then lets all requests go on.

--- a/nutmegdeal/tests/configuration_builders.py
+++ b/nutmegdeal/tests/configuration_builders.py
@@ -16,8 +16,8 @@
 SPARE_PLAIN_SERVICE = "spare-core"
 # No request ends by its timeout, unless a change shortens it.
 TIMEOUT_MS = 20_000
-TARGET_MS = 300
-GAP_TARGET_MS = 100
+TARGET_MS = 100
+GAP_TARGET_MS = 50
 # Latency target of the route whose requests wait before they are sent.
 PATIENT_TARGET_MS = 5_000
 HEADER_BYTES_MAX = 16_384
@@ -148,9 +148,9 @@
 
 
 def _add_routes(data):
-    route = data["routes"][-1]
     data["routes"] += [
         {**route, "name": f"added-{number}", "prefix": f"/added-{number}/"}
+        for route in data["routes"][-1:]
         for number in range(300)
     ]
 
--- a/nutmegdeal/tests/held_gateway.py
+++ b/nutmegdeal/tests/held_gateway.py
@@ -19,6 +19,7 @@
     PLAIN_SERVICE,
 )
 from nutmegdeal.fakes.platform_store import PlatformStore
+from nutmegdeal.gateway import exchange
 from nutmegdeal.gateway import process as gateway_process
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.configuration_builders import (
@@ -36,6 +37,8 @@
 HELD_TOKENS = 9_999
 EVENT_COUNT = 6
 EVENTS_BEFORE_HOLD = 3
+# Shorter than in use, as each test waits for a silent server.
+GAP_TIMEOUT_MIN_MS = 200.0
 # Retries that the gateways of an installation may make, enough for all tests.
 RETRY_BURST = 1e6
 
@@ -173,6 +176,7 @@
 
     def __init__(self, monkeypatch, bridge):
         monkeypatch.setattr(gateway_process, "METRICS_PORT", 0)
+        monkeypatch.setattr(exchange, "GAP_TIMEOUT_MIN_MS", GAP_TIMEOUT_MIN_MS)
         self.holds = HeldRequests()
         self.version = 0
         self._adapter_versions = {}
--- a/nutmegdeal/tests/test_configuration_changes.py
+++ b/nutmegdeal/tests/test_configuration_changes.py
@@ -3,21 +3,36 @@
 import gevent
 import pytest
 import structlog
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
 
 from nutmegdeal.tests.configuration_builders import (
     BODY_BYTES_MAX,
     CHANGES,
+    DEADLINE_REFUSALS,
     HEADER_BYTES_MAX,
+    LIMIT_REFUSALS,
     change_limits,
 )
 from nutmegdeal.tests.held_gateway import ADAPTER, HeldGateway
 from nutmegdeal.tests.request_states import STATES, KeptConnection, WaitingForLoad
+from nutmegdeal.tests.state_machine_settings import STATE_MACHINE_SETTINGS
 
 # Pause that lets the gateway read the first piece of a head.
 PIECE_PAUSE_S = 0.05
 SLOW_HEAD_S = 0.2
 # Longer than a change takes to be in force.
 IDLE_TIMEOUT_MS = 600
+# With which a configuration may refuse requests whose route was not chosen before.
+REFUSALS = LIMIT_REFUSALS | DEADLINE_REFUSALS | {404}
+MACHINE_SETTINGS = settings(
+    STATE_MACHINE_SETTINGS, max_examples=8, stateful_step_count=10
+)
 CRASH_EVENTS = {
     "request_crashed",
     "connection_crashed",
@@ -79,6 +94,58 @@
     assert not wrong
 
 
+class ChangesMachine(RuleBasedStateMachine):
+    """Changes in any order, several at once, beside requests in any states."""
+
+    def __init__(self, gateway):
+        super().__init__()
+        self.gateway = gateway
+        self.states = []
+
+    @rule(build_state=st.sampled_from(STATES))
+    def begin(self, build_state):
+        """Bring a request into a state."""
+        self.gateway.change()
+        state = build_state(self.gateway)
+        self.states.append(state)
+        state.begin()
+        state.wait()
+
+    @rule(changes=st.lists(st.sampled_from(CHANGES), min_size=1, max_size=3))
+    def change(self, changes):
+        """Put several changes in force as one version."""
+        self.gateway.change(*changes)
+
+    @rule(changes=st.lists(st.sampled_from(CHANGES), min_size=2, max_size=9))
+    def change_in_a_burst(self, changes):
+        """Write one version with each change."""
+        self.gateway.write_versions(changes)
+
+    @rule()
+    def announce_version(self):
+        """Announce a version of the adapter that most requests use."""
+        self.gateway.announce_version(ADAPTER)
+
+    @rule()
+    def finish(self):
+        """Let all requests go on."""
+        self.gateway.wait_until_in_force()
+        states, self.states = self.states, []
+        finish_all(self.gateway, states, REFUSALS)
+
+    def teardown(self):
+        """Let all requests go on."""
+        self.gateway.board.update_initialized()
+        self.finish()
+        self.gateway.change()
+
+
+def test_requests_in_any_states_outlast_changes_in_any_order(gateway, crashes):
+    run_state_machine_as_test(
+        lambda: ChangesMachine(gateway), settings=MACHINE_SETTINGS
+    )
+
+
 @pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.name)
 def test_requests_in_all_states_outlast_a_change(gateway, crashes, change):
     states = begin_all(gateway)
