Routes: the search for a route does not compare all prefixes of a host

What callers saw: nothing yet. With 5,000 routes on one host, a request that has no route cost 0.6 to 0.95 ms of processor time for the search alone (2.5 ms on a host of 0.387 cores), and the whole exchange with a gateway 4.7 ms in place of 1.5 to 2.0 ms.

Cause: find_route compared the path with each prefix of the host.

Why it works: a path begins with a prefix if its first characters are the prefix, so one look-up per length finds the longest; of equal prefixes the first counts, as before.

--- a/nutmegdeal/site_configuration.py
+++ b/nutmegdeal/site_configuration.py
@@ -134,6 +134,29 @@
 DEFAULT_CALLER_LIMITS = CallerLimits(16_384, 4_194_304, 3_000.0, 15_000.0)
 
 
+@attrs.frozen
+class _PrefixTable:
+    """The routes of one host.
+
+    Parameters
+    ----------
+    by_prefix : dict of str to Route
+    lengths : list of int
+        Of the prefixes, the longest first. There are few, also with many routes.
+    """
+
+    by_prefix: dict
+    lengths: list
+
+    def find(self, path):
+        """Return the Route with the longest prefix of a path, or None."""
+        for length in self.lengths:
+            route = self.by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 @attrs.frozen
 class SiteConfiguration:
     """One version of an installation's configuration.
@@ -157,17 +180,20 @@
     def _group_by_host(self):
         grouped = {}
         for route in self.routes:
-            grouped.setdefault(route.host, []).append(route)
-        for routes in grouped.values():
-            routes.sort(key=lambda route: len(route.prefix), reverse=True)
-        return grouped
+            by_prefix = grouped.setdefault(route.host, {})
+            # Of several routes with the same prefix, the first one counts.
+            by_prefix.setdefault(route.prefix, route)
+        return {
+            host: _PrefixTable(
+                by_prefix, sorted(set(map(len, by_prefix)), reverse=True)
+            )
+            for host, by_prefix in grouped.items()
+        }
 
     def find_route(self, host, path):
         """Return the Route with the longest prefix of a path, or None."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        table = self._by_host.get(host)
+        return table.find(path) if table is not None else None
 
 
 # Adapters that one engine loads at once.
