--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -14,6 +14,7 @@
 from nutmegdeal.draining import wait_until_idle
 from nutmegdeal.gateway.backend_selection import EngineSelector
 from nutmegdeal.gateway.blackboard import Blackboard
+from nutmegdeal.gateway.burst_share import BurstShare
 from nutmegdeal.gateway.crash_guard import CrashGuard
 from nutmegdeal.gateway.dispatch import Dispatcher
 from nutmegdeal.gateway.engine_check import ConnectCheck
@@ -39,9 +40,6 @@
 
 # Metrics port, as declared in deploy/system.toml.
 METRICS_PORT = 9464
-# Number of gateways that share the burst of the retry budget, assumed until the placers
-# report the real number: that of the largest installation.
-DEFAULT_GATEWAY_COUNT = 30
 # Pause between removals of expired members and idle connections, which both expire
 # after seconds.
 HOUSEKEEPING_EVERY_MS = 200.0
@@ -92,7 +90,7 @@
         channel = ChannelSettings(heartbeat_every_ms=CHANNEL_HEARTBEAT_EVERY_MS)
         client = ChannelClient(bridge or GreenletBridge(), channel)
         self._links = PlacerLinks(self._board, client, settings.internal_port_first)
-        self._gateway_count = 0
+        self._burst_share = BurstShare(settings.bounds)
         self._budgets = RetryBudgets(self._new_budget)
         self._telemetry = GatewayTelemetry()
         self._store = StoreClient(settings.store_at, ConnectionPool(clock))
@@ -152,15 +150,12 @@
         bounds = self._settings.bounds
         return WindowedRetryBudget(
             bounds.retry_ratio * BUDGET_SHARE,
-            self._burst_share(),
+            self._compute_burst_share(),
             bounds.retry_window_ms,
         )
 
-    def _burst_share(self):
-        # The count never decreases: a lost stream does not mean that a gateway is gone.
-        self._gateway_count = max(self._gateway_count, self._links.gateway_count)
-        count = self._gateway_count or DEFAULT_GATEWAY_COUNT
-        return self._settings.bounds.retry_burst * BUDGET_SHARE / count
+    def _compute_burst_share(self):
+        return self._burst_share.compute(self._links.gateway_count)
 
     def _handle_joined(self, member):
         backend = member.backend
@@ -215,7 +210,7 @@
             gevent.sleep(HOUSEKEEPING_EVERY_MS / 1000)
             self._board.membership.expire(self._clock.monotonic_ms())
             self._pool.close_idle()
-            self._budgets.set_burst(self._burst_share())
+            self._budgets.set_burst(self._compute_burst_share())
 
     def request_shutdown(self):
         """Make `run` drain and return; may be called from a signal handler."""
