Retry budget: the burst is shared by more gateways than are counted at a start

What callers saw: nothing yet; the bound on repeats (BUDGET) holds over all gateways and could be exceeded. A gateway that no placer has told the number of gateways assumed 30, where the largest installation has 68 and may add 11. And it used the first number that a placer told: after a common start that may be the one or two gateways that connected first, so each took most of the burst. Gateways that are added, or restarted, got a full share while the others had spent theirs.

100 are assumed until a placer's count can be used, which is after one window of the gateway's life: by then its own earlier retries and those of the others count no longer, and the placers know all gateways.

--- a/nutmegdeal/gateway/burst_share.py
+++ b/nutmegdeal/gateway/burst_share.py
@@ -5,9 +5,9 @@
 
 from nutmegdeal.gateway.retries import BUDGET_SHARE
 
-# Number of gateways, assumed until the placers report the real number: that of the
-# largest installation.
-ASSUMED_COUNT = 30
+# Number of gateways, assumed until the placers' count can be used: more than the
+# largest installation can have.
+ASSUMED_COUNT = 100
 
 
 class BurstShare:
@@ -16,20 +16,28 @@
     Parameters
     ----------
     bounds : Bounds
+    started_ms : float
+        When the gateway started.
     """
 
-    def __init__(self, bounds):
+    def __init__(self, bounds, started_ms):
         self._burst = bounds.retry_burst * BUDGET_SHARE
+        # In the first window others may have retried without counting this gateway, or
+        # this gateway itself, before a restart. And the placers do not know all yet.
+        self._counted_from_ms = started_ms + bounds.retry_window_ms
         self._reported_count = 0
 
-    def compute(self, reported_count):
+    def compute(self, reported_count, now_ms):
         """Return how many retries this gateway adds to the ratio in a window (float).
 
         Parameters
         ----------
         reported_count : int
             Highest number of gateways that a placer reports, 0 if none does.
+        now_ms : float
         """
         # The count never decreases: a lost stream does not mean that a gateway is gone.
         self._reported_count = max(self._reported_count, reported_count)
-        return self._burst / (self._reported_count or ASSUMED_COUNT)
+        if not self._reported_count or now_ms < self._counted_from_ms:
+            return self._burst / max(self._reported_count, ASSUMED_COUNT)
+        return self._burst / self._reported_count
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -90,7 +90,7 @@
         channel = ChannelSettings(heartbeat_every_ms=CHANNEL_HEARTBEAT_EVERY_MS)
         client = ChannelClient(bridge or GreenletBridge(), channel)
         self._links = PlacerLinks(self._board, client, settings.internal_port_first)
-        self._burst_share = BurstShare(settings.bounds)
+        self._burst_share = BurstShare(settings.bounds, clock.monotonic_ms())
         self._budgets = RetryBudgets(self._new_budget)
         self._telemetry = GatewayTelemetry()
         self._store = StoreClient(settings.store_at, ConnectionPool(clock))
@@ -155,7 +155,9 @@
         )
 
     def _compute_burst_share(self):
-        return self._burst_share.compute(self._links.gateway_count)
+        return self._burst_share.compute(
+            self._links.gateway_count, self._clock.monotonic_ms()
+        )
 
     def _handle_joined(self, member):
         backend = member.backend
--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -26,6 +26,8 @@
 POLL_S = 0.02
 HOST = "chat.example"
 ANSWER_BYTES_MAX = 1_048_576
+# So large that a gateway may retry some requests in its first window.
+RETRY_BURST = 1_000.0
 
 
 def wait_until(condition, within_s=WAIT_S):
@@ -112,6 +114,7 @@
             readiness_at=Address(ip, 0),
             store_at=Address(loopback_address(1), self.store.port),
             engine_at=Address(*engine.address) if engine else None,
+            bounds=build.build_bounds(retry_burst=RETRY_BURST),
         )
 
     @property
