Tests: a run on a reused connection is ended when its fix is taken out

test_refused_part_ends_no_run_on_a_connection_used_before came with and passed without it as well: the request that had been refused went to three servers, and the other request's run to the first of them, not to the last connection that the guard would close. The other servers leave now, so the run is on that connection, and the test also asks that the run was not repeated.

--- a/nutmegdeal/tests/test_prompt_guard.py
+++ b/nutmegdeal/tests/test_prompt_guard.py
@@ -291,8 +291,10 @@
 def test_refused_part_ends_no_run_on_a_connection_used_before(gateways):
     harness = gateways.start()
     released = gevent.event.Event()
+    sockets = []
 
     def answer(sock, request):
+        sockets.append(sock)
         if CRASHING in request[b"x-prompt-prefix"]:
             refusal = "503 Service Unavailable", "X-Not-Executed: 1\r\n"
             sock.sendall(build.build_plain_answer("q-1", b"", *refusal))
@@ -305,14 +307,23 @@
         server._answer = answer
     ended = []
     original = harness.guard.end
-    # The refused request stays open while the other one uses its connections.
+    # The refused request stays open while the other one uses its last connection.
     harness.guard.end = ended.append
     assert gateways.call(harness, SHARED, CRASHING) == 503
+    last_tried = max(i for i, server in enumerate(harness.servers) if server.requests)
+    for number, member in enumerate(harness.members):
+        if number != last_tried:
+            member.availability.record_leaving()
     caller = gevent.spawn(gateways.call, harness, SHARED)
     wait_until(lambda: any(member.in_flight_count for member in harness.members))
     gateways.refuse_part()
+    part = CRASHING.decode()
+    wait_until(lambda: harness.book.find_refused((part,), 0.0))
     released.set()
     assert caller.get(timeout=20) == 200
+    assert sockets[-1] is sockets[-2]
+    # The run was not ended and repeated.
+    assert len(harness.servers[last_tried].requests) == 2
     original(ended[0])
 
 
