Retry budget: a repeat that is not sent is not counted

What callers saw: with the budget nearly spent, a silent stream ran into its deadline though a sound server could have taken it over, as the connect to another server had failed and used up the last repeat. The same after a request that found no further server.

Cause: the budget is spent when a repeat is decided on, before its search and its connect, and nothing returned what was not sent. Servers count only what arrives.

The request remembers what was spent for a repeat until it is connected to a server. What is left of it is given back when a replacement was not sent, and when the request ends. Until then the repeat is held for it, so the bound over all gateways is as before.

--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -107,6 +107,7 @@
             raise
         finally:
             self._guard.end(admitted)
+            self._retries.give_back(admitted)
             now_ms = self._board.clock.monotonic_ms()
             version = self._board.configuration.version
             self._telemetry.record_ended(admitted, progress, ending, now_ms, version)
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -142,6 +142,8 @@
         Number of runs that have ended and in which the request may have run.
     open_run_count : int
         Silent runs that go on while another server is asked to take over.
+    unsent_retry_ms : float or None
+        When the retry budget was spent for a repeat that has not been sent yet.
     tried_ids : set of str
         Ids of the backend servers tried.
     superseded_ids : set of str
@@ -176,6 +178,7 @@
     sent_count: int = 0
     run_count: int = 0
     open_run_count: int = 0
+    unsent_retry_ms: float | None = None
     tried_ids: set = attrs.field(factory=set)
     superseded_ids: set = attrs.field(factory=set)
     queued_at_id: str = ""
--- a/nutmegdeal/gateway/retries.py
+++ b/nutmegdeal/gateway/retries.py
@@ -70,7 +70,7 @@
             is_allowed = self._may_run_again(request)
         if not is_allowed:
             return RetryDecision.GIVE_UP
-        if not self._budget(request.service.name).try_spend(now_ms):
+        if not self._try_spend(request, now_ms):
             return RetryDecision.GIVE_UP
         return RetryDecision.RETRY
 
@@ -92,7 +92,19 @@
             return False
         if not may_run_beside(request):
             return False
-        return self._budget(request.service.name).try_spend(now_ms)
+        return self._try_spend(request, now_ms)
+
+    def give_back(self, request):
+        """Return what was spent for a repeat of a request, unless it has been sent."""
+        if request.unsent_retry_ms is not None:
+            self._budget(request.service.name).give_back(request.unsent_retry_ms)
+        request.unsent_retry_ms = None
+
+    def _try_spend(self, request, now_ms):
+        if not self._budget(request.service.name).try_spend(now_ms):
+            return False
+        request.unsent_retry_ms = now_ms
+        return True
 
     def _may_run_again(self, request):
         if not request.route.is_repeatable:
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -117,6 +117,7 @@
             )
         finally:
             request.open_run_count -= 1
+            self._retries.give_back(request)
         if exchange.is_abandoned:
             return attempt
         self._telemetry.record_failed_run(
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -66,6 +66,7 @@
         except ConnectError as error:
             return RunOutcome(RunFate.NOT_SENT, str(error), is_unresponsive=True)
         member.record_sent(now_ms)
+        request.unsent_retry_ms = None
         exchange = Exchange(
             self._clock,
             connection,
--- a/nutmegdeal/retry_budget.py
+++ b/nutmegdeal/retry_budget.py
@@ -87,6 +87,11 @@
         self._retries_ms.append(now_ms)
         return True
 
+    def give_back(self, spent_ms):
+        """Remove a retry that was allowed at a time and has not been made."""
+        if spent_ms in self._retries_ms:
+            self._retries_ms.remove(spent_ms)
+
     def _expire(self, now_ms):
         for times in (self._attempts_ms, self._retries_ms):
             while times and times[0] <= now_ms - self._window_ms:
