Engine selection: an engine that loads the adapter is seen without a known version

What callers saw: needless loads. A request that waits for its adapter searches again every 400 ms. If the adapter was being loaded at the second engine in its order and the operator had named no version of it, the search found no engine that loads it, and another load was ordered at the first one; the weight store is shared by all.

Cause: the search compared "adapter@None" with the names of loading adapters, which carry a version. Where any version will do, any version that loads will do too.

Evidence: test_engine_that_loads_the_adapter_already_is_selected[None] failed before.

--- a/nutmegdeal/gateway/backend_selection.py
+++ b/nutmegdeal/gateway/backend_selection.py
@@ -16,7 +16,7 @@
 import attrs
 
 from nutmegdeal.entry.rendezvous import rank_score
-from nutmegdeal.site_configuration import CONCURRENT_LOADS_MAX
+from nutmegdeal.site_configuration import CONCURRENT_LOADS_MAX, split_adapter
 from nutmegdeal.usage_rates import UsageRates
 
 # Weight of the failure rate in the cost. A server that fails half of its requests costs
@@ -234,8 +234,9 @@
         the next one that has a place is taken instead. An engine reloads what it held
         before ten times as fast, so the first one is worth a short wait.
         """
-        target = f"{adapter}@{version}"
-        already_loading = [item for item in members if target in item.loading]
+        already_loading = [
+            item for item in members if _is_loading(item, adapter, version)
+        ]
         if already_loading:
             return min(already_loading, key=lambda item: costs[item.backend_id])
         members = _find_unlimited(members) or members
@@ -265,6 +266,14 @@
         return min(candidates, key=_place_wait_ms)
 
 
+def _is_loading(member, adapter, version):
+    """Return whether a member loads a version of an adapter, None for any version."""
+    loading = map(split_adapter, member.loading)
+    return any(
+        name == adapter and version in (None, loaded) for name, loaded in loading
+    )
+
+
 def _place_wait_ms(member):
     """Return how long an adapter waits for a place in an engine (float)."""
     if not member.has_full_places:
--- a/nutmegdeal/tests/place_load.py
+++ b/nutmegdeal/tests/place_load.py
@@ -98,10 +98,20 @@
     requests_per_s : float
     engine_count : int
     seed : int
+    recheck_every_ms : float
+        Time after which a request that waits withdraws its demand and searches again.
     """
 
-    def __init__(self, knows_places, requests_per_s, engine_count=5, seed=1):
+    def __init__(
+        self,
+        knows_places,
+        requests_per_s,
+        engine_count=5,
+        seed=1,
+        recheck_every_ms=RECHECK_EVERY_MS,
+    ):
         self._knows_places = knows_places
+        self._recheck_every_ms = recheck_every_ms
         self._random = random.Random(seed)
         self._rate_per_ms = requests_per_s / 1_000
         self._engines = [self._make_engine(number) for number in range(engine_count)]
@@ -141,6 +151,11 @@
             self._serve_waiting()
         return self._result
 
+    @property
+    def order_count(self):
+        """Return how many orders the engines have got (int)."""
+        return sum(engine.order_count for engine in self._engines)
+
     def _is_due(self, caller):
         return caller.arrived_ms <= self._now_ms
 
@@ -183,7 +198,7 @@
             return
         engine = next(e for e in self._engines if e.member is choice.member)
         request.queued_at_id = choice.member.backend_id
-        caller.engine, caller.recheck_ms = engine, now_ms + RECHECK_EVERY_MS
+        caller.engine, caller.recheck_ms = engine, now_ms + self._recheck_every_ms
         due_ms = load_due_ms(request, choice.member)
         demand = AdapterDemand(0, request.deadline_ms, due_ms)
         engine.planner.add_demand("s", caller.adapter, demand)
--- a/nutmegdeal/tests/test_gateway_backend_selection.py
+++ b/nutmegdeal/tests/test_gateway_backend_selection.py
@@ -3,6 +3,8 @@
 import heapq
 import random
 
+import pytest
+
 from nutmegdeal.gateway import backend_selection
 from nutmegdeal.gateway.backend_selection import (
     EngineSelector,
@@ -122,6 +124,23 @@
         }
         assert len(targets) == 1
 
+    @pytest.mark.parametrize("version", [None, 1])
+    def test_engine_that_loads_the_adapter_already_is_selected(self, version):
+        members = [build.build_member(f"i-{n}") for n in range(3)]
+        selector = EngineSelector("a")
+        first = selector.select("a7", version, members, 0.0).member
+        other = next(item for item in members if item is not first)
+        other.loading = frozenset({"a7@1", "a8@1"})
+        assert selector.select("a7", version, members, 0.0) == LoadFirst(other)
+
+    def test_engine_that_loads_an_older_version_is_not_selected_for_it(self):
+        members = [build.build_member(f"i-{n}") for n in range(3)]
+        selector = EngineSelector("a")
+        first = selector.select("a7", 2, members, 0.0).member
+        other = next(item for item in members if item is not first)
+        other.loading = frozenset({"a7@1"})
+        assert selector.select("a7", 2, members, 0.0) == LoadFirst(first)
+
     def test_new_version_is_loaded_at_an_engine_without_the_old_one(self):
         members = [build.build_member(f"i-{n}") for n in range(3)]
         selector = EngineSelector("a")
--- a/nutmegdeal/tests/test_gateway_places.py
+++ b/nutmegdeal/tests/test_gateway_places.py
@@ -16,6 +16,8 @@
 OVERLOAD_PER_S = 25.0
 # A load that all engines together serve with places to spare.
 CALM_PER_S = 6.0
+# Some adapters wait for a place.
+BUSY_PER_S = 16.0
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -39,6 +41,19 @@
     assert not result.refused_after_ms
 
 
+@pytest.mark.parametrize("recheck_every_ms", [100.0, 400.0])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_renewed_demand_causes_no_needless_orders(seed, recheck_every_ms):
+    def play(recheck_every_ms):
+        load = PlaceLoad(True, BUSY_PER_S, seed=seed, recheck_every_ms=recheck_every_ms)
+        return load.run(PLAYED_MS).in_time_share, load.order_count
+
+    never_share, never_count = play(float("inf"))
+    share, count = play(recheck_every_ms)
+    assert count <= 1.05 * never_count
+    assert share >= never_share - 0.01
+
+
 class TestPlaceTurnover:
     """How fast places become free, and who gets them."""
 
--- a/nutmegdeal/tests/test_placer_planning.py
+++ b/nutmegdeal/tests/test_placer_planning.py
@@ -98,6 +98,15 @@
     assert order == ["a4", "a3", "a2", "a1"]
 
 
+def test_demand_that_is_withdrawn_and_renewed_keeps_its_place():
+    planner = build_planner()
+    for number in range(4):
+        add_demand(planner, f"a{number}", due_in_ms=2_000 + number)
+    planner.remove_demand("s", "a0")
+    add_demand(planner, "a0", now_ms=400.0, due_in_ms=1_600)
+    assert planner.next_order(400.0).adapter == "a0"
+
+
 class EngineMachine(RuleBasedStateMachine):
     """An engine and its placer, which both may restart.
 
