Gateway: a refusal without a request id promises nothing on a reused connection

What callers could see: a booking that runs twice. On a connection that had served another request, a late 503 that said "not run" and named no request was taken for this request's, which the server had begun to run; it was then sent elsewhere.

Servers echo the id in all their answers, so an answer without one is faulty. On a new connection it can only be this request's and is taken as before; on a reused one the run counts as one that may have run.

Evidence: test_refusal_without_an_id_promises_nothing_on_a_connection_used_before, before the fix NOT_RUN instead of MAYBE_RAN. The test of a new connection passed before and after.

--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -289,6 +289,8 @@
             if platform_headers.is_from_server(head.headers, self._member.backend_id):
                 self._record_notices(head)
             answered_id = find_header(head.headers, platform_headers.REQUEST_ID)
+            if answered_id is None and self._connection.is_reused:
+                raise BrokenAnswerError("the answer may be to an earlier request")
             if answered_id is None or answered_id.decode("latin-1") == (
                 self._request.request_id
             ):
--- a/nutmegdeal/tests/scripted_server.py
+++ b/nutmegdeal/tests/scripted_server.py
@@ -23,6 +23,8 @@
     ----------
     requests : list of dict
         All requests received, with the target under ``b":target"``.
+    connection_count : int
+        Connections that the client opened.
     ended_count : int
         Connections that the client closed.
     read_pause_s : float
@@ -32,6 +34,7 @@
     def __init__(self, answer):
         self._answer = answer
         self.requests = []
+        self.connection_count = 0
         self.ended_count = 0
         self.read_pause_s = 0.0
         self._listener = gevent.socket.socket()
@@ -43,6 +46,7 @@
     def _accept(self):
         while True:
             sock, _ = self._listener.accept()
+            self.connection_count += 1
             self._greenlets.append(gevent.spawn(self._serve, sock))
 
     def _serve(self, sock):
--- a/nutmegdeal/tests/test_backend_answers.py
+++ b/nutmegdeal/tests/test_backend_answers.py
@@ -6,6 +6,7 @@
 from nutmegdeal.gateway.requests import RunFate
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.scripted_server import reset
+from nutmegdeal.tests.transport_harness import RecordingResponder
 
 REFUSALS = [
     ("503 Service Unavailable", "X-Not-Executed: 1\r\n"),
@@ -219,3 +220,33 @@
     harness = start_harness(answer_once(late + build.build_plain_answer("q-1")))
     assert harness.run(build.build_booking_route()).fate is RunFate.MAYBE_RAN
     assert not harness.responder.has_started
+
+
+REFUSAL_WITHOUT_ID = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+def test_refusal_without_an_id_promises_nothing_on_a_connection_used_before(
+    start_harness,
+):
+    def answer(sock, _request):
+        if len(harness.server.requests) > 1:
+            # It belongs to an earlier request; this one runs.
+            sock.sendall(REFUSAL_WITHOUT_ID)
+        sock.sendall(build.build_plain_answer("q-1"))
+
+    harness = start_harness(answer)
+    route = build.build_booking_route()
+    assert harness.run(route).fate is RunFate.COMPLETED
+    harness.progress.responder = RecordingResponder()
+    outcome = harness.run(route)
+    assert len(harness.server.requests) == 2
+    assert harness.server.connection_count == 1
+    assert outcome.fate is RunFate.MAYBE_RAN
+
+
+def test_refusal_without_an_id_is_believed_on_a_new_connection(start_harness):
+    harness = start_harness(lambda sock, _: sock.sendall(REFUSAL_WITHOUT_ID))
+    assert harness.run(build.build_booking_route()).fate is RunFate.NOT_RUN
