Crash guard: a request that delivers after a crash is no longer suspected

What callers could see: a stream cut in the middle though a sound server was free. A silent stream's replacement broke off as its server ended, which made the request suspected; the first server then went on and delivered. When that one ended later, the stream was given up instead of resumed, as `is_suspected` was never taken back. It needs a route with three attempts: the replacement's run counts.

Evidence: test_stream_that_has_proved_sound_is_resumed_after_the_end_of_a_replacement failed before: the first run ends after its events with the verdict give_up.

What proves a request sound (two parts delivered by one run) now ends its suspicion too, as it does for its parts in the book.

--- a/nutmegdeal/gateway/crash_guard.py
+++ b/nutmegdeal/gateway/crash_guard.py
@@ -109,6 +109,7 @@
         Sound requests are many and mostly different, so only suspects are recorded.
         """
         request.is_delivered = True
+        request.is_suspected = False
         sound_ids = request.shared_parts
         if self._book.has_suspects and self._book.is_suspect(request.suspect_ids[-1]):
             sound_ids = request.suspect_ids
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -131,7 +131,8 @@
     is_delivered : bool
         A run has delivered so much that the prompt has proved sound.
     is_suspected : bool
-        An engine has ended under the request, and its prompt may be the cause.
+        An engine has ended under the request, and its prompt may be the cause: no run
+        has delivered since.
     refused_suspect_id : str
         Prompt part or request for which it was refused, ``""`` if it was not.
     connect_count : int
--- a/nutmegdeal/tests/test_gateway_silence.py
+++ b/nutmegdeal/tests/test_gateway_silence.py
@@ -375,3 +375,28 @@
     harness.members[0].is_linked = False
     harness.call()
     check_whole_stream(harness)
+
+
+def test_stream_that_has_proved_sound_is_resumed_after_the_end_of_a_replacement(start):
+    second_ended = gevent.event.Event()
+
+    def deliver_and_break_off(sock, _request):
+        sock.sendall(HEAD + encode_events(range(1)))
+        second_ended.wait()
+        gevent.sleep(0.1)
+        for number in range(1, 4):
+            sock.sendall(encode_events([number]))
+            gevent.sleep(0.05)
+        return False
+
+    def end(_sock, _request):
+        harness.servers[1].stop_listening()
+        second_ended.set()
+        return False
+
+    route = build_stream_route(attempts_max=3)
+    harness = start([deliver_and_break_off, end, resume_stream], route=route)
+    harness.members[0].is_linked = False
+    harness.call(prompt_parts=b"5c1e07a2:9,91bd3f06:9,77aa0001:9")
+    check_whole_stream(harness)
+    assert len(harness.servers[2].requests) == 1
