Server limits: a gateway new to a limit begins no second row after a return of the store

What a server could see: more requests than its limit allows. The store returned from a copy without the row of a limit; a gateway that had never seen the row, and learned of the limit from an answer then, began it anew with slots from now on, beside those that others had reserved up to 3 s ahead. Gateways that had seen the row wait for that long.

The watchers ask the store all the time, so a gateway sees an era no sooner than it began. One that has seen the era for less than 3 s begins a row with the delay. That holds for a gateway that has just started, too: slots of a limit named then begin up to 3 s later.

The tests of the keeper now say that the era has lasted for long.

--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -57,6 +57,10 @@
         Requests that have not been sent are refused, as the grace time ends.
     store_clock_offset_ms : float
         Store's clock less the monotonic clock.
+    store_era : int or None
+        Era of the last answer of the store, None before the first one.
+    store_era_since_ms : float
+        When that era was first seen, on the monotonic clock.
     last_trouble_ms : float
         When a backend server ended or a call to the store failed, on the monotonic
         clock.
@@ -77,6 +81,8 @@
     is_draining: bool = False
     is_ending: bool = False
     store_clock_offset_ms: float = 0.0
+    store_era: int | None = None
+    store_era_since_ms: float = float("-inf")
     last_trouble_ms: float = float("-inf")
     initialized: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     waiters: AdapterWaiters = attrs.field(factory=AdapterWaiters)
@@ -94,9 +100,12 @@
             and self.has_prompt_parts
         )
 
-    def record_store_clock(self, store_ms):
-        """Record the time of an answer of the store, on the store's clock."""
-        self.store_clock_offset_ms = store_ms - self.clock.monotonic_ms()
+    def record_store_answer(self, store_ms, era):
+        """Record the time of an answer, on the store's clock, and its era."""
+        now_ms = self.clock.monotonic_ms()
+        self.store_clock_offset_ms = store_ms - now_ms
+        if era != self.store_era:
+            self.store_era, self.store_era_since_ms = era, now_ms
 
     def store_now_ms(self):
         """Return the time on the store's clock (float)."""
--- a/nutmegdeal/gateway/limit_rows.py
+++ b/nutmegdeal/gateway/limit_rows.py
@@ -15,6 +15,7 @@
 from nutmegdeal.gateway.limit_slots import (
     LimitRecord,
     build_record,
+    choose_first_era,
     first_slot_ms,
     plan_reservation,
 )
@@ -287,7 +288,9 @@
         era, store_ms = self._store.newest_era, self._board.store_now_ms()
         stated_ms = availability.limit_stated_ms + self._board.store_clock_offset_ms
         # A row that was seen in an earlier era may be missing in the copy.
-        known_era = era if share.seen_era is None else share.seen_era
+        known_era = share.seen_era
+        if known_era is None:
+            known_era = self._choose_first_era(era)
         record = share.record or build_record(
             availability.limit_per_s, stated_ms, known_era, store_ms
         )
@@ -305,6 +308,13 @@
             share.retry_at_ms = self._clock.monotonic_ms() + pause_ms
         return planned
 
+    def _choose_first_era(self, era):
+        board = self._board
+        now_ms = board.clock.monotonic_ms()
+        # The watchers of other tables may not have seen a new era yet.
+        since_ms = board.store_era_since_ms if era == board.store_era else now_ms
+        return choose_first_era(era, since_ms, now_ms)
+
     def _apply_conflict(self, share, result):
         found = [row for row in result.rows if row.value is not None]
         share.record = _decode_row(found[0]) if found else None
--- a/nutmegdeal/gateway/limit_slots.py
+++ b/nutmegdeal/gateway/limit_slots.py
@@ -86,6 +86,23 @@
     return LimitRecord(limit_per_s, stated_ms, now_ms, era, {}, now_ms)
 
 
+def choose_first_era(era, era_since_ms, now_ms):
+    """Return the era for a row that a gateway begins without having seen one (int).
+
+    If the store has just returned from a copy, the row may be missing there. A gateway
+    that has just started takes the era for a new one.
+
+    Parameters
+    ----------
+    era : int
+        Present era of the store.
+    era_since_ms : float
+        When the gateway first saw this era.
+    now_ms : float
+    """
+    return era if now_ms - era_since_ms >= RESERVED_AHEAD_MS else era - 1
+
+
 def first_slot_ms(record, era, now_ms):
     """Return the time of the first slot that can be reserved (float).
 
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -92,7 +92,7 @@
         if isinstance(answer, Failure):
             return answer
         self._check_store_regained()
-        self._board.record_store_clock(answer.store_ms)
+        self._board.record_store_answer(answer.store_ms, answer.position.era)
         self.apply_changes(answer.rows)
         if answer.position.version > self._position.version:
             self._position = answer.position
@@ -110,7 +110,7 @@
             logger.warning("store_answer_stale", table=self._table)
             return 1
         self._check_store_regained()
-        self._board.record_store_clock(answer.store_ms)
+        self._board.record_store_answer(answer.store_ms, answer.position.era)
         self.apply_snapshot(answer.rows, is_from_copy=is_new_era)
         self._position = answer.position
         return len(answer.rows)
--- a/nutmegdeal/tests/limit_load.py
+++ b/nutmegdeal/tests/limit_load.py
@@ -6,6 +6,7 @@
 from nutmegdeal.gateway.limit_slots import (
     OpenSlots,
     build_record,
+    choose_first_era,
     first_slot_ms,
     plan_reservation,
 )
@@ -71,6 +72,14 @@
         self._reservation = None
         self._retry_at_ms = 0.0
         self._seen_era = None
+        self._era = None
+        self._era_since_ms = 0.0
+
+    def observe(self, row, now_ms):
+        """See the era in an answer of the store, which is called all the time."""
+        if row.is_away or self.is_cut or row.era == self._era:
+            return
+        self._era, self._era_since_ms = row.era, now_ms
 
     def is_told(self, now_ms):
         """Return whether a server's answer has told it the limit."""
@@ -86,6 +95,7 @@
 
     def reserve(self, row, limit_per_s, now_ms):
         """Reserve slots if they are needed."""
+        self.observe(row, now_ms)
         own_ms = now_ms - self.lag_ms
         if not self.is_told(now_ms) or own_ms < self._retry_at_ms:
             return
@@ -96,7 +106,7 @@
             return
         self.slots.drop_unconfirmed()
         record = self._read(row) or build_record(
-            limit_per_s, now_ms, self._known_era(row), own_ms
+            limit_per_s, now_ms, self._known_era(row, now_ms), own_ms
         )
         self._seen_era = row.era
         wanted = self.slots.wanted_count
@@ -112,8 +122,10 @@
         self._reservation = planned[1]
         self.slots.add(self._reservation.slots_ms)
 
-    def _known_era(self, row):
-        return row.era if self._seen_era is None else self._seen_era
+    def _known_era(self, row, now_ms):
+        if self._seen_era is not None:
+            return self._seen_era
+        return choose_first_era(row.era, self._era_since_ms, now_ms)
 
     def _read(self, row):
         return row.record
@@ -156,7 +168,7 @@
 class EraBlindGateway(SlotGateway):
     """Faulty version: takes the row of a copy for the present one."""
 
-    def _known_era(self, row):
+    def _known_era(self, row, now_ms):
         return row.era
 
     def _read(self, row):
--- a/nutmegdeal/tests/test_limit_decisions.py
+++ b/nutmegdeal/tests/test_limit_decisions.py
@@ -156,6 +156,8 @@
         self.store = LocalStore()
         self.membership = Membership(on_limited=self.handle_limited)
         self.board = build_board(self.membership)
+        # It has lasted for long.
+        self.board.store_era = self.store.newest_era
         self.keeper = LimitKeeper(self.store, self.board, GatewayTelemetry())
         self.member = self.membership.put(build.build_backend(), 0.0)
 
@@ -209,6 +211,21 @@
         assert self.store.write_count == 1
         assert self.member.is_usable(self.board.clock.monotonic_ms())
 
+    @pytest.mark.parametrize("has_watcher_seen_it", [False, True])
+    def test_row_that_may_be_missing_in_a_copy_begins_with_a_delay(
+        self, has_watcher_seen_it
+    ):
+        self.store.history.restore(self.store.history.take_copy())
+        store_ms = self.board.store_now_ms()
+        if has_watcher_seen_it:
+            self.board.record_store_answer(store_ms, self.store.newest_era)
+        self.tell(2.0)
+        self.member.availability.slots.wanted_count = 1
+        self.run_round()
+        (slot_ms,) = self.member.availability.slots.slots_ms
+        delay_ms = slot_ms - self.board.clock.monotonic_ms()
+        assert delay_ms > 0.9 * RESERVED_AHEAD_MS
+
     def test_newer_limit_of_a_row_holds(self):
         self.tell(2.0)
         self.put_row(1.0, self.board.store_now_ms() + 1.0)
--- a/nutmegdeal/tests/test_limit_slots_safety.py
+++ b/nutmegdeal/tests/test_limit_slots_safety.py
@@ -138,6 +138,34 @@
     assert play_copies(EraBlindGateway) > allowed_count(40.0)
 
 
+def play_newcomer(gateway_class, limit_per_s, has_restarted):
+    """Return the most arrivals in a window after a gateway begins a missing row."""
+    site = LimitedSite(limit_per_s, 30, gateway_class)
+    newcomer, *others = site.gateways
+    site.gateways = others
+    site.advance(3_000.0, arrivals_per_tick=1)
+    site.gateways = [newcomer, *others]
+    if not has_restarted:
+        newcomer.observe(site.row, site.now_ms - 3_000.0)
+    site.row.record = None
+    site.row.era += 1
+    site.arrive(newcomer)
+    for _ in range(10):
+        site.advance(100.0)
+        site.arrive(newcomer)
+    site.advance(6_000.0, arrivals_per_tick=1)
+    return most_in_window(site.counted_ms)
+
+
+@pytest.mark.parametrize("has_restarted", [False, True])
+@pytest.mark.parametrize("limit_per_s", [8.0, 40.0])
+def test_row_begun_by_a_gateway_new_to_the_limit_is_no_second_one(
+    limit_per_s, has_restarted
+):
+    most = play_newcomer(SlotGateway, limit_per_s, has_restarted)
+    assert most <= allowed_count(limit_per_s)
+
+
 @pytest.mark.parametrize("gateway_count", [4, 100])
 @pytest.mark.parametrize("limit_per_s", [1.0, 1.9, 8.0])
 def test_what_the_limit_allows_is_used(gateway_count, limit_per_s):
