--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -38,6 +38,9 @@
 # Share of the silences, and of the changes of the configuration, with which further
 # servers fall silent.
 FURTHER_SILENCES_SHARE = 0.5
+# Time between two bursts of changes of the configuration, beside those that are drawn
+# with the other faults.
+CHANGES_INTERVAL_S = (1.0, 6.0)
 # Versions of the configuration that come in a burst, and the pauses between them.
 BURST_VERSIONS_MAX = 5
 BURST_PAUSE_S = (0.0, 0.4)
@@ -155,6 +158,8 @@
             crash_requests = (CRASHING_REQUESTS_KIND, self._crash_requests, False)
             self._spawn(crash_requests, CRASHING_PROMPTS_S)
             started_s += CRASHING_PROMPTS_S
+        changing = gevent.spawn(self._change_again, started_s + fault_period_s)
+        self._running.append(changing)
         self._start(planned, started_s + fault_period_s * PLANNED_ONLY_SHARE)
         self._start(self._actions, started_s + fault_period_s)
         gevent.joinall(self._running, raise_error=True)
@@ -317,6 +322,14 @@
         engine.delayed_orders.clear()
         return engine.backend_id
 
+    def _change_again(self, end_s):
+        """Change the configuration from time to time."""
+        while True:
+            gevent.sleep(self._details.uniform(*CHANGES_INTERVAL_S))
+            if time.monotonic() >= end_s:
+                return
+            self._run_fault(CONFIGURATION_KIND, self._change_configuration, True, 0.0)
+
     def _change_configuration(self, _duration_s):
         if self._details.random() < FURTHER_SILENCES_SHARE:
             self._silence_further()
