--- a/nutmegdeal/tests/held_gateway.py
+++ b/nutmegdeal/tests/held_gateway.py
@@ -21,6 +21,7 @@
 from nutmegdeal.fakes.platform_store import PlatformStore
 from nutmegdeal.gateway import exchange
 from nutmegdeal.gateway import process as gateway_process
+from nutmegdeal.gateway.availability import LimitSource
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.configuration_builders import (
     SPARE_ENGINE_SERVICE,
@@ -259,6 +260,14 @@
         self._store.put("op", key, json.dumps(row).encode())
         wait_until(lambda: self.board.versions.newest(adapter) == version)
 
+    def limit_servers(self, service, limit_per_s):
+        """Let the servers of a service name a limit, None for none."""
+        now_ms = self.board.clock.monotonic_ms()
+        membership = self.board.membership
+        for member in membership.members.values():
+            if member.backend.service == service:
+                membership.record_limit(member, limit_per_s, LimitSource.ANSWER, now_ms)
+
     def close(self):
         """Stop the gateway, the servers and the store."""
         self._process.close()
--- a/nutmegdeal/tests/test_configuration_changes.py
+++ b/nutmegdeal/tests/test_configuration_changes.py
@@ -11,6 +11,7 @@
     run_state_machine_as_test,
 )
 
+from nutmegdeal.fakes.platform_configuration import PLAIN_SERVICE
 from nutmegdeal.tests.configuration_builders import (
     BODY_BYTES_MAX,
     CHANGES,
@@ -20,7 +21,13 @@
     change_limits,
 )
 from nutmegdeal.tests.held_gateway import ADAPTER, HeldGateway
-from nutmegdeal.tests.request_states import STATES, KeptConnection, WaitingForLoad
+from nutmegdeal.tests.request_states import (
+    STATES,
+    HeadHalfRead,
+    KeptConnection,
+    Pipelined,
+    WaitingForLoad,
+)
 from nutmegdeal.tests.state_machine_settings import STATE_MACHINE_SETTINGS
 
 # Pause that lets the gateway read the first piece of a head.
@@ -33,6 +40,7 @@
 MACHINE_SETTINGS = settings(
     STATE_MACHINE_SETTINGS, max_examples=8, stateful_step_count=10
 )
+LIMIT_PER_S = 0.5
 CRASH_EVENTS = {
     "request_crashed",
     "connection_crashed",
@@ -153,6 +161,27 @@
     finish_all(gateway, states, change.refusals)
 
 
+def test_requests_for_limited_servers_are_answered_beside_each_change(gateway, crashes):
+    # Nothing waits for a slot: a request that gets none is refused at once.
+    gateway.limit_servers(PLAIN_SERVICE, LIMIT_PER_S)
+    try:
+        for change in CHANGES:
+            states = [HeadHalfRead(gateway), Pipelined(gateway)]
+            for state in states:
+                state.begin()
+            gateway.change(change)
+            for state in states:
+                state.go_on()
+            gateway.holds.release()
+            answers = [state.caller.read_answer() for state in states]
+            assert all(answer.is_whole for answer in answers)
+            assert {answer.status_code for answer in answers} <= REFUSALS | {200}
+            for state in states:
+                state.close()
+    finally:
+        gateway.limit_servers(PLAIN_SERVICE, None)
+
+
 def test_requests_in_all_states_outlast_new_versions_of_their_adapters(
     gateway, crashes
 ):
