--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -251,6 +251,7 @@
             service=request.service.name,
             adapter=request.adapter,
             version=version,
+            software=member.backend.software_version,
             load=round(member.expected_load(now_ms), 1),
             report_age_ms=round(age_ms, 1) if math.isfinite(age_ms) else None,
             failure_rate=round(member.history.failure_rate(now_ms), 3),
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -23,6 +23,7 @@
 _REQUEST = text_field("id of the request")
 _BACKEND = text_field("id of the backend server")
 _ADAPTER = text_field("name of the adapter, empty for none")
+_SOFTWARE = text_field("version of the server's software, empty if not reported")
 _TABLE = text_field("table of the store")
 _ERROR = text_field("description of the failure")
 
@@ -37,6 +38,7 @@
             "service": text_field("service of the backend server"),
             "adapter": _ADAPTER,
             "version": version_field(),
+            "software": _SOFTWARE,
             "load": Field(
                 (float, int), "expected number of requests in the backend server"
             ),
--- a/nutmegdeal/platform/rows.py
+++ b/nutmegdeal/platform/rows.py
@@ -197,9 +197,15 @@
         adapters=decode_adapters(data.get("models") or ()),
         # "born" is the start of the incarnation.
         started_unix_ms=int(data.get("born") or 0),
+        software_version=_decode_software_version(data.get("version")),
     )
 
 
+def _decode_software_version(value):
+    """Return the version of a server's software, "" if it is missing or no text."""
+    return value if isinstance(value, str) else ""
+
+
 def _is_header_value(text):
     """Return whether a text can be sent as the value of a header."""
     is_encodable = text.isascii() and text.isprintable()
--- a/nutmegdeal/site_configuration.py
+++ b/nutmegdeal/site_configuration.py
@@ -243,6 +243,8 @@
         Adapters that it held when it registered, as ``name@version``.
     started_unix_ms : int
         Start of this incarnation by the server's clock, 0 if it is not reported.
+    software_version : str
+        Version of its software, ``""`` if it is not reported.
     """
 
     backend_id: str
@@ -254,6 +256,7 @@
     state: BackendState = BackendState.READY
     adapters: frozenset[str] = frozenset()
     started_unix_ms: int = 0
+    software_version: str = ""
 
     @property
     def address(self):
