--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -6,6 +6,7 @@
 
 from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.prompt_crashes import PromptCrashes
+from nutmegdeal.fakes.stream_runs import StreamRun
 from nutmegdeal.http_connections import find_header
 
 EVENT_INTERVAL_MS = 10.0
@@ -48,6 +49,10 @@
         Time from one event of a stream to the next.
     prompts : PromptCrashes
         Parts of prompts that crash the engine as it begins to write its answer.
+    stream_runs : list of StreamRun
+        Runs begun, over all incarnations.
+    writes_version : bool
+        Events name the software version of the engine that wrote them.
     """
 
     _break_event = EVENT_COUNT // 2
@@ -66,17 +71,19 @@
         self.refuses_reports = False
         self.event_interval_ms = EVENT_INTERVAL_MS
         self.prompts = PromptCrashes()
+        self.stream_runs = []
+        self.writes_version = False
         super().__init__(address, backend_id, service, zone)
 
-    def restart(self, backend_id=None):
+    def restart(self, backend_id=None, software_version=None):
         """Lose the model, adapters and order count; begin a new incarnation.
 
         Parameters
         ----------
-        backend_id : str, optional
-            By default the engine keeps its id.
+        backend_id, software_version : str, optional
+            By default the engine keeps its id and version.
         """
-        super().restart(backend_id)
+        super().restart(backend_id, software_version)
         self.adapters, self.pending, self.order_count = {}, {}, 0
         self.has_model = False
 
@@ -201,6 +208,10 @@
         """Yield the events of an answer with their numbers, at the engine's pace."""
         last_event_id = find_header(request.headers, b"last-event-id")
         first_number = int(last_event_id) + 1 if last_event_id else 0
+        # A restart does not end the runs of the incarnation before it.
+        version = self.software_version
+        self.stream_runs.append(StreamRun(request_id, first_number, version))
+        data = f"{request_id} {version}" if self.writes_version else request_id
         for number in range(first_number, EVENT_COUNT):
             gevent.sleep(self.event_interval_ms / 1000)
             if self.is_down:
@@ -209,7 +220,7 @@
             if self.prompts.record_crash(_find_prompt(request), request_id):
                 self._crash()
             self.faults.pause_before(number)
-            yield number, f"id: {number}\ndata: {request_id}\n\n".encode()
+            yield number, f"id: {number}\ndata: {data}\n\n".encode()
 
 
 def _find_prompt(request):
--- a/nutmegdeal/fakes/platform_server.py
+++ b/nutmegdeal/fakes/platform_server.py
@@ -17,6 +17,7 @@
 from nutmegdeal.fakes.breakable_listener import BreakableListener
 from nutmegdeal.fakes.named_limit import NamedLimit
 from nutmegdeal.fakes.prompt_crashes import CauseRecord
+from nutmegdeal.fakes.stream_runs import SOFTWARE_VERSION
 from nutmegdeal.http_connections import find_header
 from nutmegdeal.log import get_logger
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
@@ -63,6 +64,8 @@
         Number of next streams of a model engine that end before their last event.
     incarnation : int
         Sent as ``born``; a restart increments it.
+    software_version : object
+        ``version`` in its registration; None leaves it out.
     is_leaving : bool
         Every answer says that the server leaves; its registration is not changed.
     retry_after_s : float or None
@@ -99,6 +102,7 @@
         self.refusals_pending = 0
         self.aborts_pending = 0
         self.incarnation = 1
+        self.software_version = SOFTWARE_VERSION
         self.is_leaving = False
         self.retry_after_s = None
         self.faults = AnswerFaults()
@@ -131,15 +135,16 @@
         self.listener.stop_accepting()
         self.listener.break_off()
 
-    def restart(self, backend_id=None):
+    def restart(self, backend_id=None, software_version=None):
         """Begin a new incarnation.
 
         Parameters
         ----------
-        backend_id : str, optional
-            By default the server keeps its id.
+        backend_id, software_version : str, optional
+            By default the server keeps its id and version.
         """
         self.incarnation += 1
+        self.software_version = software_version or self.software_version
         self.is_leaving = False
         self.backend_id = backend_id or self.backend_id
 
@@ -177,11 +182,10 @@
         return json.dumps(self._registration_fields()).encode()
 
     def _registration_fields(self):
-        return {
+        fields = {
             "service": self.service,
             "address": f"{self._address[0]}:{self._address[1]}",
             "zone": self.zone,
-            "version": "v1",
             "slots": 64,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -189,6 +193,9 @@
             "sequence": 0,
             "born": self.incarnation,
         }
+        if self.software_version is not None:
+            fields["version"] = self.software_version
+        return fields
 
     def _respond(self, request, responder):
         self.faults.wait_while_silent()
--- a/nutmegdeal/fakes/platform_store.py
+++ b/nutmegdeal/fakes/platform_store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's row store, with reads, change feeds and faults."""
 
 import base64
+import collections
 import enum
 import json
 import time
@@ -174,12 +175,15 @@
     fault : StoreFault
     call_count : int
         Calls received, including those that failed.
+    tables_called : collections.Counter
+        The same by path and table; the table is None where the path names none.
     """
 
     def __init__(self, address):
         super().__init__()
         self.fault = StoreFault.NONE
         self.call_count = 0
+        self.tables_called = collections.Counter()
         self.listener = CallerListener(address, self._respond, _default_limits)
         self.listener.start()
 
@@ -190,6 +194,9 @@
 
     def _respond(self, request, responder):
         self.call_count += 1
+        target = urllib.parse.urlsplit(request.target.decode("latin-1"))
+        query = dict(urllib.parse.parse_qsl(target.query, keep_blank_values=True))
+        self.tables_called[target.path, query.get("table")] += 1
         if self.fault is StoreFault.SILENT:
             gevent.sleep(SILENT_FAULT_S)
         if self.fault is StoreFault.RESET:
@@ -197,8 +204,6 @@
         if self.fault is StoreFault.BUSY:
             responder.reply(503, self.headers, b"")
             return
-        target = urllib.parse.urlsplit(request.target.decode("latin-1"))
-        query = dict(urllib.parse.parse_qsl(target.query, keep_blank_values=True))
         if target.path == "/rows-get":
             self._send_rows(
                 responder, self.find_rows(query["table"], query.get("from"))
--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -1,4 +1,4 @@
-"""A gateway, placers and stand-ins for the users' platform in one process."""
+"""Gateways, placers and stand-ins for the users' platform in one process."""
 
 import functools
 import os
@@ -17,6 +17,7 @@
 )
 from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.platform_store import PlatformStore
+from nutmegdeal.fakes.stream_runs import SOFTWARE_VERSION
 from nutmegdeal.gateway import process as gateway_process
 from nutmegdeal.http_connections import BrokenAnswerError, ClientConnection
 from nutmegdeal.placer import process as placer_process
@@ -58,20 +59,50 @@
     return encode_configuration(version, HOST, timeout_ms=20_000, target_ms=5_000)
 
 
+def build_headers(request_id, adapter):
+    """Return the headers of a caller's request."""
+    return [
+        (b"host", HOST.encode()),
+        (b"x-request-id", request_id.encode()),
+        (b"x-deadline-ms", b"15000"),
+        (b"x-model", f"{MODEL}/{adapter}".encode()),
+        (b"x-token-usage", b"800,100"),
+    ]
+
+
 class PlatformSite:
-    """Two engines with placers, some plain servers, a store and a gateway.
+    """Engines with placers, some plain servers, a store and gateways.
 
     Each engine with its placer has its own loopback address, as all placers listen on
     the same port.
+
+    Parameters
+    ----------
+    monkeypatch : pytest.MonkeyPatch
+    bridge : GreenletBridge
+    server_count : int
+    software_versions : sequence
+        Software version of each engine.
+    gateway_count : int
     """
 
-    def __init__(self, monkeypatch, bridge, server_count=2):
+    def __init__(
+        self,
+        monkeypatch,
+        bridge,
+        server_count=2,
+        software_versions=(SOFTWARE_VERSION, SOFTWARE_VERSION),
+        gateway_count=1,
+    ):
         self.bridge = bridge
         self.port = free_port(loopback_address(1))
         monkeypatch.setattr(gateway_process, "METRICS_PORT", 0)
         monkeypatch.setattr(placer_process, "METRICS_PORT", 0)
         self.store = PlatformStore((loopback_address(1), 0))
-        self.engines = [self._start_engine(number) for number in (2, 3)]
+        self.engines = [
+            self._start_engine(number, version)
+            for number, version in enumerate(software_versions, start=2)
+        ]
         self.servers = [
             PlatformBackend(
                 (loopback_address(1), 0), f"p-{number}", build.PLAIN_SERVICE
@@ -83,8 +114,8 @@
         self.store.put("op", "config", encode_operator_configuration())
         self.placers = [self.start_placer(engine) for engine in self.engines]
         self.gateways = []
-        self.gateway = self.start_gateway()
-        wait_until(self._is_linked)
+        self.gateway, *_ = [self.start_gateway() for _ in range(gateway_count)]
+        wait_until(lambda: all(map(self._is_linked, self.gateways)))
 
     def close(self):
         """Stop the gateway, the placers and the stand-ins."""
@@ -95,8 +126,8 @@
         for backend in (self.store, *self.engines, *self.servers):
             backend.listener.stop_accepting()
 
-    def _start_engine(self, number):
-        return PlatformEngine(
+    def _start_engine(self, number, software_version):
+        engine = PlatformEngine(
             (loopback_address(number), 0),
             f"e-{number}",
             build.ENGINE_SERVICE,
@@ -104,6 +135,8 @@
             MODEL,
             ADAPTER_SLOTS,
         )
+        engine.software_version = software_version
+        return engine
 
     def _settings(self, ip, engine=None):
         return build.build_node_settings(
@@ -134,8 +167,8 @@
         wait_until(lambda: gateway._board.is_ready)
         return gateway
 
-    def _is_linked(self):
-        members = self.gateway._board.membership.members.values()
+    def _is_linked(self, gateway):
+        members = gateway._board.membership.members.values()
         return sum(member.is_linked for member in members) == len(self.engines)
 
     def start_placer(self, engine):
@@ -175,13 +208,7 @@
         The body is None if the answer was incomplete, and the status 0 if there was
         none.
         """
-        headers = [
-            (b"host", HOST.encode()),
-            (b"x-request-id", request_id.encode()),
-            (b"x-deadline-ms", b"15000"),
-            (b"x-model", f"{MODEL}/{adapter}".encode()),
-            (b"x-token-usage", b"800,100"),
-        ]
+        headers = build_headers(request_id, adapter)
         deadline_ms = time.monotonic() * 1000 + WAIT_S * 1000
         head = None
         try:
