--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -21,6 +21,7 @@
 from nutmegdeal.gateway import process as gateway_process
 from nutmegdeal.http_connections import BrokenAnswerError, ClientConnection
 from nutmegdeal.placer import process as placer_process
+from nutmegdeal.placer.planning import AdapterDemand
 from nutmegdeal.tests import platform_builders as build
 
 WAIT_S = 30.0
@@ -70,6 +71,16 @@
     ]
 
 
+def load_adapters(placer, names):
+    """Make a placer load adapters for later requests, and wait until it has."""
+    until_ms = (time.monotonic() + WAIT_S) * 1000
+    for name in names:
+        demand = AdapterDemand(0, until_ms, until_ms, waiting_count=0)
+        placer._planner.add_demand("test", name, demand)
+    placer._order_wake.set()
+    wait_until(lambda: not placer._planner.has_work)
+
+
 class PlatformSite:
     """Engines with placers, some plain servers, a store and gateways.
 
--- a/nutmegdeal/tests/stream_callers.py
+++ b/nutmegdeal/tests/stream_callers.py
@@ -3,12 +3,15 @@
 import time
 
 import attrs
+import gevent
 
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.http_connections import BrokenAnswerError, ClientConnection
 from nutmegdeal.tests.platform_site import WAIT_S, build_headers, loopback_address
 
 EVENT_END = b"\n\n"
+# Most tries at which a refused caller comes back, each after the Retry-After.
+TAKE_UP_TRIES_MAX = 6
 
 
 @attrs.frozen
@@ -27,7 +30,7 @@
 
 def _decode_event(event):
     id_line, data_line = event.decode().split("\n")
-    request_id, version = data_line.removeprefix("data: ").split(" ")
+    request_id, version = data_line.removeprefix("data: ").split(" ", 1)
     return StreamEvent(int(id_line.removeprefix("id: ")), request_id, version)
 
 
@@ -145,6 +148,16 @@
         self.tries.append(this_try)
         return this_try
 
+    def take_up(self, gateway, break_after=None):
+        """Take the stream up, also after refusals; return the last StreamTry."""
+        for _ in range(TAKE_UP_TRIES_MAX):
+            this_try = self.call(gateway, break_after)
+            pause = this_try.headers.get(b"retry-after")
+            if this_try.status_code != 503 or pause is None:
+                break
+            gevent.sleep(float(pause))
+        return this_try
+
 
 def _read_answer(connection, headers, this_try, break_after):
     deadline_ms = time.monotonic() * 1000 + WAIT_S * 1000
--- a/nutmegdeal/tests/test_platform_site.py
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -3,8 +3,6 @@
 Stand-ins take the place of the users' platform.
 """
 
-import time
-
 import attrs
 import gevent
 import pytest
@@ -12,11 +10,10 @@
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
 from nutmegdeal.fakes.platform_store import StoreFault
 from nutmegdeal.http_connections import ClientConnection
-from nutmegdeal.placer.planning import AdapterDemand
 from nutmegdeal.tests.platform_site import (
-    WAIT_S,
     PlatformSite,
     encode_operator_configuration,
+    load_adapters,
     wait_until,
 )
 
@@ -185,16 +182,6 @@
     assert body.count(b"q-2") == EVENT_COUNT
 
 
-def load_adapters(placer, names):
-    """Make a placer load adapters for later requests, and wait until it has."""
-    until_ms = (time.monotonic() + WAIT_S) * 1000
-    for name in names:
-        demand = AdapterDemand(0, until_ms, until_ms, waiting_count=0)
-        placer._planner.add_demand("test", name, demand)
-    placer._order_wake.set()
-    wait_until(lambda: not placer._planner.has_work)
-
-
 def leave_order_unanswered(engine, placer):
     """Make a placer send an order that gets no answer.
 
