Soak: engines of several software versions, and callers that take streams up

`--software-versions` plays four engines, two of each of two versions, which drain and return at the newest version one after another, under new ids: under its old id an engine would run what a gateway without news sends to it. Six callers break streams off after some events and take them up at another gateway with Last-Event-Id and Resumes. Checked from the events that callers got: no stream is of two versions, in one answer or over its tries, no event is missing or comes twice, and of 12 or more streams taken up beside two engines of their version, and beside no other fault, the share that goes on is at least half of the share that begins.

--- a/nutmegdeal/soak/callers.py
+++ b/nutmegdeal/soak/callers.py
@@ -63,6 +63,25 @@
     was_sent: bool
 
 
+def build_headers(request_id, model, prompt):
+    """Return the headers of a request.
+
+    Parameters
+    ----------
+    request_id, model : str
+    prompt : bytes
+        Parts of the prompt.
+    """
+    return [
+        (b"host", HOST.encode()),
+        (b"x-request-id", request_id.encode()),
+        (b"x-model", model.encode()),
+        (b"x-token-usage", b"700,50"),
+        (b"x-prompt-prefix", prompt),
+        (b"x-deadline-ms", b"%d" % TIMEOUT_MS),
+    ]
+
+
 class Caller:
     """Sends one request after another to random gateways.
 
@@ -128,14 +147,7 @@
         is_crashing = path in self._site.crashing_paths
         adapter = 0 if is_crashing else self._random.randrange(ADAPTER_COUNT)
         prompt = SAME_PROMPT if is_crashing else self._draw_prompt()
-        headers = [
-            (b"host", HOST.encode()),
-            (b"x-request-id", request_id.encode()),
-            (b"x-model", f"{MODEL}/a{adapter}".encode()),
-            (b"x-token-usage", b"700,50"),
-            (b"x-prompt-prefix", prompt),
-            (b"x-deadline-ms", b"%d" % TIMEOUT_MS),
-        ]
+        headers = build_headers(request_id, f"{MODEL}/a{adapter}", prompt)
         status_code = 0
         try:
             target = (path or f"/{kind}/x").encode()
--- a/nutmegdeal/soak/fault_records.py
+++ b/nutmegdeal/soak/fault_records.py
@@ -8,6 +8,7 @@
 CRASHING_REQUESTS_KIND = "crashing_requests"
 ENDLESS_ANSWERS_KIND = "endless_answers"
 LIMITS_KIND = "limits"
+SOFTWARE_VERSIONS_KIND = "software_versions"
 SILENCE_KIND = "silence"
 
 
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -19,6 +19,7 @@
     ENDLESS_ANSWERS_KIND,
     LIMITS_KIND,
     SILENCE_KIND,
+    SOFTWARE_VERSIONS_KIND,
     FaultRecord,
 )
 from nutmegdeal.soak.proxy import ProxyMode
@@ -61,6 +62,10 @@
 LIMITS_PER_S = (0.5, 1.0, 1.9, 5.0)
 # For how long a server names a limit; gateways have 3 s to learn it.
 LIMIT_DURATION_S = (5.0, 12.0)
+# Time from one change of an engine's software to the next, and from the registration
+# that says that it leaves to its end: the drain of the bounds and a margin.
+VERSION_PAUSE_S = (0.3, 1.2)
+VERSION_DRAIN_S = 2.3
 # Time within which rows that a copy of the store lacks are written again.
 WRITTEN_AGAIN_S = 2.0
 LINK_MODES = (
@@ -91,6 +96,9 @@
         The same with one request that crashes servers.
     has_limits : bool
         Whether an engine and a server at a time name a limit, beside all other faults.
+    has_software_versions : bool
+        Whether the engines change their software one after another, beside all other
+        faults.
 
     Attributes
     ----------
@@ -105,8 +113,10 @@
         has_crashing_prompts=False,
         has_limits=False,
         has_crashing_requests=False,
+        has_software_versions=False,
     ):
         self.records = []
+        self._has_software_versions = has_software_versions
         self._has_crashing_requests = has_crashing_requests
         self._has_limits = has_limits
         self._has_crashing_prompts = has_crashing_prompts
@@ -151,6 +161,9 @@
             for backends in (self._site.engines, self._site.servers):
                 name_limits = functools.partial(self._name_limits, backends)
                 self._spawn((LIMITS_KIND, name_limits, True), fault_period_s)
+        if self._has_software_versions:
+            change = (SOFTWARE_VERSIONS_KIND, self._change_software, True)
+            self._spawn(change, fault_period_s)
         if self._has_crashing_prompts:
             crash_prompts = (CRASHING_PROMPTS_KIND, self._crash_prompts, False)
             self._spawn(crash_prompts, CRASHING_PROMPTS_S)
@@ -252,10 +265,32 @@
             self._restart_under_new_id(engine)
         return engine.backend_id
 
-    def _restart_under_new_id(self, engine):
+    def _restart_under_new_id(self, engine, software_version=None):
         self._restart_count += 1
         name = engine.backend_id.partition("#")[0]
-        self._site.restart_backend(engine, f"{name}#{self._restart_count}")
+        self._site.restart_backend(
+            engine, f"{name}#{self._restart_count}", software_version
+        )
+
+    def _change_software(self, duration_s):
+        """Give all engines the newest version, one after another, then a newer one."""
+        end_s = time.monotonic() + duration_s
+        engines = self._site.engines
+        newest = max(int(item.software_version.removeprefix("v")) for item in engines)
+        while time.monotonic() < end_s:
+            older = [item for item in engines if item.software_version != f"v{newest}"]
+            if not older:
+                newest += 1
+                continue
+            engine = older[0]
+            engine.state = "draining"
+            self._site.register(engine)
+            gevent.sleep(VERSION_DRAIN_S)
+            engine.state = "ready"
+            # Under its old id it would run what a gateway without news sends to it.
+            self._restart_under_new_id(engine, f"v{newest}")
+            gevent.sleep(self._random.uniform(*VERSION_PAUSE_S))
+        return f"up to v{newest}"
 
     def _name_limits(self, backends, duration_s):
         end_s = time.monotonic() + duration_s
--- a/nutmegdeal/soak/rule_checks.py
+++ b/nutmegdeal/soak/rule_checks.py
@@ -5,6 +5,7 @@
 from nutmegdeal.fakes.endless_answers import ENDLESS_EVENT_TEXT
 from nutmegdeal.fakes.named_limit import allowed_count, most_in_window
 from nutmegdeal.fakes.platform_backend import EVENT_COUNT
+from nutmegdeal.fakes.stream_caller import remove_versions
 from nutmegdeal.soak.callers import ANSWER_MARGIN_MS
 from nutmegdeal.soak.configurations import TIMEOUT_MS
 from nutmegdeal.soak.fault_records import (
@@ -176,7 +177,8 @@
     if runs_at_most_once and record.status_code in NOT_RUN_STATUSES and run_count:
         yield f"{name} was answered {record.status_code} but ran"
     if record.status_code == 200 and record.body is not None:
-        if record.body != expected_body(record) and not _has_endless_events(record):
+        body = remove_versions(record.body)
+        if body != expected_body(record) and not _has_endless_events(record):
             yield f"{name} was answered with a wrong body: {record.body[:200]!r}"
         if not run_count:
             yield f"{name} was answered but did not run"
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -11,11 +11,18 @@
 from nutmegdeal.soak.site import (
     GATEWAY_COUNT,
     LIMITED_GATEWAY_COUNT,
+    ONE_VERSION,
     RETRY_BOUNDS,
+    SOFTWARE_VERSIONS,
+    VERSIONS_GATEWAY_COUNT,
     SoakSite,
 )
+from nutmegdeal.soak.stream_checks import find_stream_violations
+from nutmegdeal.soak.stream_takers import StreamTaker
 
 CALLER_COUNT = 8
+# Callers that take streams up, with several software versions.
+TAKER_COUNT = 6
 # The platform requires recovery within 12 s; programs may have to start before that.
 RECOVERY_TIMEOUT_S = 30.0
 RECOVERY_POLL_S = 0.1
@@ -37,6 +44,9 @@
         Times that a server named a limit.
     beside_changes, otherwise : CutCounts
         Requests beside changes of the configuration, and all others.
+    taken_up_count, gone_on_count, refused_count : int
+        Tries at which callers took a stream up, those at which it went on, and those
+        at which it was refused.
     violations : tuple of str
     """
 
@@ -49,6 +59,9 @@
     limit_count: int
     beside_changes: CutCounts
     otherwise: CutCounts
+    taken_up_count: int
+    gone_on_count: int
+    refused_count: int
     violations: tuple[str, ...]
 
 
@@ -59,6 +72,7 @@
     has_crashing_prompts=False,
     has_limits=False,
     has_crashing_requests=False,
+    has_software_versions=False,
 ):
     """Run the programs under load and faults, and check the rules.
 
@@ -75,6 +89,9 @@
         Whether callers also send a request that crashes servers.
     has_limits : bool
         Whether servers name limits, which more gateways then have to keep.
+    has_software_versions : bool
+        Whether more engines have two software versions and change them, while callers
+        take streams up at other gateways.
 
     Returns
     -------
@@ -82,23 +99,39 @@
     """
     retry_bounds = random.Random(seed).choice(RETRY_BOUNDS)
     gateway_count = LIMITED_GATEWAY_COUNT if has_limits else GATEWAY_COUNT
-    site = SoakSite(folder, f"127.{20 + seed % 200}", retry_bounds, gateway_count)
-    records = []
+    versions = ONE_VERSION
+    if has_software_versions:
+        gateway_count = max(gateway_count, VERSIONS_GATEWAY_COUNT)
+        versions = SOFTWARE_VERSIONS
+    prefix = f"127.{20 + seed % 200}"
+    site = SoakSite(folder, prefix, retry_bounds, gateway_count, versions)
+    records, streams = [], []
     try:
         probe = Caller("probe", site, seed, records)
         violations = _wait_until_served(probe, site)
         fault_injector = FaultInjector(
-            site, seed, has_crashing_prompts, has_limits, has_crashing_requests
+            site,
+            seed,
+            has_crashing_prompts,
+            has_limits,
+            has_crashing_requests,
+            has_software_versions,
         )
         restart_greenlet = gevent.spawn(fault_injector.restart_ended_programs)
         callers = [
             Caller(number, site, seed, records) for number in range(CALLER_COUNT)
         ]
+        if has_software_versions:
+            callers += [
+                StreamTaker(number, site, seed, streams)
+                for number in range(TAKER_COUNT)
+            ]
         greenlets = [gevent.spawn(caller.run) for caller in callers]
         fault_injector.run(fault_period_s)
         violations += _wait_until_served(probe, site)
         gevent.killall([*greenlets, restart_greenlet])
         violations += find_violations(records, fault_injector.records, site)
+        violations += find_stream_violations(records, streams, fault_injector.records)
     finally:
         site.close()
     beside_changes, otherwise = count_cuts(records, fault_injector.records)
@@ -115,6 +148,9 @@
         + sum(len(backend.request_crashes) for backend in site.backends),
         beside_changes=beside_changes,
         otherwise=otherwise,
+        taken_up_count=sum(len(item.taken_up) for item in streams),
+        gone_on_count=sum(len(item.gone_on) for item in streams),
+        refused_count=sum(len(item.refused) for item in streams),
         violations=tuple(violations),
     )
 
--- a/nutmegdeal/soak/site.py
+++ b/nutmegdeal/soak/site.py
@@ -26,9 +26,13 @@
 from nutmegdeal.soak.proxy import FaultyProxy
 
 GATEWAY_COUNT = 2
+# Streams are taken up at other gateways.
+VERSIONS_GATEWAY_COUNT = 3
 # With limits on servers, which gateways have to keep together.
 LIMITED_GATEWAY_COUNT = 6
-ENGINE_COUNT = 2
+# Software versions of the engines.
+ONE_VERSION = ("v1", "v1")
+SOFTWARE_VERSIONS = ("v1", "v1", "v2", "v2")
 SERVER_COUNT = 2
 GRACE_S = 8
 HOST = "soak.example"
@@ -93,7 +97,7 @@
 
 
 class SoakSite:
-    """Some gateways, two engines with placers, two plain servers, a store.
+    """Some gateways, some engines with placers, two plain servers, a store.
 
     The last engine and the last plain server send answers without length or chunks.
 
@@ -106,6 +110,8 @@
     retry_bounds : dict
         One of RETRY_BOUNDS.
     gateway_count : int
+    software_versions : sequence of str
+        Of the engines. If there are several, events name the version.
 
     Attributes
     ----------
@@ -115,7 +121,14 @@
         Paths of requests that crash servers and that callers send.
     """
 
-    def __init__(self, folder, prefix, retry_bounds, gateway_count=GATEWAY_COUNT):
+    def __init__(
+        self,
+        folder,
+        prefix,
+        retry_bounds,
+        gateway_count=GATEWAY_COUNT,
+        software_versions=ONE_VERSION,
+    ):
         self._folder = folder
         self._bounds = {**BOUNDS, **retry_bounds}
         self._prefix = prefix
@@ -128,7 +141,10 @@
         self.store_proxy = FaultyProxy((self._ip(1), 0), (self._ip(1), self.store.port))
         self.link_port, self.placer_port = _free_ports(self._ip(2), 2)
         self.proxies = {}
-        self.engines = [self._make_engine(number) for number in range(ENGINE_COUNT)]
+        self.engines = [
+            self._make_engine(number, version)
+            for number, version in enumerate(software_versions)
+        ]
         self.servers = [self._make_server(number) for number in range(SERVER_COUNT)]
         self.link_proxies = [
             FaultyProxy(
@@ -137,6 +153,8 @@
             )
             for engine in self.engines
         ]
+        for engine in self.engines:
+            engine.writes_version = len(set(software_versions)) > 1
         for backend in (self.engines[-1], self.servers[-1]):
             backend.faults.is_unframed = True
         for backend in self.backends:
@@ -165,12 +183,13 @@
     def _ip(self, number):
         return f"{self._prefix}.0.{number}"
 
-    def _make_engine(self, number):
+    def _make_engine(self, number, software_version):
         address = (self._ip(2 + number), 0)
         engine = PlatformEngine(
             address, f"e-{number}", ENGINE_SERVICE, "a", MODEL, ADAPTER_SLOTS
         )
         engine.event_interval_ms = EVENT_INTERVAL_MS
+        engine.software_version = software_version
         self._add_proxy(engine)
         return engine
 
@@ -192,12 +211,15 @@
         row["address"] = f"{host}:{port}"
         self.store.put("servers", backend.backend_id, json.dumps(row).encode())
 
-    def restart_backend(self, backend, backend_id):
-        """Restart a backend server under an id, which may be its present one."""
+    def restart_backend(self, backend, backend_id, software_version=None):
+        """Restart a backend server under an id, which may be its present one.
+
+        It keeps its software version if none is given.
+        """
         self.store.remove("servers", backend.backend_id)
         self.proxies[backend_id] = self.proxies.pop(backend.backend_id)
         backend.limit.end()
-        backend.restart(backend_id)
+        backend.restart(backend_id, software_version)
         self.register(backend)
 
     def set_crashing_part(self, part_id):
--- a/nutmegdeal/tests/platform_site.py
+++ b/nutmegdeal/tests/platform_site.py
@@ -178,7 +178,8 @@
         wait_until(lambda: gateway._board.is_ready)
         return gateway
 
-    def _is_linked(self, gateway):
+    def _is_linked(self, gateway=None):
+        gateway = gateway or self.gateway
         members = gateway._board.membership.members.values()
         return sum(member.is_linked for member in members) == len(self.engines)
 
--- a/nutmegdeal/tests/test_soak.py
+++ b/nutmegdeal/tests/test_soak.py
@@ -18,6 +18,8 @@
 
 LIMITS_SEED = 301
 CRASHING_REQUESTS_SEED = 401
+SOFTWARE_VERSIONS_SEED = 512
+SOFTWARE_VERSIONS_FAULTS_FOR_S = 8
 CRASHING_PROMPTS_SEED = 41
 CRASHING_PROMPTS_FAULTS_FOR_S = 6
 
@@ -69,3 +71,15 @@
         "--crashing-requests",
     )
     assert result["crash_count"] > 0
+
+
+@pytest.mark.processes
+def test_streams_are_taken_up_at_the_software_version_that_began_them(tmp_path):
+    result = run_soak(
+        SOFTWARE_VERSIONS_SEED,
+        SOFTWARE_VERSIONS_FAULTS_FOR_S,
+        tmp_path,
+        "--software-versions",
+    )
+    assert result["gone_on_count"] > 0
+    assert result["taken_up_count"] >= result["gone_on_count"]
--- a/nutmegdeal/tools/soak.py
+++ b/nutmegdeal/tools/soak.py
@@ -30,6 +30,7 @@
     crashing_prompts: bool = False,
     limits: bool = False,
     crashing_requests: bool = False,
+    software_versions: bool = False,
 ):
     """Run the soak test with `count` consecutive seeds, starting at `seed`.
 
@@ -50,6 +51,9 @@
         The same with requests that crash servers.
     limits
         Servers name limits on their requests a second, with more gateways.
+    software_versions
+        More engines, of two software versions, which change one after another; callers
+        break streams off and take them up at other gateways.
     """
     log.configure("warning", "soak")
     base = pathlib.Path(folder or tempfile.mkdtemp(prefix="nutmegdeal-soak-"))
@@ -58,7 +62,13 @@
         run_folder = base / str(number)
         run_folder.mkdir(parents=True, exist_ok=True)
         result = run_soak(
-            number, for_s, run_folder, crashing_prompts, limits, crashing_requests
+            number,
+            for_s,
+            run_folder,
+            crashing_prompts,
+            limits,
+            crashing_requests,
+            software_versions,
         )
         print(json.dumps(attrs.asdict(result)), flush=True)
         is_violated = is_violated or bool(result.violations)
