Gateway: a stream goes on only at the software version that began it

Cause: no code knew the version of a server, so a repeat within an answer, the replacement of a silent run and a caller's new attempt went to servers of any version. Class: a decision is made without a fact that is not carried to where it is needed.

Within an answer the request remembers the version of the incarnation that brought the first event. For a caller's new attempt, at any gateway: what this gateway began itself; the only version registered lately; else a row of the store that names it. Rows are written only while several versions of a service are registered, some times a second for each gateway. A gateway believes that there was one version only if its registrations were read within 3 s, and new streams begin at a version 3.5 s after it was first seen; a mark in a table that gateways read anyway tells those that have just started. Unknown versions are refused at once with 503 and a Retry-After, versions that are gone without one.

The state machine over gateways, versions, incarnations, restarts, cuts, a silent and a returned store holds; three faulty versions are detected.

The checks of an answer's head moved to a module of their own, unchanged. The tests of versions begin as if the versions had been registered for a while.

--- a/nutmegdeal/gateway/answer_progress.py
+++ b/nutmegdeal/gateway/answer_progress.py
@@ -24,6 +24,8 @@
         Longest gap between two parts.
     on_delivered : callable
         Called once a run has delivered so much that its prompt has proved sound.
+    on_begun : callable
+        Called before the first event of a stream that no earlier attempt has begun.
     """
 
     responder: object
@@ -32,6 +34,7 @@
     last_byte_ms: float = 0.0
     longest_gap_ms: float = 0.0
     on_delivered: object = _do_nothing
+    on_begun: object = _do_nothing
 
     def record_forwarded(self, now_ms):
         """Record that a part of the answer is forwarded.
--- a/nutmegdeal/gateway/availability.py
+++ b/nutmegdeal/gateway/availability.py
@@ -178,6 +178,7 @@
         backend.address == other.address
         and backend.service == other.service
         and backend.started_unix_ms == other.started_unix_ms
+        and backend.software_version == other.software_version
     )
 
 
--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -3,6 +3,8 @@
 import attrs
 import gevent.event
 
+from nutmegdeal.gateway.software_versions import VersionHistory
+from nutmegdeal.gateway.stream_book import StreamBook
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
 
 # Key in `AdapterWaiters` for requests that need only the base model.
@@ -68,6 +70,8 @@
         Set once the configuration, the registrations and the suspected prompt parts
         have been read.
     waiters : AdapterWaiters
+    software_versions : VersionHistory
+    streams : StreamBook
     """
 
     settings: object
@@ -86,6 +90,8 @@
     last_trouble_ms: float = float("-inf")
     initialized: gevent.event.Event = attrs.field(factory=gevent.event.Event)
     waiters: AdapterWaiters = attrs.field(factory=AdapterWaiters)
+    software_versions: VersionHistory = attrs.field(factory=VersionHistory)
+    streams: StreamBook = attrs.field(factory=StreamBook)
 
     def update_initialized(self):
         """Set `initialized` if all tables have now been read."""
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -8,10 +8,11 @@
 from nutmegdeal.gateway.engine_check import ConnectCheck
 from nutmegdeal.gateway.requests import Attempt, Ending, Refusal, Request, RunFate
 from nutmegdeal.gateway.retries import RetryDecision, may_run_beside
-from nutmegdeal.gateway.search import NotFound
+from nutmegdeal.gateway.search import VERSION_GONE, NotFound
 from nutmegdeal.gateway.takeover import Takeover
 from nutmegdeal.http_connections import find_header
 from nutmegdeal.platform import headers as platform_headers
+from nutmegdeal.site_configuration import RouteKind
 
 # The internal deadline is this much earlier than the caller's, so that an answer sent
 # at the deadline still arrives in time.
@@ -42,6 +43,7 @@
     budgets : RetryBudgets
     telemetry : GatewayTelemetry
     guard : CrashGuard
+    streams : StreamVersions
     random_state : random.Random
     end_check : EndCheck, optional
     """
@@ -57,6 +59,7 @@
         budgets,
         telemetry,
         guard,
+        streams,
         random_state,
         end_check=None,
     ):
@@ -69,6 +72,7 @@
         self._budgets = budgets
         self._telemetry = telemetry
         self._guard = guard
+        self._streams = streams
         self._random = random_state
         self._end_check = end_check or ConnectCheck()
 
@@ -96,7 +100,9 @@
             )
             return
         progress = AnswerProgress(
-            responder, on_delivered=lambda: self._guard.record_delivered(admitted)
+            responder,
+            on_delivered=lambda: self._guard.record_delivered(admitted),
+            on_begun=lambda: self._streams.record_begun(admitted),
         )
         ending = Ending("crashed")
         self._guard.begin(admitted)
@@ -108,6 +114,7 @@
         finally:
             self._guard.end(admitted)
             self._retries.give_back(admitted)
+            self._streams.record_ended(admitted, ending.name == "completed")
             now_ms = self._board.clock.monotonic_ms()
             version = self._board.configuration.version
             self._telemetry.record_ended(admitted, progress, ending, now_ms, version)
@@ -143,6 +150,8 @@
             adapter=request_terms.adapter if service.engine else "",
             prompt_tokens=request_terms.prompt_tokens if service.engine else 0,
             shared_parts=request_terms.shared_parts if service.engine else (),
+            has_events=request_terms.has_events and route.kind is RouteKind.STREAM,
+            resumes_id=request_terms.resumes_id,
         )
 
     def _pick_service(self, route):
@@ -163,6 +172,9 @@
         if request.adapter:
             self._selector.record_request(request.adapter, now_ms)
         outcome = None
+        if request.has_events and not self._streams.find_version(request):
+            refusal = self._build_not_run_refusal("stream_version_unknown")
+            return self._finish_failed(request, progress, outcome, refusal)
         while True:
             request.last_event_ms = progress.last_byte_ms
             refusal = self._find_crash_refusal(request)
@@ -170,7 +182,7 @@
                 return self._finish_failed(request, progress, outcome, refusal)
             member = self._search.find(request)
             if isinstance(member, NotFound):
-                refusal = self._build_not_run_refusal(member.reason, member.excess_ms)
+                refusal = self._build_search_refusal(member)
             else:
                 # It may have changed during the wait for the adapter.
                 refusal = self._find_crash_refusal(request)
@@ -333,6 +345,13 @@
         responder.reply(answer.status_code, answer.headers, answer.body)
         return "failed"
 
+    def _build_search_refusal(self, not_found):
+        """Return the Refusal of a request for which no server was found."""
+        if not_found.reason == VERSION_GONE:
+            # The caller would wait for nothing; it can begin the stream anew.
+            return Refusal(503, not_found.reason)
+        return self._build_not_run_refusal(not_found.reason, not_found.excess_ms)
+
     def _build_not_run_refusal(self, reason, excess_ms=0.0):
         """Return the Refusal of a request that has not run and may be retried.
 
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -5,6 +5,7 @@
 and the first one to deliver a part of the answer goes on.
 """
 
+from nutmegdeal.gateway.answer_checks import check_success, is_success
 from nutmegdeal.gateway.availability import LeavingSource, LimitSource
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.requests import HeldAnswer, RunFate, RunOutcome
@@ -86,6 +87,8 @@
         self._progress = progress
         self._silence_handler = silence_handler
         self._rival = rival
+        # Of the incarnation that gets the request; the member may register anew.
+        self._software_version = member.backend.software_version
         self._head = None
         self._sent_ms = 0.0
         self._overlap_end_ms = 0.0
@@ -119,7 +122,7 @@
     def is_over(self):
         """Return whether nothing more can arrive that the caller waits for."""
         return self._failure is not None or (
-            self._head is not None and not _is_success(self._head)
+            self._head is not None and not is_success(self._head)
         )
 
     @property
@@ -316,7 +319,7 @@
         )
         if pause_ms is not None:
             self._membership.record_pause(self._member, pause_ms, now_ms)
-        _check_success(head)
+        check_success(head)
         return head
 
     def _record_notices(self, head):
@@ -335,7 +338,7 @@
 
     def _forward_answer(self, head):
         """Forward a successful answer to the caller; keep a failure in the outcome."""
-        if not _is_success(head):
+        if not is_success(head):
             return self._hold_answer(head)
         if self._request.is_stream:
             return self._forward_events(head)
@@ -418,6 +421,9 @@
         now_ms = self._active_ms = self._clock.monotonic_ms()
         if not self._gaps_ms:
             self._member.record_first_event(now_ms - self._sent_ms)
+        if not self._progress.first_byte_ms:
+            self._request.software_version = self._software_version
+            self._progress.on_begun()
         self._gaps_ms.append(self._progress.record_forwarded(now_ms))
         if self.event_count == DELIVERED_COUNT:
             self._progress.on_delivered()
@@ -479,18 +485,3 @@
         if not self.has_caller_events:
             return self._request.deadline_ms
         return min(self._request.deadline_ms, self._overlap_end_ms)
-
-
-def _check_success(head):
-    """Raise a BrokenAnswerError for a success that cannot be passed on."""
-    if not _is_success(head):
-        return
-    if find_header(head.headers, platform_headers.SIGNATURE) is None:
-        raise BrokenAnswerError("the successful answer has no signature")
-    if find_header(head.headers, platform_headers.REQUEST_ID) is None:
-        raise BrokenAnswerError("the successful answer has no request id")
-
-
-def _is_success(head):
-    """Return whether the status of an answer is 2xx."""
-    return 200 <= head.status_code < 300
--- a/nutmegdeal/gateway/members.py
+++ b/nutmegdeal/gateway/members.py
@@ -7,6 +7,8 @@
 servers write them again.
 """
 
+import math
+
 import attrs
 
 from nutmegdeal.gateway.availability import (
@@ -35,6 +37,8 @@
 # weight of one observation in the average.
 FIRST_EVENT_INITIAL_MS = 120.0
 FIRST_EVENT_WEIGHT = 0.1
+# Time within which a server that ended without notice registers again.
+RETURN_WITHIN_MS = 5_000.0
 # How long a removed server is remembered. A copy from which the store returns is some
 # seconds old.
 DEPARTED_KEPT_MS = 60_000.0
@@ -117,6 +121,8 @@
         The server answers the placer beside it.
     recent_sends_ms : list of float
         Send times of this gateway's requests that the last report may not include.
+    has_restarted : bool
+        Its placer reports another incarnation than the registered one.
     """
 
     backend: Backend
@@ -141,6 +147,7 @@
     has_model: bool = False
     is_reachable: bool = True
     recent_sends_ms: list = attrs.field(factory=list)
+    has_restarted: bool = False
 
     @property
     def backend_id(self):
@@ -255,6 +262,7 @@
         self.members = {}
         self._limited_members = {}
         self._departed = {}
+        self._replaced_versions = set()
         self._on_joined = on_joined or (lambda member: None)
         self._on_left = on_left or (lambda member: None)
         self._on_leaving = on_leaving or (lambda member, source: None)
@@ -292,6 +300,7 @@
         if known is not None and is_earlier_incarnation(backend, known.backend):
             return None
         if member is not None and not is_same_incarnation(member.backend, backend):
+            self._record_replaced(member.backend, backend)
             self._drop(member, now_ms)
             member = departed = None
         if member is None:
@@ -316,10 +325,16 @@
                     self._registration_interval_ms, now_ms
                 )
         self._departed.pop(backend.backend_id, None)
+        self._replaced_versions.discard((backend.service, backend.software_version))
         self.members[backend.backend_id] = member
         self._on_joined(member)
         return member
 
+    def _record_replaced(self, backend, successor):
+        """Record that a server came back, perhaps with another software version."""
+        if backend.software_version != successor.software_version:
+            self._replaced_versions.add((backend.service, backend.software_version))
+
     def record_leaving(self, member, source):
         """Record that a server leaves; only its next incarnation gets requests."""
         if member.availability.record_leaving():
@@ -405,6 +420,45 @@
             if member.backend.service == service and member.is_usable(now_ms)
         ]
 
+    def may_version_return(self, service, version, now_ms):
+        """Return whether servers of a version without any may register soon.
+
+        So it is if one has ended without notice, and no other server has taken its
+        place; or if none was ever seen here.
+        """
+        departed = [
+            item
+            for item in self._departed.values()
+            if item.backend.service == service
+            and item.backend.software_version == version
+        ]
+        if not departed:
+            return (service, version) not in self._replaced_versions
+        taken = {item.backend.address for item in self.members.values()}
+        return any(
+            not item.is_leaving
+            and item.backend.backend_id not in self.members
+            and item.backend.address not in taken
+            and now_ms - item.departed_ms < RETURN_WITHIN_MS
+            for item in departed
+        )
+
+    def software_versions(self):
+        """Return the versions of the registered servers, by service.
+
+        Returns
+        -------
+        dict of str to dict of str to int
+            Unix time of the earliest start of a server of the version, in ms.
+        """
+        versions = {}
+        for member in self.members.values():
+            backend = member.backend
+            started = versions.setdefault(backend.service, {})
+            known_ms = started.get(backend.software_version, math.inf)
+            started[backend.software_version] = min(known_ms, backend.started_unix_ms)
+        return versions
+
     def pause_end_ms(self, service, now_ms):
         """Return when the first paused server of a service accepts requests (float).
 
--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -164,6 +164,7 @@
         known = member.backend.started_unix_ms
         is_other_incarnation = known and state.backend_started_unix_ms not in (0, known)
         member.is_reachable = state.is_reachable
+        member.has_restarted = bool(is_other_incarnation)
         self._follows_changes = state.is_reachable and not is_other_incarnation
         if not self._follows_changes:
             return
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -24,6 +24,8 @@
 from nutmegdeal.gateway.placers import PlacerLinks
 from nutmegdeal.gateway.retries import BUDGET_SHARE, RetryBudgets, RetryDecider
 from nutmegdeal.gateway.search import MemberSearch
+from nutmegdeal.gateway.stream_rows import StreamRowKeeper
+from nutmegdeal.gateway.stream_versions import StreamVersions
 from nutmegdeal.gateway.suspect_book import SuspectBook
 from nutmegdeal.gateway.suspect_rows import SuspectRowWriter, SuspectsWatcher
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
@@ -103,6 +105,9 @@
         guard = CrashGuard(
             self._board, book, part_writer, ConnectCheck(), self._telemetry
         )
+        row_keeper = StreamRowKeeper(
+            self._store, self._board, self._telemetry, random_state
+        )
         self._controllers = (
             OperatorWatcher(self._store, self._board, self._telemetry).run,
             BackendsWatcher(self._store, self._board, self._telemetry).run,
@@ -116,6 +121,7 @@
             ).run,
             part_writer.run,
             self._limit_keeper.run,
+            row_keeper.run,
             self._links.run,
             self._keep_house,
         )
@@ -130,6 +136,7 @@
             self._budgets,
             self._telemetry,
             guard,
+            StreamVersions(self._store, self._board, row_keeper, self._telemetry),
             random_state,
         )
         self._listener = self._listen(settings.callers_at, dispatcher)
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -145,6 +145,13 @@
         Silent runs that go on while another server is asked to take over.
     unsent_retry_ms : float or None
         When the retry budget was spent for a repeat that has not been sent yet.
+    has_events : bool
+        Its caller has events of the stream from an earlier attempt.
+    resumes_id : str
+        Id of the attempt that brought the first of them, ``""`` if it is not named.
+    software_version : str or None
+        Software version of the server that began the stream; it may go on only there.
+        None until it has begun.
     tried_ids : set of str
         Ids of the backend servers tried.
     superseded_ids : set of str
@@ -180,6 +187,9 @@
     run_count: int = 0
     open_run_count: int = 0
     unsent_retry_ms: float | None = None
+    has_events: bool = False
+    resumes_id: str = ""
+    software_version: str | None = None
     tried_ids: set = attrs.field(factory=set)
     superseded_ids: set = attrs.field(factory=set)
     queued_at_id: str = ""
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -17,10 +17,13 @@
 )
 from nutmegdeal.gateway.blackboard import BASE_MODEL
 from nutmegdeal.gateway.retries import has_further_server
+from nutmegdeal.gateway.software_versions import select_members
 from nutmegdeal.site_configuration import UNCONTENDED_LOAD_MS
 
 # A request that waits for an adapter repeats the search for an engine after this time.
 RECHECK_AFTER_MS = 400.0
+# Reason of a refusal: no server has the version of the stream, and none will.
+VERSION_GONE = "stream_version_gone"
 # Time from the load of an adapter to the first event, if neither has to wait.
 LOAD_AND_RUN_MS = UNCONTENDED_LOAD_MS + FIRST_EVENT_MS
 # Longest wait of a prompt for pacing, as a multiple of the latency target. After that
@@ -81,7 +84,7 @@
             if board.is_ending:
                 return NotFound("stopping")
             now_ms = board.clock.monotonic_ms()
-            usable = board.membership.usable(request.service.name, now_ms)
+            usable = self._find_usable(request, now_ms)
             self._limits.record_withheld(request.service.name, now_ms)
             members = _find_candidates(request, usable)
             if not members:
@@ -114,7 +117,7 @@
             return None
         members = [
             item
-            for item in self._board.membership.usable(request.service.name, now_ms)
+            for item in self._find_usable(request, now_ms)
             if has_free_slot(item, now_ms)
         ]
         choice = None
@@ -139,6 +142,11 @@
         is_late = excess_wait_ms(request, choice.member, until_ms, now_ms) > 0
         return None if is_late else choice
 
+    def _find_usable(self, request, now_ms):
+        """Return the Members that take new requests and may run this one."""
+        members = self._board.membership.usable(request.service.name, now_ms)
+        return select_members(request, members, self._board.software_versions, now_ms)
+
     def request_load(self, request, member):
         """Ask a member's placer for the adapter of a request.
 
@@ -157,6 +165,11 @@
 
     def _explain_no_member(self, request, now_ms):
         """Return the NotFound of a service without a usable server."""
+        if request.software_version is not None and self._is_version_gone(request):
+            may_return = self._board.membership.may_version_return(
+                request.service.name, request.software_version, now_ms
+            )
+            return NotFound("stream_version_away" if may_return else VERSION_GONE)
         return_ms = self._limits.plan_return(request.service.name, now_ms)
         if return_ms is not None:
             return NotFound("backends_limited", return_ms - now_ms)
@@ -165,6 +178,15 @@
             return NotFound("no_backend")
         return NotFound("backends_unavailable", pause_end_ms - now_ms)
 
+    def _is_version_gone(self, request):
+        """Return whether no server of the stream's version will take requests again."""
+        return not any(
+            member.backend.service == request.service.name
+            and member.backend.software_version == request.software_version
+            and not member.availability.is_leaving
+            for member in self._board.membership.members.values()
+        )
+
     def _try_without_adapter(self, request, members, until_ms, now_ms):
         """Return a Member for a request without an adapter, None to search again."""
         member = self._select_without_adapter(request, members, now_ms)
--- a/nutmegdeal/gateway/suspect_rows.py
+++ b/nutmegdeal/gateway/suspect_rows.py
@@ -11,11 +11,15 @@
 from nutmegdeal.gateway.crash_blame import Crash, SuspectRecord
 from nutmegdeal.gateway.watching import RETRY_INITIAL_MS, RETRY_MAX_MS, TableWatcher
 from nutmegdeal.log import get_logger
-from nutmegdeal.platform.rows import DECODE_ERRORS
+from nutmegdeal.platform.rows import (
+    DECODE_ERRORS,
+    PARTS_TABLE,
+    VERSIONS_MARK_KEY,
+    decode_versions_mark,
+)
 
 logger = get_logger(__name__)
 
-PARTS_TABLE = "prompt-parts"
 # Times that a change is decided anew because another gateway has changed a row.
 CONFLICTS_MAX = 8
 # Changes that wait for the store; the oldest one is dropped first.
@@ -270,6 +274,7 @@
 
     def apply_snapshot(self, rows, is_from_copy):
         """Apply all rows; write again what a copy lacks."""
+        rows = self._take_mark(rows)
         listed = {row.key: record for row in rows if (record := _decode_row(row))}
         missing = self._book.missing_records(listed) if is_from_copy else ()
         self._board.prompt_parts_era = self._store.newest_era
@@ -287,6 +292,7 @@
 
     def apply_changes(self, rows):
         """Apply changed and removed rows, in order."""
+        rows = self._take_mark(rows)
         now_ms = self._board.store_now_ms()
         sound = []
         for row in rows:
@@ -298,6 +304,22 @@
             self._writer.remove(sound)
         self._on_changed()
 
+    def _take_mark(self, rows):
+        """Apply the mark of software versions; return the rows of suspects."""
+        for row in rows:
+            if row.key != VERSIONS_MARK_KEY or row.value is None:
+                continue
+            try:
+                marked_ms, periods = decode_versions_mark(
+                    row.value, self._board.store_clock_offset_ms
+                )
+            except DECODE_ERRORS as error:
+                logger.warning("row_malformed", key=row.key, error=repr(error))
+                continue
+            now_ms = self._clock.monotonic_ms()
+            self._board.software_versions.record_mark(marked_ms, periods, now_ms)
+        return [row for row in rows if row.key != VERSIONS_MARK_KEY]
+
 
 def _decode_row(row):
     """Return the SuspectRecord of a row, None if it was removed or is malformed."""
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -59,6 +59,18 @@
             ("kept",),
             registry=self.registry,
         )
+        self._resumed = Counter(
+            "nutmegdeal_resumed_streams",
+            "Streams that callers take up, by how their version was found",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self._stream_rows = Counter(
+            "nutmegdeal_stream_rows",
+            "Rows of the store that name the versions of streams",
+            ("change",),
+            registry=self.registry,
+        )
         self._first = Histogram(
             "nutmegdeal_first_byte_seconds",
             "From the arrival to the first part of the answer",
@@ -241,6 +253,43 @@
         """Record the duration of a call to the store."""
         self._store_calls.labels(table, outcome).observe(taken_ms / 1000)
 
+    def record_taken_up(self, request, found):
+        """Record a caller that takes a stream up.
+
+        Parameters
+        ----------
+        request : Request
+        found : FoundVersion or None
+            None if the version that began the stream is not known.
+        """
+        if found is None:
+            self._resumed.labels("unknown").inc()
+            logger.warning(
+                "stream_version_unknown",
+                request=request.request_id,
+                resumes=request.resumes_id,
+            )
+            return
+        self._resumed.labels(found.source.value).inc()
+        age_ms = found.age_ms
+        logger.info(
+            "stream_taken_up",
+            request=request.request_id,
+            resumes=request.resumes_id,
+            software=found.version,
+            source=found.source.value,
+            age_ms=round(age_ms, 1) if age_ms is not None else None,
+        )
+
+    def record_resumed(self, request):
+        """Record that a stream that was taken up goes on."""
+        self._resumed.labels("went_on").inc()
+
+    def record_stream_rows(self, written_count, removed_count):
+        """Record a write of rows that name the versions of streams."""
+        self._stream_rows.labels("written").inc(written_count)
+        self._stream_rows.labels("removed").inc(removed_count)
+
     def record_selection(self, request, member, version, now_ms):
         """Log the selection of a backend server, with the state that it is based on."""
         age_ms = now_ms - member.reported_ms
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -157,11 +157,6 @@
         return pause_ms * (1 + RETRY_JITTER * (2 * random.random() - 1))
 
 
-def _let_others_run():
-    """Serve requests before a long piece of work goes on."""
-    gevent.sleep(0)
-
-
 def _name_outcome(result):
     if isinstance(result, Failure):
         return "failed"
@@ -201,9 +196,7 @@
             return
         try:
             if row.key == platform_rows.CONFIGURATION_KEY:
-                self._apply_configuration(
-                    platform_rows.decode_configuration(row.value, _let_others_run)
-                )
+                self._apply_configuration(platform_rows.decode_configuration(row.value))
             elif row.key.startswith(platform_rows.VERSION_KEY_PREFIX):
                 adapter_version = platform_rows.decode_adapter_version(row.value)
                 now_ms = self._clock.monotonic_ms()
@@ -259,6 +252,7 @@
             self._board.membership.record_store_regained(now_ms)
         self._board.membership.replace_all(backends, now_ms, is_from_copy)
         self._board.has_registrations = True
+        self._record_versions(now_ms)
         self._board.update_initialized()
 
     def apply_changes(self, rows):
@@ -271,6 +265,11 @@
                 membership.remove(row.key, now_ms)
             else:
                 membership.put(backend, now_ms)
+        self._record_versions(now_ms)
+
+    def _record_versions(self, now_ms):
+        versions = self._board.membership.software_versions()
+        self._board.software_versions.record_read(versions, now_ms)
 
     def _decode(self, row):
         try:
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -137,6 +137,43 @@
             ),
         },
     ),
+    LogEvent(
+        "stream_taken_up",
+        Process.GATEWAY,
+        "caller that has a part of a stream from an earlier attempt; it goes on at "
+        "servers of one version only",
+        {
+            "request": _REQUEST,
+            "resumes": text_field("id of the attempt that began the stream"),
+            "software": _SOFTWARE,
+            "source": text_field(
+                "`own` if this gateway began it, `sole` if there was no other version "
+                "lately, `row` if the store names it"
+            ),
+            "age_ms": optional_ms_field("time since the first event, if known"),
+        },
+    ),
+    LogEvent(
+        "stream_version_unknown",
+        Process.GATEWAY,
+        "stream that was not resumed, as the version that began it is not known",
+        {
+            "request": _REQUEST,
+            "resumes": text_field("id of the attempt that began the stream"),
+        },
+    ),
+    LogEvent(
+        "stream_rows_unwritten",
+        Process.GATEWAY,
+        "the store did not take the rows that name the versions of streams",
+        {"failure": _ERROR},
+    ),
+    LogEvent(
+        "stream_rows_unread",
+        Process.GATEWAY,
+        "the store did not answer a read of the rows that name versions of streams",
+        {"failure": _ERROR},
+    ),
     LogEvent(
         "overlap_ended",
         Process.GATEWAY,
--- a/nutmegdeal/part_rows_admin.py
+++ b/nutmegdeal/part_rows_admin.py
@@ -4,8 +4,8 @@
 
 from nutmegdeal.errors import Failure
 from nutmegdeal.gateway.crash_blame import SuspectRecord
-from nutmegdeal.gateway.suspect_rows import PARTS_TABLE, decode_record
-from nutmegdeal.platform.rows import DECODE_ERRORS
+from nutmegdeal.gateway.suspect_rows import decode_record
+from nutmegdeal.platform.rows import DECODE_ERRORS, PARTS_TABLE, VERSIONS_MARK_KEY
 
 # Times that a removal is tried while others change the row.
 REMOVALS_MAX = 4
@@ -76,7 +76,11 @@
     read = store.read_table(PARTS_TABLE)
     if isinstance(read, Failure):
         return read
-    rows = [_build_row(row, read.store_ms) for row in read.rows]
+    rows = [
+        _build_row(row, read.store_ms)
+        for row in read.rows
+        if row.key != VERSIONS_MARK_KEY
+    ]
     return tuple(sorted(rows, key=_listing_order))
 
 
--- a/nutmegdeal/platform/headers.py
+++ b/nutmegdeal/platform/headers.py
@@ -51,12 +51,15 @@
 # request or its session; the others may be shared with other requests.
 PROMPT_PARTS = b"x-prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+# Of a caller that takes a stream up: id of the attempt that brought the first event.
+RESUMES = b"resumes"
 # Headers that differ between two attempts of one caller at the same request.
 ATTEMPT_HEADERS = frozenset(
     (
         REQUEST_ID,
         DEADLINE,
         LAST_EVENT_ID,
+        RESUMES,
         b"x-length-hint",
         b"date",
         b"traceparent",
@@ -104,6 +107,10 @@
         0 if the request does not state it.
     shared_parts : tuple of str
         Ids of the parts of the prompt that other requests may have too, in order.
+    has_events : bool
+        The caller has events of the stream, and wants those after them.
+    resumes_id : str
+        Id of the attempt that brought the first of them, ``""`` if it is not named.
     """
 
     request_id: str
@@ -113,6 +120,8 @@
     adapter: str = ""
     prompt_tokens: int = 0
     shared_parts: tuple[str, ...] = ()
+    has_events: bool = False
+    resumes_id: str = ""
 
 
 def decode_request_terms(headers):
@@ -136,6 +145,8 @@
         adapter=adapter,
         prompt_tokens=_decode_prompt_tokens(headers),
         shared_parts=_decode_shared_parts(headers),
+        has_events=bool(find_header(headers, LAST_EVENT_ID)),
+        resumes_id=(find_header(headers, RESUMES) or b"").decode("latin-1"),
     )
 
 
--- a/nutmegdeal/platform/rows.py
+++ b/nutmegdeal/platform/rows.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import hashlib
 import json
 
 import attrs
@@ -18,6 +19,7 @@
     RouteKind,
     Service,
     SiteConfiguration,
+    VersionPeriod,
     WeightedService,
     split_adapter,
 )
@@ -25,6 +27,14 @@
 # Tables of the operator's rows and of the backend servers' registrations.
 OPERATOR_TABLE = "op"
 BACKENDS_TABLE = "servers"
+# Tables of ours: suspected prompt parts, and streams whose version matters.
+PARTS_TABLE = "prompt-parts"
+STREAMS_TABLE = "streams"
+STREAM_KEY_BYTES = 16
+# Row that names the software versions of services which have several. It is in the
+# table of suspects, which every gateway reads as it starts, and watches. No suspect has
+# a space in its id.
+VERSIONS_MARK_KEY = "software versions"
 CONFIGURATION_KEY = "config"
 VERSION_KEY_PREFIX = "version/"
 # The last two are of infinite numbers and of JSON that is nested too deeply.
@@ -38,8 +48,6 @@
 )
 
 PORT_MAX = 65_535
-# Decoding so many takes about 1 ms of processor time.
-ROUTES_BETWEEN_PAUSES = 100
 
 _ROUTE_KINDS = {
     "safe": RouteKind.SAFE,
@@ -100,24 +108,12 @@
     return json.dumps(body).encode()
 
 
-def decode_configuration(value, pause=None):
-    """Return the SiteConfiguration in the operator's row.
-
-    Parameters
-    ----------
-    value : bytes
-    pause : callable, optional
-        Called after every ROUTES_BETWEEN_PAUSES routes, so that other work can go on.
-    """
+def decode_configuration(value):
+    """Return the SiteConfiguration in the operator's row."""
     data = json.loads(value)
-    routes = []
-    for number, route in enumerate(data["routes"], start=1):
-        routes.append(_decode_route(route))
-        if pause is not None and number % ROUTES_BETWEEN_PAUSES == 0:
-            pause()
     return SiteConfiguration(
         version=int(data["version"]),
-        routes=tuple(routes),
+        routes=tuple(map(_decode_route, data["routes"])),
         services={
             item["name"]: _decode_service(item) for item in data.get("services", ())
         },
@@ -232,3 +228,78 @@
     return AdapterVersion(
         str(data["model"]), str(data["adapter"]), int(data["version"])
     )
+
+
+@attrs.frozen
+class StreamRow:
+    """The value of a row of the table of streams.
+
+    Parameters
+    ----------
+    service : str
+    version : str
+        Software version of the server that began the stream.
+    begun_ms : float
+        When the caller received its first event, on the store's clock.
+    """
+
+    service: str
+    version: str
+    begun_ms: float
+
+
+def encode_stream_key(request_id):
+    """Return the key of the row of a stream, named by its first attempt (str)."""
+    digest = hashlib.blake2b(request_id.encode("latin-1"), digest_size=STREAM_KEY_BYTES)
+    return digest.hexdigest()
+
+
+def encode_stream_row(stream):
+    """Return the value (bytes) of a row with a StreamRow."""
+    return json.dumps(attrs.asdict(stream)).encode()
+
+
+def decode_stream_row(value):
+    """Return the StreamRow in a row."""
+    data = json.loads(value)
+    service, version = data["service"], data["version"]
+    if not (isinstance(service, str) and isinstance(version, str)):
+        raise ValueError("not a stream")
+    return StreamRow(service, version, float(data["begun_ms"]))
+
+
+def encode_versions_mark(marked_ms, periods, offset_ms):
+    """Return the value (bytes) of the row that names versions of services.
+
+    Parameters
+    ----------
+    marked_ms : float
+    periods : dict of str to dict of str to VersionPeriod
+        By service and version.
+    offset_ms : float
+        Store's clock less the clock of the times given.
+    """
+    versions = {
+        service: {
+            version: [period.first_ms + offset_ms, period.last_ms + offset_ms]
+            for version, period in by_version.items()
+        }
+        for service, by_version in periods.items()
+    }
+    data = {"marked_ms": marked_ms + offset_ms, "versions": versions}
+    return json.dumps(data).encode()
+
+
+def decode_versions_mark(value, offset_ms):
+    """Return the time and the VersionPeriods of the row that names versions."""
+    data = json.loads(value)
+    periods = {
+        str(service): {
+            str(version): VersionPeriod(
+                float(first_ms) - offset_ms, float(last_ms) - offset_ms
+            )
+            for version, (first_ms, last_ms) in by_version.items()
+        }
+        for service, by_version in data["versions"].items()
+    }
+    return float(data["marked_ms"]) - offset_ms, periods
--- a/nutmegdeal/platform/store.py
+++ b/nutmegdeal/platform/store.py
@@ -160,6 +160,29 @@
             # The smallest key that is greater than the last one.
             start = page.rows[-1].key + "\0"
 
+    def read_first_row(self, table, key, within_ms):
+        """Read the first row of a table from a key on.
+
+        Parameters
+        ----------
+        table, key : str
+        within_ms : float
+            Timeout of the call.
+
+        Returns
+        -------
+        RowsRead or Failure
+            Without rows if there is none.
+        """
+        query = {"table": table, "part": "", "from": key, "limit": 1}
+        try:
+            answer = self._get("/rows-get", query, within_ms)
+        except (HistoryGoneError, _EraEndedError):
+            return self._build_failure("the era changed during the call")
+        if isinstance(answer, Failure):
+            return answer
+        return self._decode_rows(*answer)
+
     def read_changes(self, table, after, wait_ms):
         """Wait for changes of a table after a position.
 
--- a/nutmegdeal/site_configuration.py
+++ b/nutmegdeal/site_configuration.py
@@ -264,6 +264,19 @@
         return (self.host, self.port)
 
 
+@attrs.define
+class VersionPeriod:
+    """When servers of one software version were registered.
+
+    Parameters
+    ----------
+    first_ms, last_ms : float
+    """
+
+    first_ms: float
+    last_ms: float
+
+
 @attrs.frozen
 class AdapterVersion:
     """The newest version of an adapter of a model."""
--- a/nutmegdeal/soak/stream_takers.py
+++ b/nutmegdeal/soak/stream_takers.py
@@ -15,7 +15,7 @@
     MEAN_PAUSE_S,
     build_headers,
 )
-from nutmegdeal.soak.site import TIMEOUT_MS
+from nutmegdeal.soak.configurations import TIMEOUT_MS
 
 # Share of the streams that are for the base model.
 BASE_MODEL_SHARE = 0.5
--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -17,6 +17,8 @@
 from nutmegdeal.gateway.members import Membership
 from nutmegdeal.gateway.retries import RetryBudgets, RetryDecider
 from nutmegdeal.gateway.search import MemberSearch
+from nutmegdeal.gateway.stream_rows import StreamRowKeeper
+from nutmegdeal.gateway.stream_versions import StreamVersions
 from nutmegdeal.gateway.suspect_book import SuspectBook
 from nutmegdeal.gateway.suspect_rows import SuspectRowWriter, SuspectsWatcher
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
@@ -94,7 +96,8 @@
         # Takes the place of the responder's `start`.
         self.responder_start = None
         self.board.initialized.set()
-        self._start_guard(store or LocalStore())
+        self.store = store or LocalStore()
+        self._start_guard(self.store)
         self.dispatcher = self._build_dispatcher(membership, retry_count)
 
     def _add_member(self, number, server):
@@ -139,6 +142,9 @@
 
     def _build_dispatcher(self, membership, retry_count):
         random_state = random.Random(1)
+        row_keeper = StreamRowKeeper(
+            self.store, self.board, self.telemetry, random_state
+        )
         selector = EngineSelector("a", random_state)
         links = NoLinks()
         budgets = RetryBudgets(lambda: WindowedRetryBudget(0.0, retry_count, WINDOW_MS))
@@ -152,6 +158,7 @@
             budgets,
             self.telemetry,
             self.guard,
+            StreamVersions(self.store, self.board, row_keeper, self.telemetry),
             random_state,
         )
 
--- a/nutmegdeal/tests/local_store.py
+++ b/nutmegdeal/tests/local_store.py
@@ -46,6 +46,12 @@
             return self._build_failure()
         return self._decode(self.history.find_rows(table, ""))
 
+    def read_first_row(self, table, key, within_ms):
+        """Return the RowsRead of the first row from a key on, or a Failure."""
+        if self.is_silent:
+            return self._build_failure()
+        return self._decode(self.history.find_rows(table, key)[:1])
+
     def read_changes(self, table, after, wait_ms):
         """Return the RowsRead of the changes since a position, or a Failure."""
         waited_ms = 0.0
--- a/nutmegdeal/tests/test_gateway_dispatch.py
+++ b/nutmegdeal/tests/test_gateway_dispatch.py
@@ -34,6 +34,7 @@
             "budgets",
             "telemetry",
             "guard",
+            "streams",
         )
     )
     return Dispatcher(board, random_state=random.Random(SEED), **unused)
--- a/nutmegdeal/tests/test_software_versions.py
+++ b/nutmegdeal/tests/test_software_versions.py
@@ -8,6 +8,7 @@
 import pytest
 
 from nutmegdeal.fakes.platform_configuration import encode_configuration
+from nutmegdeal.gateway import software_versions as software_versions_module
 from nutmegdeal.tests.platform_site import (
     HOST,
     PlatformSite,
@@ -35,6 +36,8 @@
 @pytest.fixture
 def start_site(monkeypatch, bridge):
     sites = []
+    # As if all versions had been registered for a while.
+    monkeypatch.setattr(software_versions_module, "JOIN_DELAY_MS", 0.0)
 
     def start(software_versions, gateway_count=2):
         site = PlatformSite(
--- /dev/null
+++ b/nutmegdeal/tests/test_stream_versions_safety.py
@@ -0,0 +1,222 @@
+"""No stream goes on at another software version than the one that began it.
+
+Gateways begin streams and take up those of others. Servers of several versions come and
+go, gateways restart and are cut off from the store, which is silent and returns from a
+copy. What a gateway has read is up to 1 s old, and much older while it is cut off.
+"""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from nutmegdeal.gateway import stream_versions
+from nutmegdeal.gateway.software_versions import JOIN_DELAY_MS, VersionHistory
+from nutmegdeal.tests.state_machine_settings import (
+    STATE_MACHINE_SETTINGS,
+    faulty_version_settings,
+)
+from nutmegdeal.tests.stream_version_load import StreamGateway, StreamSite
+
+GATEWAY_COUNT = 4
+STEP_COUNT = 40
+INDEXES = st.integers(0, GATEWAY_COUNT - 1)
+CHOICES = st.integers(0, 50)
+VERSIONS = st.sampled_from(["v1", "v2", "v3"])
+DURATIONS_MS = st.sampled_from([500.0, 1_000.0, 4_000.0, 35_000.0])
+
+
+@pytest.fixture(autouse=True)
+def read_rows_without_pauses(monkeypatch):
+    monkeypatch.setattr(stream_versions, "READ_AGAIN_MS", 0.0)
+
+
+class StreamMachine(RuleBasedStateMachine):
+    """Gateways that begin streams and take them up."""
+
+    gateway_class = StreamGateway
+
+    @initialize()
+    def start(self):
+        """Begin with one server of one version."""
+        self.site = StreamSite(GATEWAY_COUNT, self.gateway_class)
+        self.copy = self.site.store.history.take_copy()
+
+    @rule(duration_ms=DURATIONS_MS)
+    def advance(self, duration_ms):
+        """Let time pass."""
+        self.site.advance(duration_ms)
+
+    @rule(version=VERSIONS)
+    def add_server(self, version):
+        """Register a server."""
+        self.site.add_server(version)
+
+    @rule(index=CHOICES)
+    def remove_server(self, index):
+        """End a server."""
+        self.site.remove_server(index)
+
+    @rule(index=CHOICES)
+    def drain_server(self, index):
+        """Let a server say that it leaves."""
+        self.site.drain_server(index)
+
+    @rule(index=INDEXES, choice=CHOICES)
+    def begin(self, index, choice):
+        """Begin a stream."""
+        self.site.begin(index, choice)
+
+    @rule(index=INDEXES, choice=CHOICES)
+    def take_up(self, index, choice):
+        """Take a stream up."""
+        self.site.take_up(index, choice)
+
+    @rule(index=INDEXES)
+    def restart(self, index):
+        """Restart a gateway."""
+        self.site.gateways[index].restart()
+
+    @rule(index=INDEXES, is_cut=st.booleans())
+    def cut(self, index, is_cut):
+        """Cut a gateway off from the store, or end the cut."""
+        self.site.gateways[index].store.is_cut = is_cut
+
+    @rule(is_silent=st.booleans())
+    def change_store(self, is_silent):
+        """Let the store be silent, or answer."""
+        self.site.store.is_silent = is_silent
+
+    @rule()
+    def copy_store(self):
+        """Copy the store."""
+        self.copy = self.site.store.history.take_copy()
+
+    @rule()
+    def restore_store(self):
+        """Return the store to its last copy."""
+        self.site.restore_store(self.copy)
+
+    @invariant()
+    def no_stream_is_mixed(self):
+        """Check that each stream went on at its version."""
+        assert not getattr(self, "site", None) or not self.site.mixed
+
+
+TestStreams = StreamMachine.TestCase
+TestStreams.settings = settings(STATE_MACHINE_SETTINGS, stateful_step_count=STEP_COUNT)
+
+
+class TrustingHistory(VersionHistory):
+    """Takes what was read last for complete, however old."""
+
+    def is_fresh(self, now_ms):
+        return True
+
+
+class HastyHistory(VersionHistory):
+    """Begins streams at a version at once."""
+
+    def is_settled(self, service, version, now_ms):
+        return True
+
+
+def build_gateway_class(history_class):
+    class Gateway(StreamGateway):
+        """With another VersionHistory."""
+
+        def tick(self):
+            if not isinstance(self.board.software_versions, history_class):
+                self.board.software_versions = history_class()
+            super().tick()
+
+    return Gateway
+
+
+class MarklessHistory(VersionHistory):
+    """Knows only what this gateway has read."""
+
+    def record_mark(self, marked_ms, periods, now_ms):
+        pass
+
+
+def test_a_gateway_that_begins_streams_at_once_is_detected():
+    class Machine(StreamMachine):
+        gateway_class = build_gateway_class(HastyHistory)
+
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(Machine, settings=faulty_version_settings(2_000))
+
+
+def play_join_beside_a_cut(history_class):
+    """Return the streams that are mixed as a cut gateway has not read a version."""
+    site = StreamSite(2, build_gateway_class(history_class))
+    site.advance(35_000.0)
+    site.gateways[1].store.is_cut = True
+    site.add_server("v2")
+    site.advance(JOIN_DELAY_MS + 2_000.0)
+    for choice in range(4):
+        site.begin(0, choice)
+    for choice in range(4):
+        site.take_up(1, choice)
+    return site.mixed
+
+
+def play_restart_after_an_end(history_class):
+    """Return the streams that are mixed as a gateway starts without their version."""
+    site = StreamSite(2, build_gateway_class(history_class))
+    site.add_server("v2")
+    site.advance(JOIN_DELAY_MS + 2_000.0)
+    for choice in range(4):
+        site.begin(0, choice)
+    site.remove_server(1)
+    site.gateways[1].restart()
+    for choice in range(4):
+        site.take_up(1, choice)
+    return site.mixed
+
+
+@pytest.mark.parametrize(
+    ("play", "faulty_class"),
+    [
+        (play_join_beside_a_cut, TrustingHistory),
+        (play_restart_after_an_end, MarklessHistory),
+    ],
+)
+def test_a_gateway_that_believes_too_much_is_detected(play, faulty_class):
+    assert not play(VersionHistory)
+    assert play(faulty_class)
+
+
+@pytest.mark.parametrize("gateway_count", [7, 30, 100])
+def test_most_streams_go_on_after_all_gateways_have_restarted(gateway_count):
+    site = StreamSite(gateway_count)
+    for version in ("v1", "v2", "v2"):
+        site.add_server(version)
+    site.advance(5_000.0)
+    for number in range(3 * gateway_count):
+        site.begin(number % gateway_count, number)
+    site.advance(500.0)
+    for gateway in site.gateways:
+        gateway.restart()
+    for number in range(len(site.streams)):
+        site.take_up((number + 1) % gateway_count, number)
+    assert not site.mixed
+    assert site.taken_up_count == 3 * gateway_count
+    assert site.went_on_count >= site.taken_up_count
+
+
+def test_one_version_needs_no_calls():
+    site = StreamSite(GATEWAY_COUNT)
+    site.advance(5_000.0)
+    site.begin(0, 0)
+    site.gateways[1].store.is_cut = True
+    site.take_up(1, 0)
+    assert site.went_on_count == 1
+    assert site.store.write_count == 0
