Gateway: an open stream to a placer gets the limits of a changed configuration

What the platform could see: an engine that is ordered to hold more adapters than a configuration allows, since a placer learned the number of adapter slots, and the target for gaps, only when a gateway's stream to it was opened. The new test needs the method and so could not run before.

--- a/nutmegdeal/gateway/placers.py
+++ b/nutmegdeal/gateway/placers.py
@@ -60,6 +60,7 @@
         self._client = client
         self._address = Address(member.backend.host, port)
         self._session = None
+        self._sent_limits = None
         self._follows_changes = False
         self._waiting_counts = {}
         self._copies_requested_ms = {}
@@ -113,6 +114,14 @@
             backend_started_unix_ms=backend.started_unix_ms,
         )
 
+    def update_limits(self):
+        """Send the limits of the engine, if they are not those sent last."""
+        limits = self._build_limits()
+        if self._session is None or limits in (None, self._sent_limits):
+            return
+        self._sent_limits = limits
+        self._session.send(limits)
+
     def _trust_registration(self):
         """Use the registered adapters until a placer reports the loaded ones."""
         member = self.member
@@ -138,7 +147,8 @@
         self._session = session
         self._follows_changes = False
         session.heartbeats_enabled = True
-        session.send(limits)
+        self._sent_limits = None
+        self.update_limits()
         logger.info("placer_connected", backend=self.member.backend_id)
         try:
             for message in session.messages():
@@ -371,6 +381,7 @@
         while True:
             self._open_missing()
             for link in list(self._links.values()):
+                link.update_limits()
                 link.send_uses()
             gevent.sleep(USE_REPORT_EVERY_MS / 1000)
 
--- a/nutmegdeal/tests/test_gateway_links.py
+++ b/nutmegdeal/tests/test_gateway_links.py
@@ -138,3 +138,31 @@
 def test_gap_target_without_a_configuration_is_unknown():
     board = build_board(None)
     assert board.shortest_gap_target_ms(build.ENGINE_SERVICE) == 0.0
+
+
+def build_with_slots(adapter_slots_max):
+    """Return a SiteConfiguration whose engines hold a number of adapters."""
+    configuration = build.build_configuration(version=2)
+    services = {
+        name: attrs.evolve(
+            service,
+            engine=service.engine
+            and attrs.evolve(service.engine, adapter_slots_max=adapter_slots_max),
+        )
+        for name, service in configuration.services.items()
+    }
+    return attrs.evolve(configuration, services=services)
+
+
+def test_open_stream_gets_the_limits_of_a_changed_configuration():
+    board = build_board(build.build_configuration())
+    link = PlacerLink(build.build_member(), board, RecordingClient(), PORT)
+    link._session = session = RecordedSession()
+    link.update_limits()
+    link.update_limits()
+    board.configuration = build_with_slots(1)
+    link.update_limits()
+    assert [item.adapter_slots_max for item in session.sent] == [29, 1]
+    board.configuration = build_without_engine()
+    link.update_limits()
+    assert len(session.sent) == 2
