--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -19,11 +19,11 @@
     version_field,
 )
 from nutmegdeal.placer_events import PLACER_EVENTS
+from nutmegdeal.stream_events import SOFTWARE, STREAM_EVENTS
 
 _REQUEST = text_field("id of the request")
 _BACKEND = text_field("id of the backend server")
 _ADAPTER = text_field("name of the adapter, empty for none")
-_SOFTWARE = text_field("version of the server's software, empty if not reported")
 _TABLE = text_field("table of the store")
 _ERROR = text_field("description of the failure")
 
@@ -38,7 +38,7 @@
             "service": text_field("service of the backend server"),
             "adapter": _ADAPTER,
             "version": version_field(),
-            "software": _SOFTWARE,
+            "software": SOFTWARE,
             "load": Field(
                 (float, int), "expected number of requests in the backend server"
             ),
@@ -123,92 +123,6 @@
         "and again",
         {"conflicts": count_field("times that the change was decided anew")},
     ),
-    LogEvent(
-        "run_silent",
-        Process.GATEWAY,
-        "run whose server has sent nothing for a while; it goes on until another "
-        "server has begun to answer",
-        {
-            "request": _REQUEST,
-            "backend": _BACKEND,
-            "silent_ms": ms_field("for how long the server had sent nothing"),
-            "replacement": text_field(
-                "`ready` or `must_load` if another server can take over, else `none`"
-            ),
-        },
-    ),
-    LogEvent(
-        "stream_taken_up",
-        Process.GATEWAY,
-        "caller that has a part of a stream from an earlier attempt; it goes on at "
-        "servers of one version only",
-        {
-            "request": _REQUEST,
-            "resumes": text_field("id of the attempt that began the stream"),
-            "software": _SOFTWARE,
-            "source": text_field(
-                "`own` if this gateway began it, `sole` if there was no other version "
-                "lately, `row` if the store names it"
-            ),
-            "age_ms": optional_ms_field("time since the first event, if known"),
-        },
-    ),
-    LogEvent(
-        "stream_version_unknown",
-        Process.GATEWAY,
-        "stream that was not resumed, as the version that began it is not known",
-        {
-            "request": _REQUEST,
-            "resumes": text_field("id of the attempt that began the stream"),
-        },
-    ),
-    LogEvent(
-        "stream_rows_unwritten",
-        Process.GATEWAY,
-        "the store did not take the rows that name the versions of streams",
-        {"failure": _ERROR},
-    ),
-    LogEvent(
-        "stream_rows_unread",
-        Process.GATEWAY,
-        "the store did not answer a read of the rows that name versions of streams",
-        {"failure": _ERROR},
-    ),
-    LogEvent(
-        "overlap_ended",
-        Process.GATEWAY,
-        "end of the time for which two servers may run one stream, before the second "
-        "one has delivered a part; one of them is given up, or neither for now",
-        {
-            "request": _REQUEST,
-            "backend": _BACKEND,
-            "silent_ms": ms_field("for how long the first server had sent nothing"),
-            "undelivered_ms": ms_field("for how long the caller had received nothing"),
-            "reachability": text_field(
-                "`answers`, `refuses`, `unanswered` or `unknown`, by a new connection"
-            ),
-            "heard": flag_field(
-                "whether its placer has just reported that it responds"
-            ),
-            "reported_reachable": flag_field(
-                "whether the last report of its placer said so, however old"
-            ),
-            "kept": text_field("`first`, `second` or `both`, the runs that go on"),
-        },
-    ),
-    LogEvent(
-        "replacement_crashed",
-        Process.GATEWAY,
-        "unexpected error, with its trace, of a run that was to replace a silent one, "
-        "which goes on",
-        {"request": _REQUEST, "exception": text_field("traceback")},
-    ),
-    LogEvent(
-        "server_check_crashed",
-        Process.GATEWAY,
-        "unexpected error, with its trace, of the check of a silent server",
-        {"backend": _BACKEND, "exception": text_field("traceback")},
-    ),
     LogEvent(
         "request_refused",
         Process.GATEWAY,
@@ -414,6 +328,7 @@
         "row of the store that cannot be parsed",
         {"key": text_field("key of the row"), "error": _ERROR},
     ),
+    *STREAM_EVENTS,
     *PLACER_EVENTS,
     LogEvent(
         "started",
