Connections: a pooled connection no longer waits for an earlier request's rival

Cause: a replacement of a silent run lets its connection wait for both runs. When its server refused, the connection went back to the pool with that wait, and the next request on it waited for bytes of the silent run: two greenlets on one socket (a crash, the stream cut or 500), a connection that was closed (502), or bytes that were not its own. Class: state of one request kept in what the next one uses.

The connection forgets the wait when it is prepared for its next request.

--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -374,6 +374,8 @@
             self._protocol.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        # It belongs to the request that has ended.
+        self.wait_for_data = None
         self.idle_since_ms = now_ms
         self.reusable_until_ms = now_ms + _read_keep_alive_ms(head.headers)
         self.is_reused = True
