Tests: changes in any order: `finish` ends the state of a gateway that has just begun

What was seen: test_requests_in_any_states_outlast_changes_in_any_order met the timeout of 300 s once in a run with -n 5, example `begin(WaitingForStart); finish(); teardown()`. The test was at fault, not the gateway, and neither load nor a wait without a bound had a part in it.

Trace: WaitingForStart clears `initialized` of the board, which a gateway in use never does; only a new configuration, or reading a whole table, sets it again. `finish` waited for it (30 s) before it let the requests go on, so without a change between the two nobody could set it: "still false after 30.0 s" each time. `teardown` set it itself, but only after `finish` had failed. Hypothesis then ran the example again and again, 30 s each, to shrink and explain it, until the timeout. The lines that only failing cases ran are those of the connection that was idle for 20 s within the 30 s; the request itself had its 200 after 0.26 s.

Why so seldom: eight examples are made, and hypothesis draws some values from the constants of the local modules that are imported, so the examples depend on which test modules are collected, although they are derandomized. Alone and with the whole suite no example has the sequence; with test_silent*, test_gateway_*, test_platform_*, test_prompt*, test_caller*, test_limit*, test_server* and test_soak_checks one does, in one process, too.

Evidence: the new test of that sequence fails before the change ("still false after 30.0 s").

As strict as before: `finish` sets `initialized` by `update_initialized`, as `teardown` did, which sets nothing unless all tables were read, and only if a request in that state is there; it still waits for version and `initialized`.

--- a/nutmegdeal/tests/test_configuration_changes.py
+++ b/nutmegdeal/tests/test_configuration_changes.py
@@ -20,7 +20,12 @@
     change_limits,
 )
 from nutmegdeal.tests.held_gateway import ADAPTER, HeldGateway
-from nutmegdeal.tests.request_states import STATES, KeptConnection, WaitingForLoad
+from nutmegdeal.tests.request_states import (
+    STATES,
+    KeptConnection,
+    WaitingForLoad,
+    WaitingForStart,
+)
 from nutmegdeal.tests.state_machine_settings import STATE_MACHINE_SETTINGS
 
 # Pause that lets the gateway read the first piece of a head.
@@ -129,13 +134,15 @@
     @rule()
     def finish(self):
         """Let all requests go on."""
+        if any(type(state) is WaitingForStart for state in self.states):
+            # Only a change would end this state otherwise, and there may be none.
+            self.gateway.board.update_initialized()
         self.gateway.wait_until_in_force()
         states, self.states = self.states, []
         finish_all(self.gateway, states, REFUSALS)
 
     def teardown(self):
         """Let all requests go on."""
-        self.gateway.board.update_initialized()
         self.finish()
         self.gateway.change()
 
@@ -146,6 +153,15 @@
     )
 
 
+def test_request_that_waits_for_the_start_is_finished_without_a_change(
+    gateway, crashes
+):
+    machine = ChangesMachine(gateway)
+    machine.begin(WaitingForStart)
+    machine.finish()
+    machine.teardown()
+
+
 @pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.name)
 def test_requests_in_all_states_outlast_a_change(gateway, crashes, change):
     states = begin_all(gateway)
