Gateway: two runs that have not begun may overlap, without a check of the server

The check of a silent server is made for streams that have begun only. If the wait for the others ended a few ms before the deadline, the choice between the two runs met no check and crashed the replacement (AttributeError). The new test failed before.

--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -171,7 +171,12 @@
         return exchange.undelivered_ms() >= SOUND_SILENCE_MAX_MS - OVERLAP_MAX_MS
 
     def decide_overlap(self, exchange):
-        """Return the OverlapEnd, see the function `decide_overlap`."""
+        """Return the OverlapEnd, see the function `decide_overlap`.
+
+        Runs that have not begun to deliver may overlap until the deadline.
+        """
+        if self._checked is None:
+            return OverlapEnd.BOTH
         member = self._member
         is_heard = member.is_heard(self._clock.monotonic_ms())
         # The check has a shorter timeout than the overlap.
--- a/nutmegdeal/tests/test_silent_runs_overlap.py
+++ b/nutmegdeal/tests/test_silent_runs_overlap.py
@@ -6,6 +6,7 @@
 import pytest
 
 from nutmegdeal import http_connections
+from nutmegdeal.gateway import exchange
 from nutmegdeal.gateway.engine_check import (
     CHECK_TIMEOUT_MS,
     ConnectCheck,
@@ -179,3 +180,25 @@
     harness.call()
     check_whole_stream(harness)
     assert len(harness.servers[1].requests) == 1
+
+
+def test_run_that_has_not_begun_has_no_check(start_dispatcher, monkeypatch):
+    """Its overlap has no limit but the deadline, before which the wait may end."""
+    monkeypatch.setattr(exchange, "wait_until_readable", end_wait_early)
+
+    def begin_unheard(sock, request):
+        harness.members[0].is_linked = False
+        never_answer(sock, request)
+
+    harness = start_dispatcher(
+        [begin_unheard, never_answer], route=build_stream_route()
+    )
+    harness.call(deadline_in_ms=1_500.0)
+    sample = harness.telemetry.registry.get_sample_value
+    runs = "nutmegdeal_failed_runs_total"
+    assert sample(runs, {"fate": "timed_out", "verdict": "keep"}) == 1
+
+
+def end_wait_early(_connections, _deadline_ms):
+    gevent.sleep(0.05)
+    raise TimeoutError("the deadline passed")
