--- a/nutmegdeal/gateway/software_versions.py
+++ b/nutmegdeal/gateway/software_versions.py
@@ -13,8 +13,8 @@
 # New streams begin at a version this long after it was first seen. By then each other
 # gateway knows of it, or knows that what it has read is not fresh.
 JOIN_DELAY_MS = FRESH_MS + 500.0
-# How often the marker in the store is renewed, and for how long it is valid: a stream
-# may have begun at a version that went just after that.
+# How often the mark in the store is renewed, and for how long it is valid: a stream may
+# have begun at a version that went just after that.
 MARK_EVERY_MS = 20_000.0
 MARK_VALID_MS = MARK_EVERY_MS + LONGEST_STREAM_MS
 
