Log: the connection of a failed run, and answers to other requests

`run_failed` now has the local port of the connection and the number of answers that were skipped on it; `answer_skipped` is logged for each of those.

--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -7,15 +7,14 @@
 
 from nutmegdeal.balancing.answer_times import AnswerTimes
 from nutmegdeal.buffering.accounts import HeldPart
-from nutmegdeal.gateway.answer_checks import check_success, is_success
-from nutmegdeal.gateway.availability import LeavingSource, LimitSource
+from nutmegdeal.gateway.answer_checks import is_success
+from nutmegdeal.gateway.answer_heads import AnswerHeadReader
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
 from nutmegdeal.gateway.requests import HeldAnswer, RunFate, RunOutcome
 from nutmegdeal.gateway.silence import OverlapEnd, OvertakenError
 from nutmegdeal.gateway.urgency import server_priority
 from nutmegdeal.http_connections import (
     BrokenAnswerError,
-    find_header,
     wait_until_readable,
 )
 from nutmegdeal.platform import headers as platform_headers
@@ -83,7 +82,6 @@
         rival=None,
     ):
         self._clock = clock
-        self._membership = membership
         self._connection = connection
         self._request = request
         self._member = member
@@ -94,6 +92,15 @@
         self._software_version = member.backend.software_version
         self._head = None
         self._times = AnswerTimes(member, request.route.name)
+        self._heads = AnswerHeadReader(
+            clock,
+            connection,
+            request,
+            member,
+            membership,
+            self._times,
+            ANSWER_BYTES_MAX,
+        )
         self._sent_ms = 0.0
         self._overlap_end_ms = 0.0
         self._active_ms = 0.0
@@ -238,7 +245,7 @@
         if self._failure is not None:
             raise self._failure
         if self._head is None:
-            self._head = self._read_matching_head(self._first_event_limit_ms())
+            self._read_head(self._first_event_limit_ms())
         return self._forward_answer(self._head)
 
     def poll(self):
@@ -257,7 +264,7 @@
     def _read_arrived(self, limit_ms):
         """Read until there is a part that can be forwarded."""
         if self._head is None:
-            self._head = self._read_matching_head(limit_ms)
+            self._read_head(limit_ms)
         if self.is_over:
             return
         if not self._request.is_stream:
@@ -302,45 +309,10 @@
         self._rival = None
         self._connection.wait_for_data = None
 
-    def _read_matching_head(self, limit_ms):
-        """Read the head of the answer to this request, skipping late other answers."""
-        while True:
-            head = self._connection.read_head(limit_ms)
-            # After the address has been assigned to another server, that one answers.
-            if platform_headers.is_from_server(head.headers, self._member.backend_id):
-                self._record_notices(head)
-            answered_id = find_header(head.headers, platform_headers.REQUEST_ID)
-            if answered_id is None and self._connection.is_reused:
-                raise BrokenAnswerError("the answer may be to an earlier request")
-            if answered_id is None or answered_id.decode("latin-1") == (
-                self._request.request_id
-            ):
-                break
-            self._connection.skip_response(limit_ms, ANSWER_BYTES_MAX)
-        now_ms = self._active_ms = self._clock.monotonic_ms()
-        load = platform_headers.decode_server_load(head.headers)
-        self._times.record_load(load, now_ms)
-        pause_ms = platform_headers.decode_retry_after_ms(
-            head.status_code, head.headers
-        )
-        if pause_ms is not None:
-            self._membership.record_pause(self._member, pause_ms, now_ms)
-        check_success(head)
-        return head
-
-    def _record_notices(self, head):
-        """Record what all answers of the server say of it, whatever their status."""
-        if platform_headers.is_server_leaving(head.headers):
-            self._membership.record_leaving(self._member, LeavingSource.ANSWER)
-        try:
-            limit_per_s = platform_headers.decode_server_limit(head.headers)
-        except ValueError:
-            self._membership.record_unusable_limit(self._member)
-            return
-        now_ms = self._clock.monotonic_ms()
-        self._membership.record_limit(
-            self._member, limit_per_s, LimitSource.ANSWER, now_ms
-        )
+    def _read_head(self, limit_ms):
+        """Read the head of the answer to this request."""
+        self._head = self._heads.read(limit_ms)
+        self._active_ms = self._clock.monotonic_ms()
 
     def _forward_answer(self, head):
         """Forward a successful answer to the caller; keep a failure in the outcome."""
--- a/nutmegdeal/gateway/requests.py
+++ b/nutmegdeal/gateway/requests.py
@@ -67,6 +67,10 @@
         The server or its host ended the connection, or sent what is no answer.
     replacement : Attempt or None
         The run that took over from a silent one.
+    local_port : int
+        Port of the connection to the server, 0 if none was used.
+    skipped_answer_count : int
+        Answers to other requests that arrived before the one to this request.
     """
 
     fate: RunFate
@@ -78,6 +82,8 @@
     event_count: int = 0
     is_broken_off: bool = False
     replacement: object = None
+    local_port: int = 0
+    skipped_answer_count: int = 0
 
 
 @attrs.frozen
--- a/nutmegdeal/gateway/telemetry.py
+++ b/nutmegdeal/gateway/telemetry.py
@@ -343,6 +343,8 @@
             parts=list(request.shared_parts),
             content=request.content_digest,
             broken_off=outcome.is_broken_off,
+            local_port=outcome.local_port,
+            skipped=outcome.skipped_answer_count,
             failure_rate=round(member.history.failure_rate_at_update, 3),
         )
 
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -1,5 +1,6 @@
 """Runs requests at backend servers, over pooled connections."""
 
+import attrs
 import h11
 
 from nutmegdeal.gateway.exchange import EXCHANGE_ERRORS, Exchange
@@ -80,7 +81,8 @@
         outer = request.exchange
         request.exchange = exchange
         try:
-            return self._run_exchange(exchange, version)
+            outcome = self._run_exchange(exchange, version)
+            return _add_connection(outcome, connection)
         except BaseException:
             connection.close()
             raise
@@ -116,6 +118,17 @@
         return outcome
 
 
+def _add_connection(outcome, connection):
+    """Return a RunOutcome with what the log tells of the connection."""
+    if outcome.fate is RunFate.COMPLETED:
+        return outcome
+    return attrs.evolve(
+        outcome,
+        local_port=connection.local_port,
+        skipped_answer_count=connection.skipped_count,
+    )
+
+
 def _idle_max_ms(request):
     """Return the longest idle time of a connection reused for a request (float)."""
     return float("inf") if request.route.is_repeatable else NON_REPEATABLE_IDLE_MAX_MS
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -153,6 +153,10 @@
         When the request was sent or the last bytes arrived, on the monotonic clock.
     wait_for_data : callable or None
         Called with the deadline before each read, to wait for bytes in another way.
+    local_port : int
+        Distinguishes the connection from the others of this process to the server.
+    skipped_count : int
+        Responses to other requests that were skipped since the last request was sent.
 
     Raises
     ------
@@ -168,6 +172,7 @@
         self.has_response_started = False
         self.last_active_ms = 0.0
         self.wait_for_data = None
+        self.skipped_count = 0
         try:
             self._socket = gevent.socket.create_connection(
                 address, max(connect_timeout_ms, 1.0) / 1000
@@ -175,10 +180,10 @@
         except OSError as error:
             raise ConnectError(f"connect: {error}") from error
         configure_socket(self._socket)
+        self.local_port = self._socket.getsockname()[1]
         self._protocol = h11.Connection(h11.CLIENT)
         self._request = None
         self._head = None
-        self._skipped_count = 0
         self._unswitched_bytes = 0
         self._unswitched_events = 0
 
@@ -202,7 +207,7 @@
         if method in (b"GET", b"HEAD") and not body:
             headers.pop()
         self.has_response_started = False
-        self._skipped_count = 0
+        self.skipped_count = 0
         self._unswitched_bytes = 0
         self._unswitched_events = 0
         self._request = h11.Request(method=method, target=target, headers=headers)
@@ -302,8 +307,8 @@
         """
         if self._head.ends_connection:
             raise BrokenAnswerError("the connection ends with another answer")
-        self._skipped_count += 1
-        if self._skipped_count > SKIPPED_RESPONSES_MAX:
+        self.skipped_count += 1
+        if self.skipped_count > SKIPPED_RESPONSES_MAX:
             raise BrokenAnswerError(f"over {SKIPPED_RESPONSES_MAX} other answers")
         self._discard_data(deadline_ms, bytes_max)
         trailing, has_ended = self._protocol.trailing_data
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -91,11 +91,27 @@
             "broken_off": flag_field(
                 "whether the server or its host ended the connection"
             ),
+            "local_port": count_field(
+                "local port of the connection to the server, 0 for none"
+            ),
+            "skipped": count_field("answers to other requests that came before"),
             "failure_rate": ratio_field(
                 "fraction of the server's recent answers that failed"
             ),
         },
     ),
+    LogEvent(
+        "answer_skipped",
+        Process.GATEWAY,
+        "answer to another request that came before the one to this request",
+        {
+            "request": _REQUEST,
+            "backend": _BACKEND,
+            "answered": text_field("id of the request that the answer names"),
+            "status": count_field("status code of the answer"),
+            "local_port": count_field("local port of the connection to the server"),
+        },
+    ),
     LogEvent(
         "engine_crashed",
         Process.GATEWAY,
