Gateways: a connection carries a request id once

What callers saw: bookings that ran twice (TWICE), or that were answered 503, "not run", though a server had run them (REFUSED). A late second copy of the refusal of a request was taken for the answer to its second send.

Cause: answers are recognized by the request id, and a request that its server had refused went to the same server again, on the connection that had just become idle. There the id tells nothing apart. The same held for the answers 429, 421, 400, 500 and 200, for look-ups and streams, after an engine's 421, and for a caller that uses its id again.

Fix: connections remember the ids that they carried; the pool passes over those that have carried the id of a request. A copy of an earlier answer then always names another id, and is skipped as before. After 256 requests a connection is not reused, so that what it remembers stays within 2 KB.

--- a/nutmegdeal/connection_pool.py
+++ b/nutmegdeal/connection_pool.py
@@ -23,9 +23,13 @@
         address,
         connect_timeout_ms=CONNECT_TIMEOUT_MS,
         idle_max_ms=float("inf"),
+        request_id=None,
     ):
         """Return a ClientConnection: a reusable idle one, or else a new one.
 
+        A connection carries only one request with the same id: if the server repeated
+        its answer to the first one, that would pass for the answer to the second.
+
         Parameters
         ----------
         address : tuple of str and int
@@ -33,19 +37,34 @@
         idle_max_ms : float
             A connection that has been idle for longer is not reused: the server may
             have dropped it without closing it.
+        request_id : str or None
+            Id by which the answer is recognized, None if it is not.
 
         Raises
         ------
         ConnectError
         """
+        connection = self._take_idle(address, idle_max_ms, request_id)
+        connection = connection or ClientConnection(address, connect_timeout_ms)
+        if request_id is not None:
+            connection.record_request_id(request_id)
+        return connection
+
+    def _take_idle(self, address, idle_max_ms, request_id):
+        """Return a reusable idle connection, None if there is none."""
         idle = self._idle.get(address, [])
         now_ms = self._clock.monotonic_ms()
-        while idle and now_ms - idle[-1].idle_since_ms <= idle_max_ms:
-            connection = idle.pop()
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
+            if now_ms - connection.idle_since_ms > idle_max_ms:
+                return None
+            if request_id is not None and connection.has_carried(request_id):
+                continue
+            del idle[index]
             if connection.reusable_until_ms > now_ms and connection.is_clean():
                 return connection
             connection.close()
-        return ClientConnection(address, connect_timeout_ms)
+        return None
 
     def call(
         self,
--- a/nutmegdeal/gateway/transport.py
+++ b/nutmegdeal/gateway/transport.py
@@ -63,6 +63,7 @@
                 member.backend.address,
                 min(CONNECT_WITHIN_MS, remaining_ms),
                 _idle_max_ms(request),
+                request.request_id,
             )
         except ConnectError as error:
             return RunOutcome(RunFate.NOT_SENT, str(error), is_unresponsive=True)
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -4,6 +4,7 @@
 callers have to know whether a failed request may have reached the server and run.
 """
 
+import array
 import errno
 import socket
 import time
@@ -43,6 +44,8 @@
 
 # Most interim (1xx) responses before a response; servers send one or two.
 INTERIM_RESPONSES_MAX = 8
+# Most request ids that a connection remembers; it is not reused after so many requests.
+REQUEST_IDS_MAX = 256
 # Most responses to other requests that are skipped before the response to one request.
 # A connection carries one request at a time, so there is rarely more than one.
 SKIPPED_RESPONSES_MAX = 8
@@ -173,6 +176,8 @@
         self.last_active_ms = 0.0
         self.wait_for_data = None
         self.skipped_count = 0
+        # Ids may be long, so their hashes are kept.
+        self._request_hashes = array.array("q")
         try:
             self._socket = gevent.socket.create_connection(
                 address, max(connect_timeout_ms, 1.0) / 1000
@@ -187,6 +192,18 @@
         self._unswitched_bytes = 0
         self._unswitched_events = 0
 
+    def record_request_id(self, request_id):
+        """Record the id (str) of the next request."""
+        self._request_hashes.append(hash(request_id))
+
+    def has_carried(self, request_id):
+        """Return whether an earlier request had an id (str).
+
+        A server may repeat its answer to that request, and only the id tells answers
+        apart.
+        """
+        return hash(request_id) in self._request_hashes
+
     def send(self, method, target, headers, body=b"", deadline_ms=None):
         """Send a whole request.
 
@@ -376,7 +393,7 @@
         now_ms : float
             On the monotonic clock.
         """
-        if head.ends_connection:
+        if head.ends_connection or len(self._request_hashes) >= REQUEST_IDS_MAX:
             return False
         if self._protocol.trailing_data != (b"", False):
             return False
--- a/nutmegdeal/tests/scripted_server.py
+++ b/nutmegdeal/tests/scripted_server.py
@@ -119,3 +119,19 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     sock.close()
     return False
+
+
+def repeat_answers(answers):
+    """Return an answer that sends each of `answers`, and all of them a second time.
+
+    The second copy comes late: before the next answer on the same connection.
+    """
+    remaining = list(answers)
+    late = {}
+
+    def answer(sock, _request):
+        data = remaining.pop(0)
+        sock.sendall(late.get(sock, b"") + data)
+        late[sock] = data
+
+    return answer
