Placers: an answer to an order is believed once a report confirms it

What callers would see: an engine that is ordered to load more than it holds crashes, and their streams are cut. Not seen on the users' platform.

If an order is left unanswered and a second copy of an earlier answer comes in its place, the order counted as executed or refused, and no place was kept for it when the next incarnation under the same id executed it late.

Evidence: the new test, over loopback with the stand-in engine, failed for each of the statuses 200, 202, 409, 421 and 503: one load over the slots.

Fix: an answered order is kept until a report of the same incarnation shows a higher order count; if the next report does not, the order counts as unanswered, as one without an answer does. Within an incarnation this costs nothing, as the count makes it void.

--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -41,6 +41,9 @@
     unanswered_pending : int
         Number of next loads of adapters that get no answer and wait in
         `delayed_orders`.
+    repeated_status : int or None
+        Status of an earlier answer, of which a second copy comes in place of each
+        answer that is missing; None for no copies.
     delayed_orders : list of (str or None, dict)
         Target instance and body of the orders that have got no answer.
     refuses_reports : bool
@@ -67,6 +70,7 @@
         self.order_senders = set()
         self.slot_overflow_count = 0
         self.unanswered_pending = 0
+        self.repeated_status = None
         self.delayed_orders = []
         self.refuses_reports = False
         self.event_interval_ms = EVENT_INTERVAL_MS
@@ -144,6 +148,9 @@
         if self.unanswered_pending and is_adapter_load:
             self.unanswered_pending -= 1
             self.delayed_orders.append((target_id, order))
+            if self.repeated_status is not None:
+                responder.reply(self.repeated_status, self._leaving_headers(), b"")
+                return
             gevent.sleep(NO_ANSWER_MS / 1000)
             return
         status_code = self._execute_order(target_id, order)
--- a/nutmegdeal/placer/orders.py
+++ b/nutmegdeal/placer/orders.py
@@ -1,4 +1,4 @@
-"""Orders to a model engine, and those that got no answer."""
+"""Orders to a model engine, and those that may still be executed."""
 
 import attrs
 
@@ -55,6 +55,37 @@
         return self.order.operation is OrderKind.LOAD and bool(self.order.adapter)
 
 
+@attrs.frozen
+class AnsweredOrder:
+    """An order with an answer that no report has shown to be true yet.
+
+    The answer may be a second copy of an earlier one: on a connection, answers to
+    orders and reports are told apart only by their sequence.
+
+    Parameters
+    ----------
+    order : Order
+    expected_count : int
+        Orders that the engine had accepted when the order was sent.
+    started_unix_ms : int
+        Start of the incarnation that it was sent to.
+    """
+
+    order: Order
+    expected_count: int
+    started_unix_ms: int
+
+    def is_settled(self, report):
+        """Return whether an EngineReport shows that the order is no longer valid.
+
+        Parameters
+        ----------
+        report : EngineReport
+        """
+        is_same_incarnation = report.started_unix_ms == self.started_unix_ms
+        return is_same_incarnation and report.order_count > self.expected_count
+
+
 class UnansweredOrders:
     """The unanswered orders to the engine at one address.
 
--- a/nutmegdeal/placer/planning.py
+++ b/nutmegdeal/placer/planning.py
@@ -7,7 +7,7 @@
 import attrs
 
 from nutmegdeal.order_kinds import OrderKind
-from nutmegdeal.placer.orders import Order, UnansweredOrders
+from nutmegdeal.placer.orders import AnsweredOrder, Order, UnansweredOrders
 from nutmegdeal.placer.turnover import NO_RANK, PlaceQueue, PlaceTurnover
 from nutmegdeal.site_configuration import (
     CONCURRENT_LOADS_MAX,
@@ -83,6 +83,7 @@
         self._turnover = PlaceTurnover()
         self._limits_by_session = {}
         self._unanswered = UnansweredOrders()
+        self._answered = []
         self._model_ordered_ms = float("-inf")
 
     def apply_report(self, report, now_ms):
@@ -100,6 +101,14 @@
         self._used &= self._held.keys()
         self._turnover.keep(self._held)
         self._unanswered.remove_expired(now_ms)
+        self._check_answers(report, now_ms)
+
+    def _check_answers(self, report, now_ms):
+        """Treat orders whose answers the report does not confirm as unanswered."""
+        answered, self._answered = self._answered, []
+        for item in answered:
+            if not item.is_settled(report):
+                self._unanswered.record(item.order, item.expected_count, now_ms)
 
     def apply_limits(self, session, limits):
         """Apply the EngineLimits of a session's gateway."""
@@ -173,6 +182,13 @@
         """Record an unanswered order, which may still be executed."""
         self._unanswered.record(order, self.report.order_count, now_ms)
 
+    def record_answered(self, order):
+        """Record an answered order, which the next report has to confirm."""
+        report = self.report
+        self._answered.append(
+            AnsweredOrder(order, report.order_count, report.started_unix_ms)
+        )
+
     @property
     def _in_use(self):
         """Return the adapters on which requests run (frozenset of str)."""
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -262,6 +262,8 @@
         )
         if result is OrderResult.UNANSWERED:
             self._planner.record_unanswered(order, self._clock.monotonic_ms())
+        elif result is not OrderResult.NOT_SENT:
+            self._planner.record_answered(order)
         if result is OrderResult.ACCEPTED:
             self._known_order_count = expected_count + 1
         return result is OrderResult.ACCEPTED
--- a/nutmegdeal/tests/test_placer_planning.py
+++ b/nutmegdeal/tests/test_placer_planning.py
@@ -176,7 +176,9 @@
             self.execute(order, expected)
         else:
             self.delayed.append((order, expected, self.now_ms + UNANSWERED_ORDER_MS))
-        if not is_answered:
+        if is_answered:
+            self.planner.record_answered(order)
+        else:
             self.planner.record_unanswered(order, self.now_ms)
         return True
 
@@ -200,6 +202,10 @@
     def delay_an_order(self):
         self.send_next_order(is_executed=False, is_answered=False)
 
+    @rule()
+    def repeat_an_earlier_answer(self):
+        self.send_next_order(is_executed=False)
+
     @precondition(lambda self: self.delayed)
     @rule(data=st.data())
     def execute_delayed(self, data):
@@ -266,7 +272,14 @@
         pass
 
 
-def execute_after_restart(planner_class, restart):
+class PlannerTrustingAnswers(AdapterPlanner):
+    """Naive variant: takes each answer for that to the last order."""
+
+    def record_answered(self, order):
+        pass
+
+
+def execute_after_restart(planner_class, restart, delay=EngineMachine.delay_an_order):
     """Execute a delayed load when a restarted engine is about to be full."""
     machine = type("Machine", (EngineMachine,), {"planner_class": planner_class})()
     machine.start()
@@ -275,7 +288,7 @@
     machine.answer_orders()
     machine.demand_adapter(ADAPTERS[SLOTS], 0)
     machine.send_next_order()
-    machine.delay_an_order()
+    delay(machine)
     machine.planner.remove_demand("s", ADAPTERS[SLOTS])
     restart(machine)
     for adapter in ADAPTERS[:SLOTS]:
@@ -300,6 +313,18 @@
         execute_after_restart(naive_class, restart)
 
 
+def test_delayed_load_that_seemed_answered_does_not_overfill_a_restarted_engine():
+    """A second copy of an earlier answer came in place of the missing one."""
+
+    def restart(machine):
+        machine.restart_engine(keeps_id=True)
+
+    delay = EngineMachine.repeat_an_earlier_answer
+    execute_after_restart(AdapterPlanner, restart, delay)
+    with pytest.raises(AssertionError):
+        execute_after_restart(PlannerTrustingAnswers, restart, delay)
+
+
 def test_orders_wait_for_the_id_of_a_restarted_engine():
     planner = build_planner()
     planner.apply_limits("s", EngineLimits("model", SLOTS, 0.0, "i-1", 1))
--- a/nutmegdeal/tests/test_platform_site.py
+++ b/nutmegdeal/tests/test_platform_site.py
@@ -214,6 +214,23 @@
     assert engine.slot_overflow_count == 0
 
 
+@pytest.mark.parametrize("status", [200, 202, 409, 421, 503])
+def test_late_order_after_a_copy_of_an_earlier_answer_does_not_overfill_the_engine(
+    site, status
+):
+    """The answer to an order was missing, and that to an earlier call came again.
+
+    The order counted as executed or refused, so no place was kept for it.
+    """
+    engine, placer = site.engines[0], site.placers[0]
+    engine.repeated_status = status
+    leave_order_unanswered(engine, placer)
+    engine.restart()
+    fill_restarted_engine(site, engine, placer)
+    engine.execute_delayed_orders()
+    assert engine.slot_overflow_count == 0
+
+
 def test_late_order_of_an_earlier_placer_does_not_overfill_a_restarted_engine(site):
     engine = site.engines[0]
     leave_order_unanswered(engine, site.placers[0])
