Agents: an answer that names another attempt is not believed

What callers would see: a request that ran is sent to another server or refused, or its caller gets the answer to an earlier request. Not seen anywhere; agents are not part of the users' platform.

Fix: answers may repeat the id of the attempt, as the stand-ins now do; one that names another attempt counts as a lost connection, after which the request may have run. Orders and reports use connections of their own.

--- a/nutmegdeal/backends/engine.py
+++ b/nutmegdeal/backends/engine.py
@@ -39,6 +39,9 @@
         self._base_url = base_url.rstrip("/")
         self._secret_headers = http.authorization_headers(secret)
         self._pool = http.new_connection_pool()
+        # Answers to orders and reports name no attempt, so they need connections of
+        # their own.
+        self._admin_pool = http.new_connection_pool()
 
     def call(self, submit):
         """Send a request; return a BackendAnswer or a Failure."""
@@ -53,7 +56,6 @@
     def _request_headers(self, submit):
         headers = {
             "Content-Type": submit.content_type,
-            "X-Attempt-Id": submit.attempt_id,
             "X-Priority": str(URGENCY_RANK[submit.urgency]),
             **self._secret_headers,
         }
@@ -99,7 +101,7 @@
     def _exchange(self, method, path, step, timeout_ms, body=None):
         """Return the body of an answer with a status below 400, or a Failure."""
         try:
-            response = self._pool.request(
+            response = self._admin_pool.request(
                 method,
                 self._base_url + path,
                 body=body,
--- a/nutmegdeal/backends/http.py
+++ b/nutmegdeal/backends/http.py
@@ -21,6 +21,8 @@
 # End of an event stream that is kept to look for the DONE_EVENT.
 TAIL_BYTES = 64
 ERROR_STATUS = 400
+# Sent with each request; an answer that has it names the request that it is to.
+ATTEMPT_ID = "X-Attempt-Id"
 EVENT_STREAM_TYPE = "text/event-stream"
 DONE_EVENT = b"data: [DONE]"
 NOT_SENT_ERRORS = (ConnectTimeoutError, NewConnectionError, NameResolutionError)
@@ -61,15 +63,27 @@
         The response, its body not yet read.
     """
     try:
-        return pool.request(
+        response = pool.request(
             submit.method,
             base_url + submit.path,
             body=submit.body,
-            headers=headers,
+            headers={**headers, ATTEMPT_ID: submit.attempt_id},
             preload_content=False,
         )
     except (HTTPError, OSError) as error:
         return transport_failure(error, Step.DISPATCH, base_url)
+    answered_id = response.headers.get(ATTEMPT_ID, submit.attempt_id)
+    if answered_id == submit.attempt_id:
+        return response
+    # A server may repeat its answer to an earlier request on the connection.
+    response.close()
+    return Failure(
+        Reason.CONNECTION_LOST,
+        Step.DISPATCH,
+        base_url,
+        f"the answer is to attempt {answered_id}",
+        maybe_applied=True,
+    )
 
 
 def read_error_code(body):
--- a/nutmegdeal/backends/plain.py
+++ b/nutmegdeal/backends/plain.py
@@ -30,7 +30,6 @@
         """
         headers = {
             "Content-Type": submit.content_type,
-            "X-Attempt-Id": submit.attempt_id,
             **self._secret_headers,
         }
         if submit.idempotency_key:
--- a/nutmegdeal/fakes/server.py
+++ b/nutmegdeal/fakes/server.py
@@ -33,6 +33,14 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    def finalize_headers(self):
+        """Add the id of the attempt to the headers of its answer."""
+        attempt_id = self.environ.get("HTTP_X_ATTEMPT_ID")
+        if attempt_id:
+            header = (b"X-Attempt-Id", attempt_id.encode("latin-1"))
+            self.response_headers.append(header)
+        super().finalize_headers()
+
 
 def error_response(status_code, error_code, detail=""):
     """Return the response for an error."""
--- a/nutmegdeal/tests/scripted_server.py
+++ b/nutmegdeal/tests/scripted_server.py
@@ -127,6 +127,7 @@
     The second copy comes late: before the next answer on the same connection.
     """
     remaining = list(answers)
+    # By connection.
     late = {}
 
     def answer(sock, _request):
