Gateways: the age of what was read counts from when the store made it

What callers would see: a stream that had begun at a version which had just joined was taken up at a gateway out of step, and went on at another version (ORDER).

Cause: a gateway lets a stream go on without asking while one version alone was registered, as of a read that is at most 3 s old. The age was counted from the receipt of the answer. One that was held up by a cut, or that was read after a standstill, counted as fresh for up to 3 s more, while others begin streams 3.5 s after a version joins. The same held for the mark, for the time from before the read of the mark, and for the offset of the store's clock, with which the time of joining is written.

Fix: the store states its time with each answer, and no answer is made before its call is sent. So the least age of each answer is known; the confirmation of API keys already used that, and its class is now RemoteClockBound in clock.py. The clock is read again after each wait.

No further calls of the store.

--- a/nutmegdeal/clock.py
+++ b/nutmegdeal/clock.py
@@ -1,8 +1,13 @@
-"""Clocks: the system clock, and one that tests and simulations control."""
+"""Clocks: the system clock, one that tests control, and those of other hosts."""
 
 import abc
+import math
 import time
 
+# Most by which two clocks may drift apart: the limit of the rate correction that NTP
+# applies on Linux, 500 parts per million.
+CLOCK_DRIFT_MAX = 5e-4
+
 
 class Clock(abc.ABC):
     """Source of wall-clock, monotonic and boot-time time in milliseconds."""
@@ -73,3 +78,57 @@
     def advance_to(self, monotonic_ms):
         """Move to `monotonic_ms`, never backwards."""
         self._elapsed_ms = max(self._elapsed_ms, monotonic_ms)
+
+
+class RemoteClockBound:
+    """Upper bound of the offset of a remote clock: its time less the boot-time clock.
+
+    An answer made at the remote time `r` to a call sent at `q` was made after `q`, so
+    the offset is at most `r - q`. The smallest such bound holds, raised by the drift
+    that is possible since.
+    """
+
+    def __init__(self):
+        self._offset_ms = math.inf
+        self._stated_ms = 0.0
+
+    def tighten(self, sent_ms, remote_ms, received_ms):
+        """Use one answer.
+
+        Parameters
+        ----------
+        sent_ms : float
+            When the call was sent.
+        remote_ms : float
+            When the answer was made, on the remote clock; 0 if it is not stated.
+        received_ms : float
+            When the answer arrived.
+        """
+        if remote_ms <= 0:
+            return
+        offset_ms = self._offset_at(received_ms)
+        if remote_ms - received_ms > offset_ms:
+            # No answer arrives before it is made: the remote clock has been set ahead.
+            offset_ms = math.inf
+        if remote_ms - sent_ms <= offset_ms:
+            self._offset_ms, self._stated_ms = remote_ms - sent_ms, sent_ms
+
+    def find_made_ms(self, sent_ms, remote_ms, received_ms):
+        """Return the earliest time at which an answer may have been made (float).
+
+        On the boot-time clock. An answer may arrive long after it was made, or be read
+        late.
+
+        Parameters
+        ----------
+        sent_ms, remote_ms, received_ms
+            As for `tighten`.
+        """
+        if remote_ms <= 0:
+            return sent_ms
+        made_ms = remote_ms - self._offset_at(received_ms)
+        return max(min(made_ms, received_ms), sent_ms)
+
+    def _offset_at(self, now_ms):
+        drift_ms = CLOCK_DRIFT_MAX * max(now_ms - self._stated_ms, 0.0)
+        return self._offset_ms + drift_ms
--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -3,6 +3,7 @@
 import attrs
 import gevent.event
 
+from nutmegdeal.clock import RemoteClockBound
 from nutmegdeal.gateway.key_access import KeyStateLog
 from nutmegdeal.gateway.software_versions import VersionHistory
 from nutmegdeal.gateway.stream_book import StreamBook
@@ -63,6 +64,7 @@
     is_draining : bool
     is_ending : bool
         Requests that have not been sent are refused, as the grace time ends.
+    store_clock : RemoteClockBound
     store_clock_offset_ms : float
         Store's clock less the monotonic clock.
     store_era : int or None
@@ -96,6 +98,7 @@
     prompt_parts_era: int = 0
     is_draining: bool = False
     is_ending: bool = False
+    store_clock: RemoteClockBound = attrs.field(factory=RemoteClockBound)
     store_clock_offset_ms: float = 0.0
     store_era: int | None = None
     store_era_since_ms: float = float("-inf")
@@ -129,10 +132,41 @@
             and self.has_prompt_parts
         )
 
-    def record_store_answer(self, store_ms, era):
-        """Record the time of an answer, on the store's clock, and its era."""
-        now_ms = self.clock.monotonic_ms()
-        self.store_clock_offset_ms = store_ms - now_ms
+    def find_made_ms(self, sent_ms, store_ms):
+        """Return the earliest time at which an answer of the store may have been made.
+
+        Parameters
+        ----------
+        sent_ms : float
+            When the call was sent, on the boot-time clock.
+        store_ms : float
+            Time of the answer on the store's clock, 0.0 if it is not stated.
+
+        Returns
+        -------
+        float
+            On the monotonic clock, as if it had run while the host was suspended.
+        """
+        received_ms = self.clock.boot_ms()
+        self.store_clock.tighten(sent_ms, store_ms, received_ms)
+        made_ms = self.store_clock.find_made_ms(sent_ms, store_ms, received_ms)
+        return self.clock.monotonic_ms() - (received_ms - made_ms)
+
+    def record_store_answer(self, store_ms, era, sent_ms=None):
+        """Record the time of an answer, on the store's clock, and its era.
+
+        Parameters
+        ----------
+        store_ms : float
+        era : int
+        sent_ms : float, optional
+            When the call was sent, on the boot-time clock. By default the answer counts
+            as just made.
+        """
+        now_ms = made_ms = self.clock.monotonic_ms()
+        if sent_ms is not None:
+            made_ms = self.find_made_ms(sent_ms, store_ms)
+        self.store_clock_offset_ms = store_ms - made_ms
         if era != self.store_era:
             self.store_era, self.store_era_since_ms = era, now_ms
 
--- a/nutmegdeal/gateway/software_versions.py
+++ b/nutmegdeal/gateway/software_versions.py
@@ -55,7 +55,7 @@
         # The two clocks are read one after the other, which may make it look shorter.
         self._suspended_ms = max(suspended_ms, known_ms)
 
-    def record_read(self, versions_by_service, now_ms):
+    def record_read(self, versions_by_service, now_ms, made_ms=None):
         """Record the versions in all registrations.
 
         Parameters
@@ -63,19 +63,22 @@
         versions_by_service : dict of str to dict of str to int
             Unix time of the earliest start of a server, in ms, by service and version.
         now_ms : float
+        made_ms : float, optional
+            When the store made the answer that names them; now by default.
 
         Returns
         -------
         bool
             Whether a service has got a further version.
         """
+        made_ms = now_ms if made_ms is None else made_ms
         is_first = self._covered_since_ms is None
-        if now_ms - self._last_read_ms > FRESH_MS:
+        if made_ms - self._last_read_ms > FRESH_MS:
             # Versions that came and went meanwhile were not seen.
             self._covered_since_ms = now_ms
             is_mark_fresh = now_ms - self._mark_read_ms <= FRESH_MS
             self._needs_mark = not (is_first and is_mark_fresh)
-        self._last_read_ms = now_ms
+        self._last_read_ms = max(self._last_read_ms, made_ms)
         self._forget(now_ms)
         has_further = False
         for service, versions in versions_by_service.items():
@@ -106,14 +109,20 @@
         known = {} if self._is_covered(now_ms) else self._marked_first_ms
         self._marked_first_ms = _join(known, first_ms_by_service)
 
-    def record_mark_read(self, now_ms):
-        """Record that the row of the mark was just read, or that there is none.
+    def record_mark_read(self, made_ms):
+        """Record that the row of the mark was read, or that there is none.
 
         An answer that waited for a change says nothing: it may have been on its way
         while the registrations could not be read.
+
+        Parameters
+        ----------
+        made_ms : float
+            When the store made the answer.
         """
-        self._mark_read_ms = now_ms
-        self._needs_mark = False
+        self._mark_read_ms = max(self._mark_read_ms, made_ms)
+        if self._covered_since_ms is None or made_ms >= self._covered_since_ms:
+            self._needs_mark = False
 
     def lacks_mark(self, now_ms):
         """Return whether only the mark, which has to be read, can tell what is sole."""
@@ -180,7 +189,7 @@
                 del self._periods[service]
 
     def is_fresh(self, now_ms):
-        """Return whether the registrations were read lately."""
+        """Return whether what was read of the registrations is recent."""
         return now_ms - self._last_read_ms <= FRESH_MS
 
     def _is_covered(self, now_ms):
--- a/nutmegdeal/gateway/stream_versions.py
+++ b/nutmegdeal/gateway/stream_versions.py
@@ -117,15 +117,15 @@
         FoundVersion or None
             None if it is not known.
         """
-        board, now_ms = self._board, self._board.clock.monotonic_ms()
+        board = self._board
         own = board.streams.find(resumes_id, service)
         if own is not None:
-            age_ms = now_ms - own.begun_ms
+            age_ms = board.clock.monotonic_ms() - own.begun_ms
             return FoundVersion(own.version, VersionSource.OWN, age_ms)
         board.record_suspended()
-        if board.software_versions.lacks_mark(now_ms):
+        if board.software_versions.lacks_mark(board.clock.monotonic_ms()):
             self._read_mark()
-        sole = board.software_versions.sole_version(service, now_ms)
+        sole = board.software_versions.sole_version(service, board.clock.monotonic_ms())
         if sole is not None:
             return FoundVersion(sole, VersionSource.SOLE)
         return self._read_version(resumes_id, service) if resumes_id else None
@@ -133,6 +133,7 @@
     def _read_mark(self):
         """Read the mark of software versions, after a time without reads."""
         key = platform_rows.VERSIONS_MARK_KEY
+        sent_ms = self._board.clock.boot_ms()
         answer = self._store.read_first_row(
             platform_rows.PARTS_TABLE, key, READ_TIMEOUT_MS
         )
@@ -141,8 +142,10 @@
             return
         if answer.rows and answer.rows[0].key == key:
             record_mark_row(self._board, answer.rows[0])
-        now_ms = self._board.clock.monotonic_ms()
-        self._board.software_versions.record_mark_read(now_ms)
+        made_ms = self._board.find_made_ms(sent_ms, answer.store_ms)
+        # If the host was suspended during the call.
+        self._board.record_suspended()
+        self._board.software_versions.record_mark_read(made_ms)
 
     def _read_version(self, resumes_id, service):
         """Read the row of a stream, once more if it may still be on its way."""
--- a/nutmegdeal/gateway/suspect_rows.py
+++ b/nutmegdeal/gateway/suspect_rows.py
@@ -278,7 +278,7 @@
     def apply_snapshot(self, rows, is_from_copy):
         """Apply all rows; write again what a copy lacks."""
         rows = self._take_mark(rows)
-        self._board.software_versions.record_mark_read(self._clock.monotonic_ms())
+        self._board.software_versions.record_mark_read(self.made_ms)
         listed = {row.key: record for row in rows if (record := _decode_row(row))}
         missing = self._book.missing_records(listed) if is_from_copy else ()
         self._board.prompt_parts_era = self._store.newest_era
--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -58,6 +58,15 @@
         self._telemetry = telemetry
         self._position = None
         self._failure_count = 0
+        self._made_ms = None
+
+    @property
+    def made_ms(self):
+        """Return when the answer that is applied was made, at the earliest (float).
+
+        On the monotonic clock.
+        """
+        return self._clock.monotonic_ms() if self._made_ms is None else self._made_ms
 
     @property
     def wait_ms(self):
@@ -125,7 +134,9 @@
         return len(answer.rows)
 
     def _record_answer(self, answer, sent_ms, received_ms):
-        self._board.record_store_answer(answer.store_ms, answer.position.era)
+        board = self._board
+        self._made_ms = board.find_made_ms(sent_ms, answer.as_of_ms)
+        board.record_store_answer(answer.store_ms, answer.position.era, sent_ms)
         confirmation = self._board.keys.confirmation
         confirmation.record_clock(sent_ms, answer.as_of_ms, received_ms)
 
@@ -331,7 +342,10 @@
     def _record_versions(self, now_ms):
         self._board.record_suspended()
         versions = self._board.membership.software_versions()
-        if self._board.software_versions.record_read(versions, now_ms):
+        is_further = self._board.software_versions.record_read(
+            versions, now_ms, self.made_ms
+        )
+        if is_further:
             # Streams begin at a new version once the mark names it.
             self._board.stream_rows_due.set()
 
--- a/nutmegdeal/quotas/fetching.py
+++ b/nutmegdeal/quotas/fetching.py
@@ -62,11 +62,12 @@
                 self._apply_empty(tenant, balance, planned)
                 return
             balance.begin_write(planned)
+            sent_ms = self._clock.boot_ms()
             result = self._write(part, balance.row_version, planned.record)
             if isinstance(result, Failure):
                 self._apply_failure(balance, result)
                 return
-            self._apply_answer(result.store_ms, result.era)
+            self._apply_answer(result.store_ms, result.era, sent_ms)
             if result.is_done:
                 balance.apply_tranche(
                     planned,
@@ -87,6 +88,7 @@
         started_ms = self._clock.monotonic_ms()
         if not balance.needs_read(started_ms):
             return True
+        sent_ms = self._clock.boot_ms()
         result = self._store.read_first_row(
             QUOTAS_TABLE, BUCKET_KEY, self._timeout.timeout_ms, part
         )
@@ -94,7 +96,7 @@
         if isinstance(result, Failure):
             self._apply_failure(balance, result)
             return False
-        self._apply_answer(result.store_ms, result.position.era)
+        self._apply_answer(result.store_ms, result.position.era, sent_ms)
         self._observe(balance, [row for row in result.rows if row.key == BUCKET_KEY])
         return True
 
@@ -144,9 +146,9 @@
             self._timeout.record_answer(taken_ms)
         self._telemetry.record_store_call(QUOTAS_TABLE, outcome, taken_ms)
 
-    def _apply_answer(self, store_ms, era):
+    def _apply_answer(self, store_ms, era, sent_ms):
         if store_ms:
-            self._board.record_store_answer(store_ms, era)
+            self._board.record_store_answer(store_ms, era, sent_ms)
         if self._failed_calls:
             logger.info(
                 "store_regained", table=QUOTAS_TABLE, failed_calls=self._failed_calls
--- a/nutmegdeal/tests/stream_version_load.py
+++ b/nutmegdeal/tests/stream_version_load.py
@@ -111,6 +111,7 @@
             self.store, self.board, telemetry, SuspectBook(), None, lambda: None
         )
         self._read_due_ms = 0.0
+        self._held = None
         self.is_ready = False
         self.tick()
 
@@ -121,7 +122,8 @@
     def tick(self):
         """Read what is due, and write rows."""
         now_ms = self._site.clock.monotonic_ms()
-        if now_ms >= self._read_due_ms and not self._is_cut():
+        is_due = now_ms >= self._read_due_ms and self._held is None
+        if is_due and not self._is_cut():
             self._read_due_ms = now_ms + READ_EVERY_MS
             answer = self.store.read_table(PARTS_TABLE)
             self.board.record_store_answer(answer.store_ms, answer.position.era)
@@ -135,10 +137,28 @@
 
     def read_registrations(self, now_ms):
         """Read the registrations of all servers."""
+        self.apply_registrations(list(self._site.servers.values()), now_ms, now_ms)
+
+    def apply_registrations(self, backends, made_ms, now_ms):
+        """Apply an answer of the store about all servers."""
         membership = self.board.membership
-        membership.replace_all(list(self._site.servers.values()), now_ms)
+        membership.replace_all(backends, now_ms)
         membership.expire(now_ms)
-        self.board.software_versions.record_read(membership.software_versions(), now_ms)
+        versions = membership.software_versions()
+        self.board.software_versions.record_read(versions, now_ms, made_ms)
+
+    def hold_answer(self):
+        """Let the store make an answer that arrives later."""
+        made_ms = self._site.clock.monotonic_ms()
+        self._held = (list(self._site.servers.values()), made_ms)
+
+    def get_held_answer(self):
+        """Get the answer that was held up, if there is one."""
+        if self._held is None:
+            return
+        (backends, made_ms), self._held = self._held, None
+        now_ms = self._site.clock.monotonic_ms()
+        self.apply_registrations(backends, made_ms, now_ms)
 
     def find_members(self, request):
         """Return the members at which a request may run."""
--- a/nutmegdeal/tests/test_gateway_watching.py
+++ b/nutmegdeal/tests/test_gateway_watching.py
@@ -17,6 +17,7 @@
 from nutmegdeal.platform.rows import StoredRow
 from nutmegdeal.platform.store import FEED_MARGIN_MS, RowsRead, StorePosition
 from nutmegdeal.tests import platform_builders as build
+from nutmegdeal.tests.scripted_store import ScriptedStore
 
 LOST = Failure(Reason.STORE_UNAVAILABLE, Step.PLATFORM, "store", "timed out")
 
@@ -51,27 +52,6 @@
     assert lost_ms + pause_ms + ANSWER_MS <= contact_ms
 
 
-class ScriptedStore:
-    """Gives prepared answers, each some time after its call."""
-
-    def __init__(self, clock):
-        self._clock = clock
-        self.answers = []
-        self.waits_ms = []
-
-    def read_table(self, table):
-        return self._take()
-
-    def read_changes(self, table, after, wait_ms):
-        self.waits_ms.append(wait_ms)
-        return self._take()
-
-    def _take(self):
-        taken_ms, answer = self.answers.pop(0)
-        self._clock.advance(taken_ms)
-        return answer
-
-
 class WatchedKeys:
     """A watcher of the operator's row, with one tenant, and its store.
 
--- a/nutmegdeal/tests/test_keys_safety.py
+++ b/nutmegdeal/tests/test_keys_safety.py
@@ -107,4 +107,6 @@
         gateway_class = faulty_class
 
     with pytest.raises(AssertionError, match="was revoked|was 401"):
-        run_state_machine_as_test(FaultyMachine, settings=faulty_version_settings(1_500))
+        run_state_machine_as_test(
+            FaultyMachine, settings=faulty_version_settings(1_500)
+        )
--- a/nutmegdeal/tests/test_stream_versions_safety.py
+++ b/nutmegdeal/tests/test_stream_versions_safety.py
@@ -106,6 +106,16 @@
         """Cut a gateway off from the store, or end the cut."""
         self.site.gateways[index].store.is_cut = is_cut
 
+    @rule(index=INDEXES)
+    def hold_answer(self, index):
+        """Hold up the next answer of the store to a gateway."""
+        self.site.gateways[index].hold_answer()
+
+    @rule(index=INDEXES)
+    def get_held_answer(self, index):
+        """Let it arrive."""
+        self.site.gateways[index].get_held_answer()
+
     @rule(is_silent=st.booleans())
     def change_store(self, is_silent):
         """Let the store be silent, or answer."""
@@ -165,6 +175,13 @@
         return super().build_mark(now_ms)
 
 
+class ReceiptTimeHistory(VersionHistory):
+    """Takes answers for as recent as their receipt."""
+
+    def record_read(self, versions_by_service, now_ms, made_ms=None):
+        return super().record_read(versions_by_service, now_ms)
+
+
 class MarklessHistory(VersionHistory):
     """Begins streams where the mark allows it, but finds versions without it."""
 
@@ -200,6 +217,24 @@
     return site.mixed
 
 
+def play_join_beside_a_late_answer(history_class):
+    """Return the streams that are mixed as the last answer before a cut is old."""
+    site = StreamSite(2, build_gateway_class(history_class))
+    site.advance(35_000.0)
+    cut = site.gateways[1]
+    cut.hold_answer()
+    site.add_server("v2")
+    site.advance(2_500.0)
+    cut.get_held_answer()
+    cut.store.is_cut = True
+    site.advance(JOIN_DELAY_MS - 2_500.0 + READ_EVERY_MS)
+    for choice in range(4):
+        site.begin(0, choice)
+    for choice in range(4):
+        site.take_up(1, choice)
+    return site.mixed
+
+
 def play_restart_after_an_end(history_class):
     """Return the streams that are mixed as a gateway starts without their version."""
     site = StreamSite(2, build_gateway_class(history_class))
@@ -219,6 +254,7 @@
     [
         (play_join_beside_a_short_cut, HastyHistory),
         (play_join_beside_a_cut, TrustingHistory),
+        (play_join_beside_a_late_answer, ReceiptTimeHistory),
         (play_restart_after_an_end, MarklessHistory),
     ],
 )
