Gateways: streams begin only at versions that other gateways know

What callers would see: a stream that had begun at a version which had just joined was taken up at a gateway out of step, and went on at another version (ORDER).

Cause: a gateway whose last read is up to 3 s old may let a stream go on at the only version that it knows, as streams begin at a further version 3.5 s after it was first seen. If no earlier version had servers any more, they began there at once. Servers run on for seconds after their registration has gone, so the take-up found one. A gateway that had just started also took the version of the oldest server for known to all, whatever the mark said.

The model of the state machine now lets servers run on; it had ended them with their registration.

Fix: streams begin at the version that joined first, or at one that was first seen 3.5 s ago; otherwise they are refused at once with a Retry-After that names the end of that time, `stream_version_joining`. The mark goes before the age of servers.

Harnesses whose gateways had never read the registrations now record a read, as every gateway that serves has.

--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -17,7 +17,7 @@
 from nutmegdeal.gateway.blackboard import BASE_MODEL
 from nutmegdeal.gateway.load_waits import LoadWait
 from nutmegdeal.gateway.retries import has_further_server
-from nutmegdeal.gateway.software_versions import select_members
+from nutmegdeal.gateway.software_versions import join_wait_ms, select_members
 from nutmegdeal.gateway.urgency import goes_first_at_server, request_rank
 
 # A request that waits for an adapter repeats the search for an engine after this time.
@@ -56,8 +56,8 @@
     reason : str
     excess_ms : float
         By how much the adapter would be loaded too late, how long the first server
-        will still be paused, or when a server with a limit takes a further request; 0.0
-        if that is not known.
+        will still be paused, when a server with a limit takes a further request, or how
+        long streams may not begin at a software version yet; 0.0 if that is not known.
     """
 
     reason: str
@@ -192,6 +192,9 @@
                 request.service.name, request.software_version, now_ms
             )
             return NotFound("stream_version_away" if may_return else VERSION_GONE)
+        wait_ms = self._join_wait_ms(request, now_ms)
+        if wait_ms:
+            return NotFound("stream_version_joining", wait_ms)
         return_ms = self._limits.plan_return(request.service.name, now_ms)
         if return_ms is not None:
             return NotFound("backends_limited", return_ms - now_ms)
@@ -200,6 +203,10 @@
             return NotFound("no_backend")
         return NotFound("backends_unavailable", pause_end_ms - now_ms)
 
+    def _join_wait_ms(self, request, now_ms):
+        members = self._board.membership.usable(request.service.name, now_ms)
+        return join_wait_ms(request, members, self._board.software_versions, now_ms)
+
     def _is_version_gone(self, request):
         """Return whether no server of the stream's version will take requests again."""
         return not any(
--- a/nutmegdeal/gateway/software_versions.py
+++ b/nutmegdeal/gateway/software_versions.py
@@ -33,6 +33,9 @@
     def __init__(self):
         self.mark_row_version = 0
         self._periods = {}
+        # By service, the version of the server that had started first as this gateway
+        # read the registrations for the first time.
+        self._oldest_at_start = {}
         # When each version joined: of all marks seen, and of the row in the store.
         self._marked_first_ms = {}
         self._stored = {}
@@ -40,6 +43,8 @@
         self._mark_read_ms = float("-inf")
         self._needs_mark = True
         self._covered_since_ms = None
+        # When the store made the first answer after the last gap in the reads.
+        self._gap_end_ms = None
         self._last_read_ms = float("-inf")
         self._suspended_ms = None
 
@@ -52,6 +57,8 @@
         passed_ms = max(suspended_ms - known_ms, 0.0)
         self._last_read_ms -= passed_ms
         self._mark_read_ms -= passed_ms
+        if self._gap_end_ms is not None:
+            self._gap_end_ms -= passed_ms
         # The two clocks are read one after the other, which may make it look shorter.
         self._suspended_ms = max(suspended_ms, known_ms)
 
@@ -76,6 +83,7 @@
         if made_ms - self._last_read_ms > FRESH_MS:
             # Versions that came and went meanwhile were not seen.
             self._covered_since_ms = now_ms
+            self._gap_end_ms = made_ms
             is_mark_fresh = now_ms - self._mark_read_ms <= FRESH_MS
             self._needs_mark = not (is_first and is_mark_fresh)
         self._last_read_ms = max(self._last_read_ms, made_ms)
@@ -83,13 +91,11 @@
         has_further = False
         for service, versions in versions_by_service.items():
             periods = self._periods.setdefault(service, {})
-            oldest = min(versions, key=versions.get)
+            if is_first:
+                self._oldest_at_start[service] = min(versions, key=versions.get)
             for version in versions:
-                # The others may be so new that other gateways have not read them.
-                is_old = is_first and version == oldest
-                first_ms = float("-inf") if is_old else now_ms
                 has_further = has_further or (periods and version not in periods)
-                period = periods.setdefault(version, VersionPeriod(first_ms, now_ms))
+                period = periods.setdefault(version, VersionPeriod(now_ms, now_ms))
                 period.last_ms = now_ms
         return bool(has_further)
 
@@ -113,7 +119,8 @@
         """Record that the row of the mark was read, or that there is none.
 
         An answer that waited for a change says nothing: it may have been on its way
-        while the registrations could not be read.
+        while the registrations could not be read. One that was made shortly before they
+        were read again does: versions at which streams have begun were named earlier.
 
         Parameters
         ----------
@@ -121,7 +128,7 @@
             When the store made the answer.
         """
         self._mark_read_ms = max(self._mark_read_ms, made_ms)
-        if self._covered_since_ms is None or made_ms >= self._covered_since_ms:
+        if self._gap_end_ms is None or made_ms >= self._gap_end_ms - FRESH_MS:
             self._needs_mark = False
 
     def lacks_mark(self, now_ms):
@@ -229,23 +236,55 @@
         return next(iter(recent)) if len(recent) == 1 else None
 
     def is_settled(self, service, version, now_ms):
-        """Return whether new streams may begin at a version."""
-        period = self._periods.get(service, {}).get(version)
-        if period is None:
-            return False
-        marked_first_ms = self._marked_first_ms.get(service, {}).get(version)
-        is_first = period.first_ms == float("-inf")
-        if (
-            not is_first
-            and marked_first_ms is None
-            and self.has_several(service, now_ms)
-        ):
-            # If all gateways were killed now, none would know of the version.
+        """Return whether new streams may begin at a version.
+
+        Beside other versions the mark has to name it: otherwise none would know of it
+        if all gateways were killed now.
+        """
+        if version not in self._periods.get(service, {}):
             return False
-        first_ms = min(
-            period.first_ms, now_ms if marked_first_ms is None else marked_first_ms
+        has_joined_first = self._has_joined_first(service, version, now_ms)
+        if has_joined_first and not self.has_several(service, now_ms):
+            return True
+        is_marked = version in self._marked_first_ms.get(service, {})
+        is_oldest = self._oldest_at_start.get(service) == version
+        if has_joined_first and (is_marked or is_oldest):
+            return True
+        return is_marked and not self.join_wait_ms(service, version, now_ms)
+
+    def join_wait_ms(self, service, version, now_ms):
+        """Return for how long a gateway may not know a registered version (float).
+
+        0.0 if all gateways know it, or know that what they have read is not fresh.
+        """
+        joined_ms = self._joined_ms(service, version, now_ms)
+        return max(joined_ms + JOIN_DELAY_MS - now_ms, 0.0)
+
+    def _joined_ms(self, service, version, now_ms):
+        """Return when a version was first seen by any gateway (float)."""
+        period = self._periods.get(service, {}).get(version)
+        seen_ms = now_ms if period is None else period.first_ms
+        return min(
+            seen_ms, self._marked_first_ms.get(service, {}).get(version, seen_ms)
         )
-        return now_ms - first_ms >= JOIN_DELAY_MS
+
+    def _has_joined_first(self, service, version, now_ms):
+        """Return whether no gateway can know another recent version, but not this one.
+
+        Of those that joined at one moment, that of the server which started first
+        counts, as long as no gateway knows better.
+        """
+        if self._needs_mark and not self._is_covered(now_ms):
+            return False
+        joined_ms = self._joined_ms(service, version, now_ms)
+        others_ms = [
+            self._joined_ms(service, item, now_ms)
+            for item in self.recent_versions(service, now_ms)
+            if item != version
+        ]
+        if self._oldest_at_start.get(service) == version:
+            return joined_ms <= min(others_ms, default=joined_ms)
+        return all(joined_ms < other_ms for other_ms in others_ms)
 
 
 def _join(known, others):
@@ -282,12 +321,40 @@
         ]
     if not request.route.is_resumable:
         return members
+    service = request.service.name
     known = [item for item in members if not item.has_restarted]
-    settled = [
-        item
-        for item in known
-        if history.is_settled(
-            request.service.name, item.backend.software_version, now_ms
-        )
-    ]
-    return settled or known
+    versions = {item.backend.software_version for item in known}
+    chosen = {item for item in versions if history.is_settled(service, item, now_ms)}
+    if not chosen:
+        chosen = {
+            item for item in versions if not history.join_wait_ms(service, item, now_ms)
+        }
+    return [item for item in known if item.backend.software_version in chosen]
+
+
+def join_wait_ms(request, members, history, now_ms):
+    """Return how long a new stream has to wait for a version that has just joined.
+
+    Parameters
+    ----------
+    request, members, history, now_ms
+        As for `select_members`, which has returned no members.
+
+    Returns
+    -------
+    float or None
+        None if it is not such a stream, or has no servers at all.
+    """
+    is_new = request.is_stream and request.software_version is None
+    if not is_new or not request.route.is_resumable:
+        return None
+    return min(
+        (
+            history.join_wait_ms(
+                request.service.name, item.backend.software_version, now_ms
+            )
+            for item in members
+            if not item.has_restarted
+        ),
+        default=None,
+    )
--- a/nutmegdeal/tests/dispatch_harness.py
+++ b/nutmegdeal/tests/dispatch_harness.py
@@ -51,7 +51,10 @@
 
 
 def build_search(board, selector, random_state=None, telemetry=None):
-    """Return a MemberSearch without placers."""
+    """Return a MemberSearch without placers, over the servers known now."""
+    now_ms = board.clock.monotonic_ms()
+    board.software_versions.record_mark_read(now_ms)
+    board.software_versions.record_read(board.membership.software_versions(), now_ms)
     telemetry = telemetry or GatewayTelemetry()
     random_state = random_state or random.Random(1)
     keeper = LimitKeeper(None, board, telemetry)
--- a/nutmegdeal/tests/resumed_load.py
+++ b/nutmegdeal/tests/resumed_load.py
@@ -167,6 +167,7 @@
         versions = {build.ENGINE_SERVICE: dict.fromkeys(VERSIONS, 1)}
         joined_ms = {build.ENGINE_SERVICE: dict.fromkeys(VERSIONS, 0.0)}
         self._history.record_mark(0.0, joined_ms, 0.0)
+        self._history.record_mark_read(0.0)
         next_ms = 0.0
         has_resumed = False
         while self._now_ms < PLAYED_MS:
--- a/nutmegdeal/tests/stream_version_load.py
+++ b/nutmegdeal/tests/stream_version_load.py
@@ -27,6 +27,8 @@
 LONG_WAIT_MS = 10_000.0
 # How often a gateway reads the registrations, which takes two ticks to be noticed.
 READ_EVERY_MS = 1_000.0
+# For how long a server runs after its registration has gone.
+LEAVING_MS = 6_000.0
 # Streams older than this are not taken up any more.
 TAKEN_UP_WITHIN_MS = 25_000.0
 
@@ -201,6 +203,7 @@
         self.clock = ManualClock()
         self.store = ClockedStore(self.clock)
         self.servers = {}
+        self._running_until_ms = {}
         self.streams = []
         self.mixed = []
         self.taken_up_count = 0
@@ -226,7 +229,17 @@
         backend_id = sorted(self.servers)[index % len(self.servers)]
         service = self.servers[backend_id].service
         if sum(item.service == service for item in self.servers.values()) > 1:
-            del self.servers[backend_id]
+            self._end(backend_id)
+
+    def _end(self, backend_id):
+        """Remove a registration; the server runs for a while longer."""
+        del self.servers[backend_id]
+        self._running_until_ms[backend_id] = self.clock.monotonic_ms() + LEAVING_MS
+
+    def _is_running(self, member):
+        backend_id = member.backend_id
+        until_ms = self._running_until_ms.get(backend_id, 0.0)
+        return backend_id in self.servers or self.clock.monotonic_ms() < until_ms
 
     def remove_version(self, version, service=SERVICE):
         """End all servers of a version; the last version of a service stays."""
@@ -234,7 +247,7 @@
         ended = [item for item in found if item.software_version == version]
         if len(ended) < len(found):
             for backend in ended:
-                del self.servers[backend.backend_id]
+                self._end(backend.backend_id)
 
     def restart_all(self):
         """Restart all gateways at once: none of them remembers anything."""
@@ -270,7 +283,7 @@
         self._count += 1
         request = build_stream(service, request_id=f"q-{self._count}")
         members = gateway.find_members(request) if gateway.is_ready else []
-        running = [item for item in members if item.backend_id in self.servers]
+        running = [item for item in members if self._is_running(item)]
         if not running:
             return
         member = running[choice % len(running)]
@@ -297,7 +310,7 @@
         if not gateway.streams.find_version(request):
             return
         for member in gateway.find_members(request):
-            if member.backend_id in self.servers:
+            if self._is_running(member):
                 self.went_on_count += 1
                 version = member.backend.software_version
                 if version != stream.version:
--- a/nutmegdeal/tests/test_gateway_decisions.py
+++ b/nutmegdeal/tests/test_gateway_decisions.py
@@ -22,6 +22,7 @@
     RetryDecider,
     RetryDecision,
 )
+from nutmegdeal.gateway.software_versions import JOIN_DELAY_MS
 from nutmegdeal.gateway.versions import OLD_VERSION_SHARE, AdapterVersions
 from nutmegdeal.retry_budget import RetryBudget, WindowedRetryBudget
 from nutmegdeal.site_configuration import (
@@ -288,6 +289,25 @@
         else:
             assert found.reason == "adapter_too_late"
 
+    def test_new_stream_waits_for_a_version_that_has_just_joined(self):
+        """It would be held, or begin where others may join it with another version."""
+        clock, membership = ManualClock(), Membership()
+        board = Blackboard(
+            build.build_node_settings(), clock, membership, AdapterVersions(5_000.0)
+        )
+        membership.put(build.build_backend(backend_id="i-1", software_version="v1"), 0)
+        search = build_search(board, FixedSelector(None))
+        clock.advance(1_000.0)
+        joined = build.build_backend(backend_id="i-2", software_version="v2")
+        membership.replace_all([joined], 1_000.0)
+        versions = membership.software_versions()
+        board.software_versions.record_read(versions, 1_000.0)
+        found = search.find(build.build_request())
+        assert found.reason == "stream_version_joining"
+        assert found.excess_ms == JOIN_DELAY_MS
+        clock.advance(JOIN_DELAY_MS)
+        assert search._find_usable(build.build_request(), clock.monotonic_ms())
+
 
 class TestReplacementSearch:
     """Which server can take over a silent run at once."""
--- a/nutmegdeal/tests/test_stream_versions_safety.py
+++ b/nutmegdeal/tests/test_stream_versions_safety.py
@@ -452,3 +452,40 @@
     gateway.read_registrations(site.clock.monotonic_ms())
     assert gateway.board.software_versions.lacks_mark(site.clock.monotonic_ms())
     assert gateway.streams.find_version(build_stream(SERVICES[0]))
+
+
+def play_replacement_beside_a_cut(site):
+    """Replace all servers within a second, which a cut gateway does not see."""
+    site.advance(40_000.0)
+    site.gateways[1].store.is_cut = True
+    site.add_server("v2")
+    site.remove_version("v1")
+
+
+def play_replacement_before_a_restart(site):
+    """Let the other gateway start anew, too."""
+    play_replacement_beside_a_cut(site)
+    site.gateways[0].restart()
+
+
+@pytest.mark.parametrize(
+    "play", [play_replacement_beside_a_cut, play_replacement_before_a_restart]
+)
+def test_streams_do_not_begin_at_a_version_that_others_may_not_know(play):
+    """The old version's last servers, which still ran, took the streams up."""
+    site = StreamSite(2)
+    play(site)
+    site.advance(READ_EVERY_MS)
+    for choice in range(4):
+        site.begin(0, choice)
+    for choice in range(4):
+        site.take_up(1, choice)
+    assert not site.mixed
+
+
+def test_streams_begin_again_once_all_gateways_know_the_version_that_is_left():
+    site = StreamSite(2)
+    play_replacement_beside_a_cut(site)
+    site.advance(JOIN_DELAY_MS + READ_EVERY_MS)
+    site.begin(0, 0)
+    assert len(site.streams) == 1
