Gateways: odd entries among the registrations do no harm

What callers would see: requests answered 500 beside an entry of another writer, and a gateway that no longer follows the list of servers. Reported by operators of systems like ours, not seen on the users' platform.

Cause: numbers of other writers were taken without a range. `slots` of 400 digits cannot be added to a float, so the choice of a server crashed; `born` above 64 bits cannot be sent to a placer, so the link crashed and was opened again without end. One row whose value is no base64 spoiled the whole answer of the store, which was asked again and again.

Fix: whole numbers have a range, addresses are an IPv4 address and a port, names have 200 characters at most. A row that is no base64 has an empty value, and the others count.

--- a/nutmegdeal/gateway/watching.py
+++ b/nutmegdeal/gateway/watching.py
@@ -16,6 +16,8 @@
 RETRY_INITIAL_MS = 100.0
 RETRY_MAX_MS = 800.0
 RETRY_JITTER = 0.3
+# Longest description of an error in a log line: it may quote what was read.
+ERROR_CHARACTERS_MAX = 300
 # Time for a connection and an answer of a busy store.
 ANSWER_MS = 170.0
 # Time between the end of a call's wait and a renewed read after its answer was lost:
@@ -353,5 +355,6 @@
         try:
             return platform_rows.decode_backend(row.key, row.value)
         except platform_rows.DECODE_ERRORS as error:
-            logger.warning("row_malformed", key=row.key, error=repr(error))
+            described = repr(error)[:ERROR_CHARACTERS_MAX]
+            logger.warning("row_malformed", key=row.key, error=described)
             return None
--- a/nutmegdeal/platform/rows.py
+++ b/nutmegdeal/platform/rows.py
@@ -5,6 +5,7 @@
 
 import base64
 import hashlib
+import ipaddress
 import json
 import math
 
@@ -53,9 +54,16 @@
 )
 
 PORT_MAX = 65_535
+# Largest whole number that JSON decoders of all languages read exactly.
+WHOLE_NUMBER_MAX = 2**53 - 1
+# More requests at once are a mistake of the writer.
+SLOTS_MAX = 1_000_000
+# Longest name in a registration; services and versions are named in rows of the store.
+NAME_CHARACTERS_MAX = 200
 # Decoding so many takes about 1 ms of processor time.
 ROUTES_BETWEEN_PAUSES = 100
 
+_STATES = {state.value: state for state in BackendState}
 _ROUTE_KINDS = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -83,13 +91,34 @@
 
 
 def decode_row(data):
-    """Return the StoredRow in a decoded JSON object of an answer."""
+    """Return the StoredRow in a decoded JSON object of an answer.
+
+    A value that is no base64 is empty: whoever wrote it must not keep others' rows from
+    being read.
+    """
     if data.get("removed"):
         return StoredRow(str(data["key"]), None, int(data.get("ver") or 0))
-    value = base64.b64decode(data["value"], validate=True)
+    try:
+        value = base64.b64decode(data.get("value"), validate=True)
+    except (TypeError, ValueError):
+        value = b""
     return StoredRow(str(data["key"]), value, int(data["ver"]))
 
 
+def decode_whole_number(value, smallest=0, largest=WHOLE_NUMBER_MAX):
+    """Return a whole number (int) of a decoded JSON object.
+
+    Raises
+    ------
+    ValueError
+        If it is of another type, or out of range.
+    """
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not smallest <= value <= largest or value != int(value):
+        raise ValueError("not a whole number in the range")
+    return int(value)
+
+
 def encode_transaction(table, expected, writes, removed_keys, part=""):
     """Return the body (bytes) of a transaction.
 
@@ -256,32 +285,45 @@
 
 def decode_backend(key, value):
     """Return the Backend in a registration row."""
+    if not _is_header_value(key):
+        raise ValueError("the id of a server cannot be sent in a header")
     data = json.loads(value)
-    host, _, port_text = data["address"].rpartition(":")
-    port = int(port_text)
-    # Raises a ValueError for a host that no name or address can have.
-    host.encode("idna")
-    is_valid = host and 0 < port <= PORT_MAX and isinstance(data["service"], str)
-    if not is_valid or not _is_header_value(key):
-        raise ValueError(f"not a registration: {key}")
+    host, port = _decode_address(data["address"])
     return Backend(
         backend_id=key,
-        service=data["service"],
-        zone=str(data["zone"]),
+        service=_check_name(data["service"]),
+        zone=_check_name(data["zone"]),
         host=host,
         port=port,
-        slots=int(data["slots"]),
-        state=BackendState(data["state"]),
+        slots=decode_whole_number(data["slots"], 1, SLOTS_MAX),
+        state=_STATES[data["state"]],
         adapters=decode_adapters(data.get("models") or ()),
         # "born" is the start of the incarnation.
-        started_unix_ms=int(data.get("born") or 0),
+        started_unix_ms=decode_whole_number(data.get("born") or 0),
         software_version=_decode_software_version(data.get("version")),
     )
 
 
+def _decode_address(text):
+    """Return the host and the port in IP:PORT."""
+    host, _, port = text.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError("the port is no number")
+    return host, decode_whole_number(int(port), 1, PORT_MAX)
+
+
+def _check_name(value):
+    """Return a name, which must be a text that rows of the store can hold."""
+    if not isinstance(value, str) or len(value) > NAME_CHARACTERS_MAX:
+        raise ValueError("not a name")
+    value.encode()
+    return value
+
+
 def _decode_software_version(value):
     """Return the version of a server's software, "" if it is missing or no text."""
-    return value if isinstance(value, str) else ""
+    return _check_name(value) if isinstance(value, str) else ""
 
 
 def _is_header_value(text):
@@ -293,14 +335,22 @@
 def decode_adapters(models):
     """Return the adapters of a list of models, a frozenset of ``name@version``."""
     return frozenset(
-        _check_adapter(adapter)
+        check_adapter(adapter)
         for model in models
         for adapter in model.get("adapters") or ()
     )
 
 
-def _check_adapter(name):
-    split_adapter(name)
+def check_adapter(name):
+    """Return ``name@version`` of an adapter.
+
+    Raises
+    ------
+    AttributeError, ValueError
+        If it is something else.
+    """
+    _, version = split_adapter(name)
+    decode_whole_number(version)
     return name
 
 
@@ -308,7 +358,7 @@
     """Return the AdapterVersion in an operator's row."""
     data = json.loads(value)
     return AdapterVersion(
-        str(data["model"]), str(data["adapter"]), int(data["version"])
+        str(data["model"]), str(data["adapter"]), decode_whole_number(data["version"])
     )
 
 
--- a/nutmegdeal/platform/store.py
+++ b/nutmegdeal/platform/store.py
@@ -324,7 +324,7 @@
             return self._build_failure(f"HTTP {head.status_code}")
         try:
             data = json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return self._build_failure(f"not JSON: {error}")
         if not isinstance(data, dict):
             return self._build_failure("the answer is not a JSON object")
--- a/nutmegdeal/tests/test_platform_answers.py
+++ b/nutmegdeal/tests/test_platform_answers.py
@@ -90,6 +90,12 @@
     assert ended.wait(10)
 
 
+def test_page_that_is_nested_too_deeply_is_a_failure(start_server):
+    answer = build.build_plain_answer("-", b"[" * 100_000)
+    client = build_store_client(start_server(answer_once(answer, lambda sock: False)))
+    assert isinstance(client.read_table("op"), Failure)
+
+
 def test_endless_interim_heads_of_the_store_are_a_failure(start_server):
     answer, ended = send_without_end(then=b"HTTP/1.1 100 Continue\r\n\r\n")
     failure = build_store_client(start_server(answer)).read_table("op")
