Placers: odd reports of an engine are no reports

What callers would see: the adapters of an engine are neither loaded nor reported while it reports a number too large, or an adapter without a version. Not seen anywhere.

Cause: that of docs/incidents/0014 in the placer. `born`, `running` and `waiting` above 64 bits failed as the engine's state was encoded for the gateways, an entry of `pending` that is no NAME@VERSION as the report was applied, in each round anew.

--- a/nutmegdeal/platform/engine.py
+++ b/nutmegdeal/platform/engine.py
@@ -5,7 +5,12 @@
 import attrs
 
 from nutmegdeal.platform.headers import TARGET_ID
-from nutmegdeal.platform.rows import DECODE_ERRORS, decode_adapters
+from nutmegdeal.platform.rows import (
+    DECODE_ERRORS,
+    check_adapter,
+    decode_adapters,
+    decode_whole_number,
+)
 
 REPORT_PATH = "/report"
 ORDER_PATH = "/order"
@@ -64,19 +69,20 @@
         data = json.loads(body)
         models = data["models"]
         return EngineReport(
-            started_unix_ms=int(data.get("born") or 0),
+            started_unix_ms=decode_whole_number(data.get("born") or 0),
             # "sequence" counts the accepted orders.
-            order_count=int(data["sequence"]),
+            order_count=decode_whole_number(data["sequence"]),
             models=frozenset(str(model["name"]) for model in models),
             resident=decode_adapters(models),
             # "pending" lists MODEL/NAME@VERSION.
             loading=frozenset(
-                item.rpartition("/")[2] for item in data.get("pending") or ()
+                check_adapter(item.rpartition("/")[2])
+                for item in data.get("pending") or ()
             ),
-            running_count=int(data["running"]),
-            waiting_count=int(data["waiting"]),
-            memory_used=int(data["kv_used"]),
-            memory_max=int(data["kv_total"]),
+            running_count=decode_whole_number(data["running"]),
+            waiting_count=decode_whole_number(data["waiting"]),
+            memory_used=decode_whole_number(data["kv_used"]),
+            memory_max=decode_whole_number(data["kv_total"]),
             is_changing_model=bool(data["busy"]),
             is_leaving=is_leaving,
         )
--- a/nutmegdeal/tests/test_odd_registrations.py
+++ b/nutmegdeal/tests/test_odd_registrations.py
@@ -1,7 +1,7 @@
-"""Odd entries among the registrations of the backend servers.
+"""Odd entries among the registrations of backend servers, and odd reports of engines.
 
-Such an entry names no server to use. Gateways go on following the list, and requests
-are served by the other servers.
+Such an entry names no server to use. Gateways go on following the list, placers the
+reports, and requests are served by the other servers.
 """
 
 import json
@@ -19,6 +19,16 @@
 
 CALL_COUNT = 4
 LINKED_WITHIN_S = 0.5
+# More than a placer tolerates before it calls the engine unreachable.
+ODD_REPORT_COUNT = 4
+REPORT_FIELDS = {
+    "busy": False,
+    "waiting": 0,
+    "running": 0,
+    "kv_used": 0,
+    "kv_total": 1_000,
+    "pending": [],
+}
 # Numbers and lists as JSON texts; the encoder cannot write all of them.
 LARGE = "1" + "0" * 400
 ABOVE_64_BITS = "1" + "0" * 20
@@ -142,3 +152,34 @@
         assert site.call("/book/1", "q-1")[0] == 200
     finally:
         store.encode_answer = encode
+
+
+ODD_REPORTS = [
+    *(
+        {name: value}
+        for name in ("born", "sequence", "running", "waiting", "kv_used")
+        for value in (10**400, 2**64, "many")
+    ),
+    *({"pending": [value]} for value in ("a1", "model/a1@" + "9" * 400, 7)),
+    {"models": [{"name": "model", "adapters": ["a1@" + "9" * 400]}]},
+]
+
+
+@pytest.mark.parametrize("fields", ODD_REPORTS, ids=str)
+def test_placer_goes_on_after_an_odd_report(site, lines, monkeypatch, fields):
+    """The placer's controller crashed again and again while the engine reported so."""
+    engine = site.engines[0]
+    odd_count = 0
+
+    def send_report(responder):
+        nonlocal odd_count
+        odd_count += 1
+        report = {**engine._registration_fields(), **REPORT_FIELDS, **fields}
+        responder.reply(200, [], json.dumps(report).encode())
+
+    with monkeypatch.context() as patched:
+        patched.setattr(engine, "_send_report", send_report)
+        wait_until(lambda: odd_count > ODD_REPORT_COUNT)
+    adapter = f"b{ODD_REPORTS.index(fields)}"
+    assert site.call("/chat/1", "q-1", adapter)[0] == 200
+    assert not [line for line in lines if "crashed" in line]
