--- a/nutmegdeal/fakes/answer_faults.py
+++ b/nutmegdeal/fakes/answer_faults.py
@@ -44,6 +44,8 @@
     breaks_pending : int
         Number of next answers that break off as `break_kind` says.
     break_kind : AnswerBreak
+    repeats_refusals : bool
+        Refusals come a second time, before the next answer on their connection.
     endless : EndlessAnswer or None
         All answers are of this kind, until the client closes the connection.
     endless_interval_ms : float
@@ -58,6 +60,7 @@
     is_unframed: bool = False
     breaks_pending: int = 0
     break_kind: AnswerBreak = AnswerBreak.INSIDE_EVENT
+    repeats_refusals: bool = False
     endless: EndlessAnswer | None = None
     endless_interval_ms: float = 10.0
 
--- a/nutmegdeal/fakes/breakable_listener.py
+++ b/nutmegdeal/fakes/breakable_listener.py
@@ -19,9 +19,18 @@
     Parameters
     ----------
     sock : socket
+    late_answer : bytes
+        A second copy of an earlier answer, which is sent before the next one.
     """
 
     sock: object
+    late_answer: bytes = b""
+
+    def write_late_answer(self):
+        """Send the second copy of an earlier answer, if there is one."""
+        late_answer, self.late_answer = self.late_answer, b""
+        if late_answer:
+            self.write(late_answer)
 
     def write(self, data):
         """Send bytes as they are.
--- a/nutmegdeal/fakes/endless_answers.py
+++ b/nutmegdeal/fakes/endless_answers.py
@@ -8,9 +8,9 @@
 ENDLESS_EVENT_TEXT = b"data: endless"
 
 
-def encode_head(headers):
-    """Return the bytes of the head of a successful answer."""
-    lines = [b"HTTP/1.1 200 OK", *(b"%s: %s" % header for header in headers)]
+def encode_head(headers, status_code=200):
+    """Return the bytes of the head of an answer."""
+    lines = [b"HTTP/1.1 %d -" % status_code, *(b"%s: %s" % item for item in headers)]
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
--- a/nutmegdeal/fakes/platform_server.py
+++ b/nutmegdeal/fakes/platform_server.py
@@ -15,6 +15,7 @@
     UnframedWriter,
 )
 from nutmegdeal.fakes.breakable_listener import BreakableListener
+from nutmegdeal.fakes.endless_answers import encode_head
 from nutmegdeal.fakes.named_limit import NamedLimit
 from nutmegdeal.fakes.prompt_crashes import CauseRecord
 from nutmegdeal.fakes.stream_runs import SOFTWARE_VERSION
@@ -210,6 +211,7 @@
 
     def _respond(self, request, responder):
         self.faults.wait_while_silent()
+        self.listener.current_connection().write_late_answer()
         request_id = find_header(request.headers, b"x-request-id") or b""
         self.limit.record_arrival(request_id.decode())
         self._record_caller(request, request_id.decode())
@@ -237,6 +239,9 @@
         headers = [*self._common_headers(request), (b"x-not-executed", b"1")]
         if status_code == 503 and self.retry_after_s is not None:
             headers.append((b"retry-after", f"{self.retry_after_s}".encode()))
+        if self.faults.repeats_refusals:
+            whole = encode_head([*headers, (b"content-length", b"0")], status_code)
+            self.listener.current_connection().late_answer = whole
         responder.reply(status_code, headers, b"")
 
     def _leaving_headers(self):
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -17,6 +17,7 @@
     CRASHING_PROMPTS_KIND,
     CRASHING_REQUESTS_KIND,
     ENDLESS_ANSWERS_KIND,
+    FAULTY_SERVERS_KIND,
     LIMITS_KIND,
     SILENCE_KIND,
     SOFTWARE_VERSIONS_KIND,
@@ -25,6 +26,7 @@
     FaultRecord,
 )
 from nutmegdeal.soak.proxy import ProxyMode
+from nutmegdeal.soak.server_faults import ServerFaults
 from nutmegdeal.soak.tenant_changes import TenantChanges
 
 logger = get_logger(__name__)
@@ -102,6 +104,9 @@
     has_software_versions : bool
         Whether the engines change their software one after another, beside all other
         faults.
+    has_faulty_servers : bool
+        Whether servers repeat refusals, and others write odd registrations, beside all
+        other faults.
 
     Attributes
     ----------
@@ -117,8 +122,10 @@
         has_limits=False,
         has_crashing_requests=False,
         has_software_versions=False,
+        has_faulty_servers=False,
     ):
         self.records = []
+        self._has_faulty_servers = has_faulty_servers
         self._has_software_versions = has_software_versions
         self._has_crashing_requests = has_crashing_requests
         self._has_limits = has_limits
@@ -171,6 +178,10 @@
         if self._has_software_versions:
             change = (SOFTWARE_VERSIONS_KIND, self._change_software, True)
             self._spawn(change, fault_period_s)
+        if self._has_faulty_servers:
+            faults = ServerFaults(self._site, self._details)
+            for action in (faults.repeat_refusals, faults.write_odd_entries):
+                self._spawn((FAULTY_SERVERS_KIND, action, True), fault_period_s)
         if self._tenant_changes is not None:
             changes = self._tenant_changes
             for change in (changes.change_keys, changes.change_quotas):
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -90,6 +90,7 @@
     has_crashing_requests=False,
     has_software_versions=False,
     has_tenants=False,
+    has_faulty_servers=False,
 ):
     """Run the programs under load and faults, and check the rules.
 
@@ -112,6 +113,8 @@
     has_tenants : bool
         Whether callers have API keys of tenants, which are revoked, and quotas, which
         are lowered and exceeded.
+    has_faulty_servers : bool
+        Whether servers repeat refusals, and others write odd registrations.
 
     Returns
     -------
@@ -139,6 +142,7 @@
             has_limits,
             has_crashing_requests,
             has_software_versions,
+            has_faulty_servers,
         )
         restart_greenlet = gevent.spawn(fault_injector.restart_ended_programs)
         callers = [
--- a/nutmegdeal/tests/test_soak.py
+++ b/nutmegdeal/tests/test_soak.py
@@ -19,6 +19,8 @@
 LIMITS_SEED = 301
 CRASHING_REQUESTS_SEED = 401
 TENANTS_SEED = 601
+# Bookings ran twice or were refused though they had run.
+FAULTY_SERVERS_SEED = 702
 # Share of the bound on a window that shows that the quota was in use.
 TENANTS_QUOTA_USE_MIN = 0.25
 SOFTWARE_VERSIONS_SEED = 512
@@ -88,6 +90,11 @@
     assert result["taken_up_count"] >= result["gone_on_count"]
 
 
+@pytest.mark.processes
+def test_repeated_refusals_and_odd_registrations_do_no_harm(tmp_path):
+    run_soak(FAULTY_SERVERS_SEED, FAULTS_FOR_S, tmp_path, "--faulty-servers")
+
+
 @pytest.mark.processes
 def test_keys_and_quotas_of_tenants_are_kept_under_faults(tmp_path):
     """Guards against requests that run with a revoked key or beyond a quota.
--- a/nutmegdeal/tools/soak.py
+++ b/nutmegdeal/tools/soak.py
@@ -32,6 +32,7 @@
     crashing_requests: bool = False,
     software_versions: bool = False,
     tenants: bool = False,
+    faulty_servers: bool = False,
 ):
     """Run the soak test with `count` consecutive seeds, starting at `seed`.
 
@@ -58,6 +59,9 @@
     tenants
         Callers have API keys of tenants. Keys are revoked, also beside a silent store;
         a tenant with a quota sends many times its usual, and its limit is lowered.
+    faulty_servers
+        Servers repeat their refusals late, and another writer leaves odd entries among
+        the registrations, beside all other faults.
     """
     log.configure("warning", "soak")
     base = pathlib.Path(folder or tempfile.mkdtemp(prefix="nutmegdeal-soak-"))
@@ -74,6 +78,7 @@
             crashing_requests,
             software_versions,
             tenants,
+            faulty_servers,
         )
         print(json.dumps(attrs.asdict(result)), flush=True)
         is_violated = is_violated or bool(result.violations)
