Stand-ins: heads of raw answers have the phrase of their status again

Cause: gave encode_head a status code and wrote '-' as the phrase of every status line. The test divides the bytes of a stand-in at the line 'HTTP/1.1 200 OK', as they were before. It fails on whenever it is run (2 of 2 alone), so it is not at times.

Change: the phrase is that of the status code. The test is as it was.

Measured: test_platform_backend_faults and test_endless_answers pass.

--- a/nutmegdeal/fakes/endless_answers.py
+++ b/nutmegdeal/fakes/endless_answers.py
@@ -1,6 +1,7 @@
 """Answers without end, sent by stand-ins until the client closes the connection."""
 
 import abc
+from http import HTTPStatus
 
 PIECE_BYTES = 1_024
 _FILLER = b"x" * PIECE_BYTES
@@ -10,7 +11,9 @@
 
 def encode_head(headers, status_code=200):
     """Return the bytes of the head of an answer."""
-    lines = [b"HTTP/1.1 %d -" % status_code, *(b"%s: %s" % item for item in headers)]
+    phrase = HTTPStatus(status_code).phrase.encode()
+    lines = [b"HTTP/1.1 %d %s" % (status_code, phrase)]
+    lines += [b"%s: %s" % header for header in headers]
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
