Gateways: a version does not seem to have joined earlier beside slow answers

Cause: the time of joining in the mark is on the store's clock. It was converted with the greatest offset of that clock that is possible, which makes it the earliest possible time. A gateway that starts while the store takes long to answer knows the offset only to within the time of a call, and streams began that much sooner than 3.5 s after the version had joined. Other gateways may believe for 3 s that it is not there.

Evidence: the new test, a store whose answers take 1.4 s, failed before: 2.1 s in place of 3.5 s.

Fix: RemoteClockBound also knows the least offset, as no answer arrives before it is made, and the mark is converted with it. A property test checks both bounds.

--- a/nutmegdeal/clock.py
+++ b/nutmegdeal/clock.py
@@ -81,16 +81,18 @@
 
 
 class RemoteClockBound:
-    """Upper bound of the offset of a remote clock: its time less the boot-time clock.
+    """Bounds of the offset of a remote clock: its time less the boot-time clock.
 
-    An answer made at the remote time `r` to a call sent at `q` was made after `q`, so
-    the offset is at most `r - q`. The smallest such bound holds, raised by the drift
-    that is possible since.
+    An answer made at the remote time `r` to a call sent at `q` was made after `q` and
+    before its receipt at `a`, so the offset is at most `r - q` and at least `r - a`.
+    The closest such bounds hold, moved by the drift that is possible since.
     """
 
     def __init__(self):
         self._offset_ms = math.inf
         self._stated_ms = 0.0
+        self._least_ms = -math.inf
+        self._least_stated_ms = 0.0
 
     def tighten(self, sent_ms, remote_ms, received_ms):
         """Use one answer.
@@ -112,6 +114,12 @@
             offset_ms = math.inf
         if remote_ms - sent_ms <= offset_ms:
             self._offset_ms, self._stated_ms = remote_ms - sent_ms, sent_ms
+        least_ms = self.least_offset_at(received_ms)
+        if remote_ms - sent_ms < least_ms:
+            # None is made before its call either: the remote clock has been set back.
+            least_ms = -math.inf
+        if remote_ms - received_ms >= least_ms:
+            self._least_ms, self._least_stated_ms = remote_ms - received_ms, received_ms
 
     def find_made_ms(self, sent_ms, remote_ms, received_ms):
         """Return the earliest time at which an answer may have been made (float).
@@ -129,6 +137,14 @@
         made_ms = remote_ms - self._offset_at(received_ms)
         return max(min(made_ms, received_ms), sent_ms)
 
+    def least_offset_at(self, now_ms):
+        """Return the least offset (float), minus infinity if none is known."""
+        return self._least_ms - _drift_since(self._least_stated_ms, now_ms)
+
     def _offset_at(self, now_ms):
-        drift_ms = CLOCK_DRIFT_MAX * max(now_ms - self._stated_ms, 0.0)
-        return self._offset_ms + drift_ms
+        return self._offset_ms + _drift_since(self._stated_ms, now_ms)
+
+
+def _drift_since(stated_ms, now_ms):
+    """Return by how much two clocks may have drifted apart since a time, in ms."""
+    return CLOCK_DRIFT_MAX * max(now_ms - stated_ms, 0.0)
--- a/nutmegdeal/gateway/blackboard.py
+++ b/nutmegdeal/gateway/blackboard.py
@@ -1,5 +1,7 @@
 """The gateway's shared state: controllers read all of it and write their own part."""
 
+import math
+
 import attrs
 import gevent.event
 
@@ -175,6 +177,17 @@
         suspended_ms = self.clock.boot_ms() - self.clock.monotonic_ms()
         self.software_versions.record_suspended(suspended_ms)
 
+    def store_clock_least_offset_ms(self):
+        """Return the least offset of the store's clock that is possible (float).
+
+        With it, a time of the store is never converted to one that is too early.
+        """
+        boot_ms = self.clock.boot_ms()
+        least_ms = self.store_clock.least_offset_at(boot_ms)
+        if not math.isfinite(least_ms):
+            return self.store_clock_offset_ms
+        return least_ms + boot_ms - self.clock.monotonic_ms()
+
     def store_now_ms(self):
         """Return the time on the store's clock (float)."""
         return self.clock.monotonic_ms() + self.store_clock_offset_ms
--- a/nutmegdeal/gateway/stream_rows.py
+++ b/nutmegdeal/gateway/stream_rows.py
@@ -189,8 +189,9 @@
     versions.mark_row_version = row.version
     now_ms = board.clock.monotonic_ms()
     try:
+        # A version must not seem to have joined earlier than it has.
         marked_ms, named = platform_rows.decode_versions_mark(
-            row.value, board.store_clock_offset_ms
+            row.value, board.store_clock_least_offset_ms()
         )
     except platform_rows.DECODE_ERRORS as error:
         logger.warning("row_malformed", key=row.key, error=repr(error))
--- a/nutmegdeal/tests/test_late_store_answers.py
+++ b/nutmegdeal/tests/test_late_store_answers.py
@@ -5,14 +5,25 @@
 """
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from nutmegdeal.clock import ManualClock
+from nutmegdeal.clock import ManualClock, RemoteClockBound
 from nutmegdeal.gateway.blackboard import Blackboard
 from nutmegdeal.gateway.members import Membership
-from nutmegdeal.gateway.software_versions import FRESH_MS, LONGEST_STREAM_MS
+from nutmegdeal.gateway.software_versions import (
+    FRESH_MS,
+    JOIN_DELAY_MS,
+    LONGEST_STREAM_MS,
+)
+from nutmegdeal.gateway.stream_rows import record_mark_row
 from nutmegdeal.gateway.telemetry import GatewayTelemetry
 from nutmegdeal.gateway.watching import BackendsWatcher
-from nutmegdeal.platform.rows import StoredRow
+from nutmegdeal.platform.rows import (
+    VERSIONS_MARK_KEY,
+    StoredRow,
+    encode_versions_mark,
+)
 from nutmegdeal.platform.store import RowsRead, StorePosition
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.scripted_store import ScriptedStore
@@ -118,6 +129,44 @@
     assert watched.board.store_clock_offset_ms == pytest.approx(before_ms, abs=20.0)
 
 
+def test_version_does_not_seem_to_have_joined_earlier_beside_slow_answers():
+    """Streams began there 2.1 s after it had joined, before all gateways know it.
+
+    A gateway that starts while the store takes long took the time of the call for a
+    difference of the clocks.
+    """
+    watched = WatchedBackends()
+    watched.poll(made_after_ms=1_400.0, taken_ms=1_405.0)
+    joined_ms = watched.clock.monotonic_ms()
+    value = encode_versions_mark(joined_ms, {SERVICE: {"v2": joined_ms}}, 0.0)
+    record_mark_row(watched.board, StoredRow(VERSIONS_MARK_KEY, value, 1))
+    versions = watched.board.software_versions
+    assert versions.join_wait_ms(SERVICE, "v2", joined_ms) >= JOIN_DELAY_MS
+
+
+@given(
+    st.integers(-10_000, 10_000),
+    st.lists(st.tuples(*[st.integers(0, 5_000)] * 3), min_size=1, max_size=10),
+)
+def test_offset_of_a_remote_clock_is_within_its_bounds(offset_ms, calls):
+    """Whatever the time between calls, and to and from the remote host."""
+    bound, now_ms = RemoteClockBound(), 20_000.0
+    for pause_ms, made_after_ms, way_back_ms in calls:
+        sent_ms = now_ms + pause_ms
+        made_ms = sent_ms + made_after_ms
+        now_ms = made_ms + way_back_ms
+        bound.tighten(sent_ms, made_ms + offset_ms, now_ms)
+        assert bound.least_offset_at(now_ms) <= offset_ms
+        assert bound.find_made_ms(sent_ms, made_ms + offset_ms, now_ms) <= made_ms
+
+
+def test_remote_clock_that_is_set_back_has_new_bounds():
+    bound = RemoteClockBound()
+    bound.tighten(1_000.0, 6_000.0, 1_010.0)
+    bound.tighten(2_000.0, 4_000.0, 2_010.0)
+    assert 1_980.0 <= bound.least_offset_at(2_010.0) <= 2_000.0
+
+
 class TestMark:
     """The mark of versions that a gateway reads before it takes a stream up."""
 
