Gateways: a version that has just joined has begun no stream that is taken up

Cause: a version counted as one that may have begun a stream as soon as a server of it was registered. Gateways begin none at it for 3.5 s, but the choice of the only possible version did not know that. Rows name the streams only while there are several versions.

Fix: beside others, a version does not count for the first 3.5 s, less 50 ms for clocks that run at different rates. They run from when the store made the last answer without it, which is before any gateway can have seen it. If the mark says that it joined earlier, it counts. Two tests fail with versions that are too simple: the time counted from the first answer with it, and without the mark.

--- a/nutmegdeal/gateway/software_versions.py
+++ b/nutmegdeal/gateway/software_versions.py
@@ -4,6 +4,8 @@
 without asking if no other one was registered for as long as a stream may last.
 """
 
+import math
+
 from nutmegdeal.site_configuration import VersionPeriod
 
 # Longest time from the first event of a stream to a caller's last attempt at it.
@@ -13,6 +15,8 @@
 # New streams begin at a version this long after it was first seen. By then each other
 # gateway knows of it, or knows that what it has read is not fresh.
 JOIN_DELAY_MS = FRESH_MS + 500.0
+# Allowance for clocks that run at slightly different rates.
+CLOCK_ERROR_MS = 50.0
 
 
 class VersionHistory:
@@ -40,6 +44,7 @@
         self._marked_first_ms = {}
         self._stored = {}
         self._marked_ms = float("-inf")
+        self._mark_error_ms = 0.0
         self._mark_read_ms = float("-inf")
         self._needs_mark = True
         self._covered_since_ms = None
@@ -59,6 +64,9 @@
         self._mark_read_ms -= passed_ms
         if self._gap_end_ms is not None:
             self._gap_end_ms -= passed_ms
+        for periods in self._periods.values():
+            for period in periods.values():
+                period.absent_ms -= passed_ms
         # The two clocks are read one after the other, which may make it look shorter.
         self._suspended_ms = max(suspended_ms, known_ms)
 
@@ -80,8 +88,10 @@
         """
         made_ms = now_ms if made_ms is None else made_ms
         is_first = self._covered_since_ms is None
+        absent_ms = self._last_read_ms
         if made_ms - self._last_read_ms > FRESH_MS:
             # Versions that came and went meanwhile were not seen.
+            absent_ms = float("-inf")
             self._covered_since_ms = now_ms
             self._gap_end_ms = made_ms
             is_mark_fresh = now_ms - self._mark_read_ms <= FRESH_MS
@@ -95,11 +105,12 @@
                 self._oldest_at_start[service] = min(versions, key=versions.get)
             for version in versions:
                 has_further = has_further or (periods and version not in periods)
-                period = periods.setdefault(version, VersionPeriod(now_ms, now_ms))
+                joining = VersionPeriod(now_ms, now_ms, absent_ms)
+                period = periods.setdefault(version, joining)
                 period.last_ms = now_ms
         return bool(has_further)
 
-    def record_mark(self, marked_ms, first_ms_by_service, now_ms):
+    def record_mark(self, marked_ms, first_ms_by_service, now_ms, error_ms=0.0):
         """Record the mark that the store has.
 
         Parameters
@@ -107,10 +118,13 @@
         marked_ms : float
             When it was written.
         first_ms_by_service : dict of str to dict of str to float
-            When each version joined, by service and version.
+            When each version joined at the latest, by service and version.
         now_ms : float
+        error_ms : float
+            By how much they may have joined earlier.
         """
         self._marked_ms = min(marked_ms, now_ms)
+        self._mark_error_ms = error_ms
         self._stored = first_ms_by_service
         known = {} if self._is_covered(now_ms) else self._marked_first_ms
         self._marked_first_ms = _join(known, first_ms_by_service)
@@ -233,8 +247,26 @@
         if self._needs_mark and not self._is_covered(now_ms):
             return None
         recent = self.recent_versions(service, now_ms)
+        if len(recent) > 1:
+            recent = {
+                item for item in recent if self._may_have_begun(service, item, now_ms)
+            }
         return next(iter(recent)) if len(recent) == 1 else None
 
+    def _may_have_begun(self, service, version, now_ms):
+        """Return whether a stream may have begun at a version beside others.
+
+        Gateways begin none at a version within `JOIN_DELAY_MS` after it joined.
+        """
+        period = self._periods.get(service, {}).get(version)
+        if period is None:
+            return True
+        if now_ms - period.absent_ms >= JOIN_DELAY_MS - CLOCK_ERROR_MS:
+            return True
+        # Other gateways may have seen it join earlier, and leave again.
+        marked_ms = self._marked_first_ms.get(service, {}).get(version, math.inf)
+        return marked_ms - self._mark_error_ms < period.absent_ms
+
     def is_settled(self, service, version, now_ms):
         """Return whether new streams may begin at a version.
 
--- a/nutmegdeal/gateway/stream_rows.py
+++ b/nutmegdeal/gateway/stream_rows.py
@@ -188,15 +188,15 @@
     versions = board.software_versions
     versions.mark_row_version = row.version
     now_ms = board.clock.monotonic_ms()
+    # A version must not seem to have joined earlier than it has.
+    offset_ms = board.store_clock_least_offset_ms()
+    error_ms = max(board.store_clock_offset_ms - offset_ms, 0.0)
     try:
-        # A version must not seem to have joined earlier than it has.
-        marked_ms, named = platform_rows.decode_versions_mark(
-            row.value, board.store_clock_least_offset_ms()
-        )
+        marked_ms, named = platform_rows.decode_versions_mark(row.value, offset_ms)
     except platform_rows.DECODE_ERRORS as error:
         logger.warning("row_malformed", key=row.key, error=repr(error))
         marked_ms, named = float("-inf"), {}
-    versions.record_mark(marked_ms, named, now_ms)
+    versions.record_mark(marked_ms, named, now_ms, error_ms)
 
 
 def _begun_ms(row):
--- a/nutmegdeal/gateway/stream_versions.py
+++ b/nutmegdeal/gateway/stream_versions.py
@@ -22,7 +22,7 @@
     """How the version of a stream was found.
 
     ``OWN``: this gateway began the stream.
-    ``SOLE``: no other version was registered lately.
+    ``SOLE``: no other version can have begun it.
     ``ROW``: the store has a row for the stream.
     """
 
--- a/nutmegdeal/site_configuration.py
+++ b/nutmegdeal/site_configuration.py
@@ -361,10 +361,13 @@
     Parameters
     ----------
     first_ms, last_ms : float
+    absent_ms : float
+        Until when none was registered, minus infinity if that is not known.
     """
 
     first_ms: float
     last_ms: float
+    absent_ms: float = float("-inf")
 
 
 @attrs.frozen
--- a/nutmegdeal/stream_events.py
+++ b/nutmegdeal/stream_events.py
@@ -26,8 +26,8 @@
             "resumes": text_field("id of the attempt that began the stream"),
             "software": SOFTWARE,
             "source": text_field(
-                "`own` if this gateway began it, `sole` if there was no other version "
-                "lately, `row` if the store names it"
+                "`own` if this gateway began it, `sole` if no other version can have "
+                "begun it, `row` if the store names it"
             ),
             "age_ms": optional_ms_field("time since the first event, if known"),
         },
--- a/nutmegdeal/tests/stream_version_load.py
+++ b/nutmegdeal/tests/stream_version_load.py
@@ -127,8 +127,10 @@
         is_due = now_ms >= self._read_due_ms and self._held is None
         if is_due and not self._is_cut():
             self._read_due_ms = now_ms + READ_EVERY_MS
+            sent_ms = self.board.clock.boot_ms()
             answer = self.store.read_table(PARTS_TABLE)
-            self.board.record_store_answer(answer.store_ms, answer.position.era)
+            era = answer.position.era
+            self.board.record_store_answer(answer.store_ms, era, sent_ms)
             self._watcher.apply_snapshot(answer.rows, is_from_copy=False)
             self.read_registrations(now_ms)
             self.is_ready = True
@@ -147,6 +149,7 @@
         membership.replace_all(backends, now_ms)
         membership.expire(now_ms)
         versions = membership.software_versions()
+        self.board.record_suspended()
         self.board.software_versions.record_read(versions, now_ms, made_ms)
 
     def hold_answer(self):
