--- a/nutmegdeal/fakes/answer_faults.py
+++ b/nutmegdeal/fakes/answer_faults.py
@@ -44,6 +44,9 @@
     breaks_pending : int
         Number of next answers that break off as `break_kind` says.
     break_kind : AnswerBreak
+    ignores_close : bool
+        Requests that have arrived are run even if their client has closed the
+        connection; a run ends when the server writes to it.
     repeats_refusals : bool
         Refusals come a second time, before the next answer on their connection.
     endless : EndlessAnswer or None
@@ -60,6 +63,7 @@
     is_unframed: bool = False
     breaks_pending: int = 0
     break_kind: AnswerBreak = AnswerBreak.INSIDE_EVENT
+    ignores_close: bool = False
     repeats_refusals: bool = False
     endless: EndlessAnswer | None = None
     endless_interval_ms: float = 10.0
--- a/nutmegdeal/fakes/breakable_listener.py
+++ b/nutmegdeal/fakes/breakable_listener.py
@@ -12,6 +12,14 @@
 LINGER_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+def _catch_caller_left(respond, request, responder):
+    try:
+        respond(request, responder)
+    except CallerLeftError as error:
+        return error
+    return None
+
+
 @attrs.define(eq=False)
 class ServedConnection:
     """Connection of a client, below HTTP.
@@ -60,7 +68,9 @@
             raise CallerLeftError from error
 
     def reset_on_close(self):
-        """Make the close of the connection a reset."""
+        """Make the close of the connection a reset, unless it has been closed."""
+        if self.sock.fileno() == -1:
+            return
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET_ON_CLOSE)
 
 
@@ -75,6 +85,23 @@
         """Return the ServedConnection whose request the present greenlet serves."""
         return self._served[gevent.getcurrent()]
 
+    def run_detached(self, respond, request, responder):
+        """Respond to a request in a greenlet that a close by the client does not end.
+
+        Parameters
+        ----------
+        respond : callable
+            Called with the request and the responder.
+        request : IncomingRequest
+        responder : Responder
+        """
+        detached = gevent.spawn(_catch_caller_left, respond, request, responder)
+        self._served[detached] = self.current_connection()
+        detached.rawlink(self._served.pop)
+        error = detached.get()
+        if error is not None:
+            raise error
+
     def break_off(self):
         """Reset all connections, also the one of the present greenlet.
 
--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -225,7 +225,7 @@
         place = self._batch.request(PRIORITY)
         try:
             place.wait()
-            if self.listener.current_connection().is_closed:
+            if self._has_client_left():
                 raise CallerLeftError
             is_replaced = incarnation != self.incarnation
             status_code = 421 if is_replaced else self._find_refusal(request)
@@ -248,6 +248,12 @@
         # An order that concerns the request is under way.
         return 503 if adapter in self.pending else None
 
+    def _has_client_left(self):
+        """Return whether the server knows that the client does not wait any more."""
+        if self.faults.ignores_close:
+            return False
+        return self.listener.current_connection().is_closed
+
     def _run(self, request, responder):
         place = (self.incarnation, _find_adapter(request))
         self._open_runs[place] += 1
@@ -257,9 +263,9 @@
             self._open_runs[place] -= 1
 
     def _record_adapter_run(self, request_id, adapter, version):
-        """Record that a run writes its first token to a client that still waits."""
+        """Record that a run writes its first token, unless its client left before."""
         connection = self.listener.current_connection()
-        if not adapter or connection.is_closed:
+        if not adapter or self._has_client_left():
             return
         self.adapter_runs.append(
             AdapterRun(
--- a/nutmegdeal/fakes/platform_server.py
+++ b/nutmegdeal/fakes/platform_server.py
@@ -136,7 +136,7 @@
 
     def _listen(self, address):
         self.listener = BreakableListener(
-            address, self._respond, lambda: DEFAULT_CALLER_LIMITS
+            address, self._accept, lambda: DEFAULT_CALLER_LIMITS
         )
         self.listener.start()
 
@@ -209,6 +209,12 @@
             fields["version"] = self.software_version
         return fields
 
+    def _accept(self, request, responder):
+        if self.faults.ignores_close:
+            self.listener.run_detached(self._respond, request, responder)
+            return
+        self._respond(request, responder)
+
     def _respond(self, request, responder):
         self.faults.wait_while_silent()
         self.listener.current_connection().write_late_answer()
--- a/nutmegdeal/soak/fault_records.py
+++ b/nutmegdeal/soak/fault_records.py
@@ -13,6 +13,8 @@
 SOFTWARE_VERSIONS_KIND = "software_versions"
 SILENCE_KIND = "silence"
 STORE_LINK_KIND = "store_link"
+SUSPENDED_SERVERS_KIND = "suspended_servers"
+SUSPENSION_KIND = "suspension"
 TENANTS_KIND = "tenants"
 
 
--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -25,6 +25,7 @@
     SILENCE_KIND,
     SOFTWARE_VERSIONS_KIND,
     STORE_LINK_KIND,
+    SUSPENDED_SERVERS_KIND,
     TENANTS_KIND,
     FaultRecord,
 )
@@ -113,6 +114,9 @@
     has_adapter_versions : bool
         Whether some adapters get one version after another and gateways reload their
         settings, beside all other faults, which are then rarer.
+    has_suspended_servers : bool
+        Whether servers are suspended beside all other faults, and run afterwards what
+        has reached them, also if its client has left.
 
     Attributes
     ----------
@@ -130,8 +134,10 @@
         has_software_versions=False,
         has_faulty_servers=False,
         has_adapter_versions=False,
+        has_suspended_servers=False,
     ):
         self.records = []
+        self._has_suspended_servers = has_suspended_servers
         self._has_adapter_versions = has_adapter_versions
         self._interval_s, self._weights = FAULT_INTERVAL_S, WEIGHTS
         if has_adapter_versions:
@@ -195,6 +201,12 @@
             faults = ServerFaults(self._site, self._details)
             for action in (faults.repeat_refusals, faults.write_odd_entries):
                 self._spawn((FAULTY_SERVERS_KIND, action, True), fault_period_s)
+        if self._has_suspended_servers:
+            for backend in self._site.backends:
+                backend.faults.ignores_close = True
+            faults = ServerFaults(self._site, self._details)
+            suspend = functools.partial(faults.suspend, records=self.records)
+            self._spawn((SUSPENDED_SERVERS_KIND, suspend, True), fault_period_s)
         if self._has_adapter_versions:
             changes = self._adapter_changes
             actions = [
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -113,6 +113,7 @@
     has_tenants=False,
     has_faulty_servers=False,
     has_adapter_versions=False,
+    has_suspended_servers=False,
 ):
     """Run the programs under load and faults, and check the rules.
 
@@ -140,6 +141,8 @@
     has_adapter_versions : bool
         Whether some adapters that callers keep asking for get one version after
         another, with more engines that queue few requests.
+    has_suspended_servers : bool
+        Whether servers are suspended, and run afterwards what has reached them.
 
     Returns
     -------
@@ -173,6 +176,7 @@
             has_software_versions,
             has_faulty_servers,
             has_adapter_versions,
+            has_suspended_servers,
         )
         restart_greenlet = gevent.spawn(fault_injector.restart_ended_programs)
         adapters = FEW_ADAPTERS if has_adapter_versions else ADAPTERS
--- a/nutmegdeal/soak/server_faults.py
+++ b/nutmegdeal/soak/server_faults.py
@@ -1,14 +1,21 @@
-"""Faulty servers and writers of the soak test: repeated refusals, odd registrations."""
+"""Faulty and suspended servers of the soak test, and odd registrations."""
 
 import json
 import time
 
 import gevent
 
+from nutmegdeal.soak.fault_records import SUSPENSION_KIND, FaultRecord
+
 # Refusals in a row of each server of a service, and for how long they come.
 REFUSALS_MAX = 2
 REFUSING_S = (0.05, 0.4)
 PAUSE_S = (0.2, 1.0)
+# For how long a server is suspended, and the time from one suspension to the next.
+SUSPENDED_S = (1.0, 3.5)
+SUSPENSION_PAUSE_S = (0.2, 1.5)
+# Servers that are suspended at the same time.
+SUSPENDED_MAX = 2
 LARGE = 10**400
 NESTED = "[" * 20_000
 ODD_FIELDS = (
@@ -50,6 +57,40 @@
             gevent.sleep(self._random.uniform(*PAUSE_S))
         return "servers"
 
+    def suspend(self, duration_s, records):
+        """Suspend some servers at a time.
+
+        What has reached a server runs when it goes on, also if its client has closed
+        the connection meanwhile.
+
+        Parameters
+        ----------
+        duration_s : float
+        records : list of FaultRecord
+            Gets a record of each suspension.
+        """
+        end_s = time.monotonic() + duration_s
+        while time.monotonic() < end_s:
+            count = self._random.randint(1, SUSPENDED_MAX)
+            suspended_s = self._random.uniform(*SUSPENDED_S)
+            started_s = time.monotonic()
+            backends = self._random.sample(self._site.backends, count)
+            for backend in backends:
+                backend.faults.fall_silent(suspended_s * 1000)
+            gevent.sleep(suspended_s)
+            records += [
+                FaultRecord(
+                    SUSPENSION_KIND,
+                    backend.backend_id,
+                    started_s,
+                    time.monotonic(),
+                    is_planned=False,
+                )
+                for backend in backends
+            ]
+            gevent.sleep(self._random.uniform(*SUSPENSION_PAUSE_S))
+        return "servers"
+
     def write_odd_entries(self, duration_s):
         """Write a registration that names no server, and remove it."""
         end_s = time.monotonic() + duration_s
--- a/nutmegdeal/tools/soak.py
+++ b/nutmegdeal/tools/soak.py
@@ -34,6 +34,7 @@
     tenants: bool = False,
     faulty_servers: bool = False,
     adapter_versions: bool = False,
+    suspended_servers: bool = False,
 ):
     """Run the soak test with `count` consecutive seeds, starting at `seed`.
 
@@ -67,6 +68,9 @@
         Some adapters get one version after another, and gateways reload their
         settings, beside all other faults; engines queue few requests, and callers keep
         asking for these adapters.
+    suspended_servers
+        Servers are suspended for seconds, beside all other faults, and run afterwards
+        what has reached them, also if its client has left.
     """
     log.configure("warning", "soak")
     base = pathlib.Path(folder or tempfile.mkdtemp(prefix="nutmegdeal-soak-"))
@@ -85,6 +89,7 @@
             tenants,
             faulty_servers,
             adapter_versions,
+            suspended_servers,
         )
         print(json.dumps(attrs.asdict(result)), flush=True)
         is_violated = is_violated or bool(result.violations)
