Gateways: requests are sent for the newest known adapter version only

Cause: a gateway sent requests for the older version until 0.6 of the bound, and ended one that had not begun by closing its connection. A close is no end: an engine that is suspended reads the request when it goes on, and begins it.

The whole of version_ms is left for a suspension, and no gateway has to end a run in time.

--- a/nutmegdeal/gateway/run_versions.py
+++ b/nutmegdeal/gateway/run_versions.py
@@ -47,7 +47,7 @@
         Returns
         -------
         RunVersion or None
-            None if the server's version has been superseded for too long.
+            None if the server's version has been superseded.
         """
         if not request.adapter:
             return RunVersion(None)
@@ -56,7 +56,7 @@
         version = member.resident.get(request.adapter, versions.newest(adapter_key))
         if version is None:
             return RunVersion(None)
-        if not versions.allows(adapter_key, version, self._board.clock.boot_ms()):
+        if not versions.allows(adapter_key, version):
             return None
         return RunVersion(version)
 
