Agents, services: responses are bounded in bytes and in time

Cause: urllib3 and http.client read interim heads, trailers and bodies for as long as they come. Each read starts the timeout anew, and a read that finds bytes never waits, so no other greenlet of the process runs.

Now the reader below urllib3 keeps a limit in bytes for the whole response, one for lines in a row (heads, interim heads, sizes of chunks, trailers), the read timeout as the deadline of the whole response, and lets others run after each 64 KB. The largest answer of a service is 16 MB instead of 64 MB; all large ones together hold 64 MB.

--- a/nutmegdeal/backends/engine.py
+++ b/nutmegdeal/backends/engine.py
@@ -13,6 +13,8 @@
 LOAD_TIMEOUT_MS = 60_000
 REPORT_TIMEOUT_MS = 2_000
 SERVER_ERROR_STATUS = 500
+# Most bytes of the answer to an order, and of a report, which names some adapters.
+ADMIN_ANSWER_BYTES_MAX = 1_048_576
 
 # Error codes with which an engine says that it did not do what it was asked.
 NOT_APPLIED_REASONS = {
@@ -41,7 +43,7 @@
         self._pool = http.new_connection_pool()
         # Answers to orders and reports name no attempt, so they need connections of
         # their own.
-        self._admin_pool = http.new_connection_pool()
+        self._admin_pool = http.new_connection_pool(ADMIN_ANSWER_BYTES_MAX)
 
     def call(self, submit):
         """Send a request; return a BackendAnswer or a Failure."""
--- a/nutmegdeal/backends/http.py
+++ b/nutmegdeal/backends/http.py
@@ -1,6 +1,7 @@
 """HTTP calls to a backend server, with checks that an answer arrived completely."""
 
 import json
+import math
 
 import urllib3
 from urllib3.exceptions import (
@@ -12,7 +13,7 @@
 
 from nutmegdeal.backends.base import BackendAnswer, BackendHead
 from nutmegdeal.errors import Failure, Reason, Step
-from nutmegdeal.whole_responses import WholeResponsePools
+from nutmegdeal.whole_responses import ResponseLimits, WholeResponsePools
 
 CONNECT_TIMEOUT_MS = 1_000
 READ_BYTES_MAX = 65_536
@@ -29,9 +30,17 @@
 NOT_SENT_ERRORS = (ConnectTimeoutError, NewConnectionError, NameResolutionError)
 
 
-def new_connection_pool():
-    """Return a urllib3 pool that never retries and follows no redirects."""
+def new_connection_pool(response_bytes_max=math.inf):
+    """Return a urllib3 pool that never retries and follows no redirects.
+
+    Parameters
+    ----------
+    response_bytes_max : float, optional
+        Most bytes of a response; by default bodies are not limited, as they are passed
+        on while they arrive.
+    """
     return WholeResponsePools(
+        ResponseLimits(response_bytes_max),
         maxsize=IDLE_CONNECTIONS_MAX,
         block=False,
         retries=False,
--- a/nutmegdeal/fleet.py
+++ b/nutmegdeal/fleet.py
@@ -11,9 +11,12 @@
 from nutmegdeal.leases import LeaseRow
 from nutmegdeal.row_encoding import decode_record
 from nutmegdeal.services.hosts import Host
+from nutmegdeal.whole_responses import ResponseLimits, WholeResponsePools
 
 LEASE_PREFIX = "lease/"
 ROWS_PER_PAGE = 1_000
+# Most bytes of the state of one process.
+STATUS_BYTES_MAX = 16_777_216
 
 
 @attrs.frozen
@@ -85,7 +88,8 @@
         self._table = table
         self._hosts = hosts
         self._timeout = urllib3.Timeout(total=within_ms / 1000)
-        self._pool = urllib3.PoolManager(retries=False)
+        limits = ResponseLimits(STATUS_BYTES_MAX)
+        self._pool = WholeResponsePools(limits, retries=False)
 
     def read(self, process_urls):
         """Return the FleetState; the processes are those at the given base URLs."""
--- a/nutmegdeal/services/client.py
+++ b/nutmegdeal/services/client.py
@@ -11,14 +11,15 @@
     NewConnectionError,
 )
 
+from nutmegdeal.buffering.answers import HELD_ANSWERS
 from nutmegdeal.errors import Failure, Reason, Step
-from nutmegdeal.whole_responses import WholeResponsePools
+from nutmegdeal.whole_responses import ResponseLimits, WholeResponsePools
 
 # Idle connections kept for reuse; more are opened if needed.
 IDLE_CONNECTIONS_MAX = 16
 TIMEOUT_MIN_S = 0.001
 CHUNK_BYTES = 65_536
-ANSWER_BYTES_MAX = 67_108_864
+ANSWER_BYTES_MAX = 16_777_216
 NOT_SENT_ERRORS = (ConnectTimeoutError, NewConnectionError)
 JSON_TYPE = "application/json"
 
@@ -65,7 +66,11 @@
     def __init__(self, base_url, timeout_ms):
         self.peer = base_url.rstrip("/")
         self._timeout_s = timeout_ms / 1000
-        self._pool = WholeResponsePools(maxsize=IDLE_CONNECTIONS_MAX, retries=False)
+        self._pool = WholeResponsePools(
+            ResponseLimits(ANSWER_BYTES_MAX),
+            maxsize=IDLE_CONNECTIONS_MAX,
+            retries=False,
+        )
 
     def call(self, method, path, body=None, content_type=JSON_TYPE):
         """Send a request once and wait for the complete answer.
@@ -110,21 +115,19 @@
                 redirect=False,
                 preload_content=False,
             )
-            return self._read_answer(response, deadline_s)
+            return self._read_answer(response)
         except NOT_SENT_ERRORS as error:
             return self.build_failure(str(error), maybe_applied=False)
         except (HTTPError, OSError) as error:
             return self.build_failure(str(error), maybe_applied=True)
 
-    def _read_answer(self, response, deadline_s):
-        body = bytearray()
+    def _read_answer(self, response):
+        body, held = bytearray(), HELD_ANSWERS.open_answer()
         try:
             while chunk := response.read(CHUNK_BYTES):
                 body += chunk
-                if len(body) > ANSWER_BYTES_MAX:
-                    return self._abort(response, "the answer is too large")
-                if time.monotonic() > deadline_s:
-                    return self._abort(response, "the answer took too long")
+                if not held.grow(len(chunk)):
+                    return self._abort(response, "too many bytes of answers are held")
         except (HTTPError, OSError):
             response.close()
             raise
--- a/nutmegdeal/tests/scripted_server.py
+++ b/nutmegdeal/tests/scripted_server.py
@@ -92,9 +92,16 @@
         self._listener.close()
 
 
-def send_without_end(*starts, then):
+def send_without_end(*starts, then, pause_s=0.0):
     """Return an answer that sends `starts`, and `then` until the client closes.
 
+    Parameters
+    ----------
+    *starts : bytes
+    then : bytes
+    pause_s : float
+        Between two pieces.
+
     Returns
     -------
     tuple of callable and gevent.event.Event
@@ -106,7 +113,7 @@
         try:
             for data in itertools.chain(starts, itertools.repeat(then)):
                 sock.sendall(data)
-                gevent.sleep(0)
+                gevent.sleep(pause_s)
         except OSError:
             ended.set()
         return False
