Agents, entries: answers that are held are bounded for the whole process

A body that came faster than the entry read it filled the stream to the entry, which closed it, and with it the answers of all other requests of that agent. An entry held up to 64 MB for each answer, with no bound on all of them.

Cause: bodies were bounded one by one, or where they are read, and not where they are held; and a full stream was taken for a peer that is gone.

Now an agent ends an answer that is held, by itself or by the entry, after 64 MB, and waits while half of the stream's outbox is full. Large answers together hold 64 MB in a process; answers of up to 256 KB are always taken. Streams of events are passed on.

--- a/nutmegdeal/agent/attempts.py
+++ b/nutmegdeal/agent/attempts.py
@@ -112,6 +112,11 @@
         if not self.is_output_suppressed:
             self.session.send(message)
 
+    @property
+    def has_room(self):
+        """Return whether the stream takes further frames without a wait."""
+        return self.is_output_suppressed or self.session.has_room
+
     def send_frame(self, payload):
         """Send the next bytes of the answer."""
         frame = AnswerFrame(self.attempt_id, self._frame_count, payload)
--- a/nutmegdeal/agent/relay.py
+++ b/nutmegdeal/agent/relay.py
@@ -3,9 +3,12 @@
 import gevent
 import gevent.event
 
-from nutmegdeal.errors import Failure
+from nutmegdeal.buffering.answers import ANSWER_BYTES_MAX, HELD_ANSWERS
+from nutmegdeal.errors import Failure, Reason, Step
 
 PENDING_BYTES_MAX = 65_536
+# Pause of an answer whose stream takes no more, between two looks at it.
+ROOM_POLL_S = 0.01
 
 
 class FrameBuffer:
@@ -100,19 +103,62 @@
         attempt : Attempt
         answer : BackendAnswer
         on_chunk : callable or None
-            Called with each chunk as it arrives.
+            Called with each chunk as it arrives, to hold the whole answer.
         """
         buffer = FrameBuffer(attempt.send_frame)
+        limit = _AnswerLimit(answer.head, is_held=on_chunk is not None)
         attempt.send_head(answer.head.status_code, answer.head.content_type)
         try:
             for chunk in answer.chunks():
                 if isinstance(chunk, Failure):
                     return chunk
+                if not limit.allows(chunk):
+                    answer.close()
+                    return limit.build_failure()
                 if on_chunk:
                     on_chunk(chunk)
                 if buffer.add(chunk):
                     self._flusher.schedule(buffer)
+                # Too much in the outbox would end the stream for all its attempts.
+                while not attempt.has_room:
+                    gevent.sleep(ROOM_POLL_S)
             self._flusher.finish(buffer)
         finally:
             self._flusher.discard(buffer)
         return None
+
+
+class _AnswerLimit:
+    """Limits the bytes of an answer that this process or the entry holds.
+
+    Parameters
+    ----------
+    head : BackendHead
+    is_held : bool
+        Whether this process holds the answer, too.
+    """
+
+    def __init__(self, head, is_held):
+        self._is_held = is_held
+        self._is_passed_on = not is_held and head.is_event_stream
+        self._held = HELD_ANSWERS.open_answer() if is_held else None
+        self._byte_count = 0
+
+    def allows(self, chunk):
+        """Return whether the answer may have these further bytes (bool)."""
+        if self._is_passed_on:
+            return True
+        self._byte_count += len(chunk)
+        if self._byte_count > ANSWER_BYTES_MAX:
+            return False
+        return not self._is_held or self._held.grow(len(chunk))
+
+    def build_failure(self):
+        """Return the Failure of an answer that is too large."""
+        return Failure(
+            Reason.INCOMPLETE_ANSWER,
+            Step.RELAY,
+            "",
+            f"the answer has {self._byte_count} bytes, too many to be held",
+            maybe_applied=True,
+        )
--- a/nutmegdeal/backends/base.py
+++ b/nutmegdeal/backends/base.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+EVENT_STREAM_TYPE = "text/event-stream"
+
 
 @attrs.frozen
 class EngineReport:
@@ -47,6 +49,12 @@
     content_type: str
     adapter: str = ""
 
+    @property
+    def is_event_stream(self):
+        """Return whether the body is a stream of server-sent events."""
+        media_type = self.content_type.partition(";")[0].strip().lower()
+        return media_type == EVENT_STREAM_TYPE
+
 
 class BackendAnswer(abc.ABC):
     """An answer whose body is read in chunks."""
--- a/nutmegdeal/backends/http.py
+++ b/nutmegdeal/backends/http.py
@@ -25,7 +25,6 @@
 ERROR_STATUS = 400
 # Sent with each request; an answer that has it names the request that it is to.
 ATTEMPT_ID = "X-Attempt-Id"
-EVENT_STREAM_TYPE = "text/event-stream"
 DONE_EVENT = b"data: [DONE]"
 NOT_SENT_ERRORS = (ConnectTimeoutError, NewConnectionError, NameResolutionError)
 
@@ -170,8 +169,7 @@
         self._response.release_conn()
 
     def _is_complete(self):
-        media_type = self.head.content_type.partition(";")[0].strip().lower()
-        if media_type == EVENT_STREAM_TYPE:
+        if self.head.is_event_stream:
             return self._tail.rstrip().endswith(DONE_EVENT)
         if self._response.chunked:
             return True
--- a/nutmegdeal/buffering/answers.py
+++ b/nutmegdeal/buffering/answers.py
@@ -6,6 +6,8 @@
 
 import weakref
 
+# Most bytes of one answer that is held until it is whole.
+ANSWER_BYTES_MAX = 67_108_864
 # An answer of at most so many bytes is always held.
 SMALL_ANSWER_BYTES = 262_144
 HELD_ANSWERS_BYTES_MAX = 67_108_864
--- a/nutmegdeal/entry/assembly.py
+++ b/nutmegdeal/entry/assembly.py
@@ -2,13 +2,13 @@
 
 import attrs
 
+from nutmegdeal.buffering.answers import ANSWER_BYTES_MAX, HELD_ANSWERS
 from nutmegdeal.entry.answers import AcceptedFrame, AnswerVerifier, VerifiedAnswer
 from nutmegdeal.entry.streams import EventRelay, is_event_stream
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.ledger import LedgerAnswer
 from nutmegdeal.messages import AnswerHead
 
-ANSWER_BYTES_MAX = 67_108_864
 STATUS_OK = 200
 
 
@@ -89,14 +89,14 @@
         self._started = None
         self._verifier = None
         self._chunks = []
-        self._byte_count = 0
+        self._held = HELD_ANSWERS.open_answer()
 
     def begin_attempt(self, attempt_id):
         """Accept the messages of this attempt only, from now on."""
         self._verifier = AnswerVerifier(attempt_id)
         self._events.begin_attempt()
         self._chunks = []
-        self._byte_count = 0
+        self._held.clear()
 
     def process_message(self, message):
         """Process an AnswerHead, AnswerFrame or AnswerEnd.
@@ -143,10 +143,13 @@
 
     def _buffer_payload(self, payload):
         self._chunks.append(payload)
-        self._byte_count += len(payload)
-        if self._byte_count <= ANSWER_BYTES_MAX:
+        may_hold = self._held.grow(len(payload))
+        if may_hold and self._held.byte_count <= ANSWER_BYTES_MAX:
             return None
-        return Inconsistent(_fail(f"the answer exceeds {ANSWER_BYTES_MAX} bytes"))
+        detail = f"the answer has {self._held.byte_count} bytes, too many to be held"
+        self._chunks = []
+        self._held.clear()
+        return Inconsistent(_fail(detail))
 
     def _complete(self, end):
         head = self._verifier.head
--- a/nutmegdeal/sessions.py
+++ b/nutmegdeal/sessions.py
@@ -63,6 +63,13 @@
         """True until either side closes the stream or the connection fails."""
         return self.close_reason is None
 
+    @property
+    def has_room(self):
+        """Return whether half of the outbox is free, or the stream is closed."""
+        if not self.is_open:
+            return True
+        return self._outbox_bytes <= self._settings.outbox_bytes_max / 2
+
     def send(self, message):
         """Queue a message; return whether it was queued.
 
--- a/nutmegdeal/tests/agent_harness.py
+++ b/nutmegdeal/tests/agent_harness.py
@@ -38,6 +38,7 @@
 
     def __init__(self):
         self.sent = []
+        self.has_room = True
 
     def send(self, message):
         self.sent.append(message)
--- a/nutmegdeal/tests/test_channel.py
+++ b/nutmegdeal/tests/test_channel.py
@@ -144,6 +144,17 @@
     assert session.close_reason.reason is Reason.OVERLOADED
 
 
+def test_stream_has_room_until_half_of_the_outbox_is_full(bridge, address):
+    small_outbox = ChannelSettings(shared_secret="right", outbox_bytes_max=65_536)
+    session = connect(bridge, address, small_outbox)
+    assert session.has_room
+    for sequence in range(2):
+        session.send(AnswerFrame("r-1.1", sequence, b"x" * 20_000))
+    assert not session.has_room
+    session.close()
+    assert session.has_room
+
+
 @pytest.mark.promise(4)
 def test_message_that_overflows_the_outbox_is_never_sent(bridge):
     received = []
