--- a/nutmegdeal/soak/faults.py
+++ b/nutmegdeal/soak/faults.py
@@ -117,6 +117,9 @@
     has_suspended_servers : bool
         Whether servers are suspended beside all other faults, and run afterwards what
         has reached them, also if its client has left.
+    has_random_faults : bool
+        Whether faults and changes of all kinds are drawn; if not, only those of the
+        other arguments come.
 
     Attributes
     ----------
@@ -135,8 +138,10 @@
         has_faulty_servers=False,
         has_adapter_versions=False,
         has_suspended_servers=False,
+        has_random_faults=True,
     ):
         self.records = []
+        self._has_random_faults = has_random_faults
         self._has_suspended_servers = has_suspended_servers
         self._has_adapter_versions = has_adapter_versions
         self._interval_s, self._weights = FAULT_INTERVAL_S, WEIGHTS
@@ -227,10 +232,11 @@
             crash_requests = (CRASHING_REQUESTS_KIND, self._crash_requests, False)
             self._spawn(crash_requests, CRASHING_PROMPTS_S)
             started_s += CRASHING_PROMPTS_S
-        changing = gevent.spawn(self._change_again, started_s + fault_period_s)
-        self._running.append(changing)
-        self._start(planned, started_s + fault_period_s * PLANNED_ONLY_SHARE)
-        self._start(self._actions, started_s + fault_period_s)
+        if self._has_random_faults:
+            changing = gevent.spawn(self._change_again, started_s + fault_period_s)
+            self._running.append(changing)
+            self._start(planned, started_s + fault_period_s * PLANNED_ONLY_SHARE)
+            self._start(self._actions, started_s + fault_period_s)
         gevent.joinall(self._running, raise_error=True)
 
     def _start(self, actions, end_s):
--- a/nutmegdeal/soak/runs.py
+++ b/nutmegdeal/soak/runs.py
@@ -114,6 +114,7 @@
     has_faulty_servers=False,
     has_adapter_versions=False,
     has_suspended_servers=False,
+    has_random_faults=True,
 ):
     """Run the programs under load and faults, and check the rules.
 
@@ -143,6 +144,9 @@
         another, with more engines that queue few requests.
     has_suspended_servers : bool
         Whether servers are suspended, and run afterwards what has reached them.
+    has_random_faults : bool
+        Whether faults of all other kinds are drawn, too. Many of them excuse what would
+        otherwise break a rule.
 
     Returns
     -------
@@ -177,6 +181,7 @@
             has_faulty_servers,
             has_adapter_versions,
             has_suspended_servers,
+            has_random_faults,
         )
         restart_greenlet = gevent.spawn(fault_injector.restart_ended_programs)
         adapters = FEW_ADAPTERS if has_adapter_versions else ADAPTERS
--- a/nutmegdeal/tests/test_soak.py
+++ b/nutmegdeal/tests/test_soak.py
@@ -28,6 +28,9 @@
 # Requests began on superseded versions of their adapters.
 ADAPTER_VERSIONS_SEED = 1610
 ADAPTER_VERSIONS_FAULTS_FOR_S = 8
+# Suspended engines begin late what gateways have given up.
+SUSPENDED_SERVERS_SEED = 9606
+SUSPENDED_SERVERS_FAULTS_FOR_S = 16
 CRASHING_PROMPTS_SEED = 41
 CRASHING_PROMPTS_FAULTS_FOR_S = 6
 
@@ -128,3 +131,15 @@
     assert result["adapter_runs"]["older_count"] > 0
     # Otherwise the rule could not have been broken.
     assert result["adapter_runs"]["bound_count"] > 0
+
+
+@pytest.mark.processes
+def test_suspended_servers_run_late_only_what_may_still_run(tmp_path):
+    run_soak(
+        SUSPENDED_SERVERS_SEED,
+        SUSPENDED_SERVERS_FAULTS_FOR_S,
+        tmp_path,
+        "--adapter-versions",
+        "--suspended-servers",
+        "--no-random-faults",
+    )
--- a/nutmegdeal/tools/soak.py
+++ b/nutmegdeal/tools/soak.py
@@ -35,6 +35,7 @@
     faulty_servers: bool = False,
     adapter_versions: bool = False,
     suspended_servers: bool = False,
+    random_faults: bool = True,
 ):
     """Run the soak test with `count` consecutive seeds, starting at `seed`.
 
@@ -71,6 +72,9 @@
     suspended_servers
         Servers are suspended for seconds, beside all other faults, and run afterwards
         what has reached them, also if its client has left.
+    random_faults
+        Faults of all other kinds come, too; many of them excuse what would otherwise
+        break a rule.
     """
     log.configure("warning", "soak")
     base = pathlib.Path(folder or tempfile.mkdtemp(prefix="nutmegdeal-soak-"))
@@ -90,6 +94,7 @@
             faulty_servers,
             adapter_versions,
             suspended_servers,
+            random_faults,
         )
         print(json.dumps(attrs.asdict(result)), flush=True)
         is_violated = is_violated or bool(result.violations)
