--- a/nutmegdeal/gateway/run_versions.py
+++ b/nutmegdeal/gateway/run_versions.py
@@ -47,7 +47,7 @@
         Returns
         -------
         RunVersion or None
-            None if the server's version has been superseded.
+            None if the server's version has been superseded for too long.
         """
         if not request.adapter:
             return RunVersion(None)
@@ -56,7 +56,7 @@
         version = member.resident.get(request.adapter, versions.newest(adapter_key))
         if version is None:
             return RunVersion(None)
-        if not versions.allows(adapter_key, version):
+        if not versions.allows(adapter_key, version, self._board.clock.boot_ms()):
             return None
         return RunVersion(version)
 
--- a/nutmegdeal/gateway/search.py
+++ b/nutmegdeal/gateway/search.py
@@ -258,11 +258,19 @@
         return select_plain(members, zone, now_ms, self._random)
 
     def _select_engine(self, request, members, now_ms):
-        newest = self._board.versions.newest(request.adapter_key)
+        adapter, versions = request.adapter, self._board.versions
+        newest = versions.newest(request.adapter_key)
         patience_ms = place_patience_ms(request, now_ms)
-        return self._selector.select(
-            request.adapter, newest, members, now_ms, patience_ms
-        )
+        choice = self._selector.select(adapter, newest, members, now_ms, patience_ms)
+        if not isinstance(choice, LoadFirst):
+            return choice
+        least = versions.least_allowed(request.adapter_key, self._board.clock.boot_ms())
+        if least == newest:
+            return choice
+        older = self._selector.select(adapter, least, members, now_ms)
+        if isinstance(older, LoadFirst):
+            return choice
+        return attrs.evolve(older, also_load=choice.member)
 
     def _request_copy(self, choice, request, now_ms):
         if choice.also_load is None:
@@ -316,8 +324,10 @@
         if not request.adapter:
             return True
         # It may have been evicted or superseded meanwhile.
-        newest = self._board.versions.newest(request.adapter_key)
-        return member.holds(request.adapter, newest)
+        least = self._board.versions.least_allowed(
+            request.adapter_key, self._board.clock.boot_ms()
+        )
+        return member.holds(request.adapter, least)
 
 
 def precedes_queue(request, choice):
--- a/nutmegdeal/gateway/versions.py
+++ b/nutmegdeal/gateway/versions.py
@@ -1,15 +1,18 @@
 """The adapter versions on which a request may start.
 
-A request is sent for the newest known version only: an engine that is suspended begins
-it whenever it goes on, and closing the connection does not prevent that. A request that
-was sent before a newer version became known may begin for a limited time. Each version
-is superseded by the first newer one, whatever follows that.
+After a version change the old version is used for a short time while the new one is
+loaded at another engine. Requests then need not wait until the runs on the old version
+have ended. Each version is superseded by the first newer one, whatever follows that.
 """
 
 import math
 
 import attrs
 
+# Share of the allowed changeover time in which requests may still be sent for the
+# superseded version. The rest covers the wait in the engine's queue, and an engine that
+# is suspended: it begins the request when it goes on, also on a closed connection.
+SEND_SHARE = 0.4
 # Time in which a run that has not begun is ended: the gateway may be opening a
 # connection for its replacement, and the end has to reach the engine.
 CANCEL_MS = 400.0
@@ -44,6 +47,7 @@
     """
 
     def __init__(self, change_bound_ms):
+        self._send_within_ms = change_bound_ms * SEND_SHARE
         self._begin_within_ms = change_bound_ms - CANCEL_MS
         # Ascending, by adapter.
         self._known = {}
@@ -71,10 +75,21 @@
         known = self._known.get(adapter_key)
         return known[-1].version if known else None
 
-    def allows(self, adapter_key, version):
-        """Return whether a request may be sent for a version (int)."""
-        newest = self.newest(adapter_key)
-        return newest is None or version >= newest
+    def least_allowed(self, adapter_key, now_ms):
+        """Return the oldest version for which a request may be sent now (int).
+
+        None if any version may be used.
+        """
+        least = None
+        for known in self._known.get(adapter_key, ()):
+            if now_ms >= self._send_until_ms(known):
+                least = known.version
+        return least
+
+    def allows(self, adapter_key, version, now_ms):
+        """Return whether a request may be sent for a version (int) now."""
+        least = self.least_allowed(adapter_key, now_ms)
+        return least is None or version >= least
 
     def superseded_ms(self, adapter_key, version):
         """Return the earliest time at which a version may have been superseded (float).
@@ -93,6 +108,11 @@
         """
         return self.superseded_ms(adapter_key, version) + self._begin_within_ms
 
+    def _send_until_ms(self, known):
+        """Return until when the versions before one may be sent (float)."""
+        return known.changed_after_ms + self._send_within_ms
+
     def _is_over(self, known, now_ms):
-        """Return whether runs on the versions before one may no longer begin."""
-        return known.changed_after_ms + self._begin_within_ms <= now_ms
+        """Return whether the versions before one may be neither sent nor begin."""
+        within_ms = max(self._send_within_ms, self._begin_within_ms)
+        return known.changed_after_ms + within_ms <= now_ms
