--- a/nutmegdeal/soak/server_faults.py
+++ b/nutmegdeal/soak/server_faults.py
@@ -12,7 +12,7 @@
 REFUSING_S = (0.05, 0.4)
 PAUSE_S = (0.2, 1.0)
 # For how long a server is suspended, and the time from one suspension to the next.
-SUSPENDED_S = (1.0, 2.7)
+SUSPENDED_S = (1.5, 3.5)
 SUSPENSION_PAUSE_S = (0.2, 0.8)
 # Servers that are suspended at the same time.
 SUSPENDED_MAX = 2
