--- a/review/support_2/deployment.py
+++ b/review/support_2/deployment.py
@@ -476,8 +476,6 @@
             writer.write(encode_answer(421, headers))
             await writer.drain()
             return
-        self.runs[request.id] = self.runs.get(request.id, 0) + 1
-        self.site.record.add(f"run {request.id} at {self.id} for {adapter}@{held}")
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += ["Transfer-Encoding: chunked", f"X-Response-Signature: s.{request.id}"]
         lines += [f"{name}: {value}" for name, value in self.headers(request).items()]
@@ -485,6 +483,11 @@
         first = int(request.headers.get("last-event-id", -1)) + 1
         for number in range(first, 8):
             await asyncio.sleep(self.work_s)
+            if number == first:
+                # A request begins to run with its first token.
+                self.runs[request.id] = self.runs.get(request.id, 0) + 1
+                text = f"run {request.id} at {self.id} for {adapter}@{held}"
+                self.site.record.add(text)
             event = f"id: {number}\ndata: {request.id}\n\n".encode()
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
