Tests: crowds of clients at each listener, with limits on the processes

The tests start the programs on loopback with low limits: gateways and placers with 100 MB and 600 descriptors in their settings, entries and agents with 600 descriptors and 512 MB. Crowds are 120 clients with bodies of 4 MB (whole, but for the last byte, in chunks), 8 clients with chunks of 16 bytes, 120 that pipeline requests and read nothing, 800 idle ones or ones with most of a head, and 120 with a gRPC message without end. Checked are that the process lives, that resident memory and what waits in the kernel for its sockets stay within the memory, descriptors, and that ordinary requests are answered beside the crowd and after it.

run_tests.py runs tests marked "apart" one at a time after all others.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,6 +1,6 @@
 """Run pytest, ignoring failures of exactly the tests listed in KNOWN-RED.txt.
 
-The exit code is 0 if only listed tests failed. A listed test that passes makes the run
+Tests marked with ``apart`` run one at a time, after all others. The exit code is 0 if only listed tests failed. A listed test that passes makes the run
 fail, so that its entry is removed, unless the entry says that it fails at times.
 """
 
@@ -13,6 +13,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_FAILURES_PATH = ROOT / "KNOWN-RED.txt"
 PYTEST_TESTS_FAILED = 1
+# Options of pytest for the tests that run alone; they override earlier ones.
+APART_OPTIONS = ("-m", "apart", "-n", "0")
 # Stands after the id of a test that does not fail in every run.
 AT_TIMES = " (at times)"
 
@@ -45,16 +47,27 @@
     return passed, failed
 
 
-def main():
-    """Run the tests, compare failures with the known ones, return the exit code."""
-    known = read_known_failures(KNOWN_FAILURES_PATH)
+def run_pytest(options):
+    """Run pytest; return the ids of the passed and of the failed tests (two sets).
+
+    Exits with the code of pytest if it could not run the tests.
+    """
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.xml"
         command = [sys.executable, "-m", "pytest", f"--junitxml={report}"]
-        code = subprocess.call(command + sys.argv[1:], cwd=ROOT)
+        code = subprocess.call([*command, *options], cwd=ROOT)
         if code not in (0, PYTEST_TESTS_FAILED) or not report.exists():
-            return code or 1
-        passed, failed = read_report(report)
+            sys.exit(code or 1)
+        return read_report(report)
+
+
+def main():
+    """Run the tests, compare failures with the known ones, return the exit code."""
+    known = read_known_failures(KNOWN_FAILURES_PATH)
+    passed, failed = run_pytest([*sys.argv[1:], "-m", "not apart"])
+    passed_apart, failed_apart = run_pytest([*sys.argv[1:], *APART_OPTIONS])
+    passed |= passed_apart
+    failed |= failed_apart
     for test_id in sorted(failed & known.keys()):
         print(f"known failure: {known[test_id]}")
     repaired = find_repaired(passed, known)
