Gateways, placers: what clients can make a process take is bounded

Cause: a body was counted as it arrived, so that all of a crowd had a part of it before one was refused; it existed several times (parsed bytes, a buffer that grows, the whole, the encoded request); buffers that grew side by side left holes in the heap; readiness and metrics listeners counted nothing; connections and the kernel's buffers had no bound.

Change: bodies are charged before they are read and refused at the head; callers that have stalled make room, requests that a server may run are ended last; bodies and answers of over 64 KB are held in pages of the system and not copied; a process bounds its connections by memory and descriptors and closes those at fault first; the kernel's buffers have a fixed size; readiness and metrics hold no bodies.

test_slow_readers.py: a caller is refused for another one only once it has stalled for 250 ms, so its test waits for that long.

--- a/nutmegdeal/buffering/accounts.py
+++ b/nutmegdeal/buffering/accounts.py
@@ -9,8 +9,9 @@
 class HeldPart(enum.Enum):
     """What bytes are held for.
 
-    ``BODY``: the body of the request, from its first byte to the end of the request.
-    ``SENDING``: the encoded request, until its server has read it.
+    ``BODY``: the body of the request, from its head to the end of the request; while it
+    arrives, what it may take at most.
+    ``SENDING``: what the system holds of the request until its server has read it.
     ``ANSWER``: an answer that is held until it is whole.
     ``EVENTS``: events that were read from a server and not written to the caller.
     ``WRITING``: what is being written to the caller.
@@ -27,6 +28,7 @@
     """Stands for an account where nothing is bounded."""
 
     is_counted = False
+    is_unread = False
 
     def set(self, part, bytes_count, holder=None):
         """Take no notice."""
@@ -34,7 +36,7 @@
     def release(self, holder):
         """Take no notice."""
 
-    def waiting_for_caller(self):
+    def waiting_for_caller(self, since_ms=None):
         """Return a context manager without effect."""
         return contextlib.nullcontext()
 
@@ -62,6 +64,8 @@
     waiting_since_ms : float or None
         Since when the request waits for its caller to read or to send, on the monotonic
         clock; None if it does not.
+    is_unread : bool
+        The request has not arrived completely, so that it has certainly not run.
     is_shed : bool
         The request is being ended, so that its bytes count as free.
     is_closed : bool
@@ -74,6 +78,7 @@
     interrupt: object
     held_bytes: int = attrs.field(default=0, init=False)
     waiting_since_ms: float | None = attrs.field(default=None, init=False)
+    is_unread: bool = attrs.field(default=False, init=False)
     is_shed: bool = attrs.field(default=False, init=False)
     is_closed: bool = attrs.field(default=False, init=False)
     _parts: dict = attrs.field(factory=dict, init=False)
@@ -107,9 +112,15 @@
             del self._parts[key]
 
     @contextlib.contextmanager
-    def waiting_for_caller(self):
-        """Count the time within the context as waiting for the caller."""
-        self.waiting_since_ms = self._bound.now_ms()
+    def waiting_for_caller(self, since_ms=None):
+        """Count the time within the context as waiting for the caller.
+
+        Parameters
+        ----------
+        since_ms : float, optional
+            Since when it has waited, on the monotonic clock; by default from now on.
+        """
+        self.waiting_since_ms = self._bound.now_ms() if since_ms is None else since_ms
         try:
             yield
         finally:
--- a/nutmegdeal/buffering/bound.py
+++ b/nutmegdeal/buffering/bound.py
@@ -12,6 +12,10 @@
 HELD_SHARE = 0.4
 # Least bound, so that a process with little memory still serves usual requests.
 HELD_BYTES_MIN = 4 * BYTES_PER_MB
+# Share of the bound that large requests may take together until they have arrived. The
+# rest is for small ones and for answers.
+LARGE_SHARE = 0.75
+SMALL_REQUEST_BYTES = 65_536
 
 
 def compute_held_bytes_max(memory_mb):
@@ -77,8 +81,14 @@
             return
         self._accounts.add(account)
         self.held_bytes += change_bytes
-        if change_bytes > 0 and self.held_bytes > self.bytes_max:
-            self._shed(account)
+        excess_bytes = self.held_bytes - self._limit_for(account)
+        if change_bytes > 0 and excess_bytes > 0:
+            self._shed(account, excess_bytes)
+
+    def _limit_for(self, account):
+        if account.is_unread and account.held_bytes > SMALL_REQUEST_BYTES:
+            return self.bytes_max * LARGE_SHARE
+        return self.bytes_max
 
     def remove(self, account):
         """Stop counting an account whose request has ended."""
@@ -86,14 +96,16 @@
             self._accounts.discard(account)
             self.held_bytes -= account.held_bytes
 
-    def _shed(self, asking):
+    def _shed(self, asking, excess_bytes):
         now_ms, total_bytes = self.now_ms(), self.held_bytes
-        holdings = [
-            Holding(item, item.held_bytes, _waited_ms(item, now_ms))
+        holdings = {
+            item: Holding(
+                item, item.held_bytes, _waited_ms(item, now_ms), item.is_unread
+            )
             for item in self._accounts
-        ]
+        }
         own_error = None
-        for holding in choose_shed(holdings, total_bytes - self.bytes_max):
+        for holding in choose_shed(holdings.values(), excess_bytes, holdings[asking]):
             account = holding.account
             self.remove(account)
             account.is_shed = True
--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -12,11 +12,18 @@
 import h11
 
 from nutmegdeal.buffering.accounts import UNCOUNTED, HeldPart
+from nutmegdeal.buffering.bodies import (
+    BodyTooLargeError,
+    ReservedBody,
+    UnusedBody,
+    release_body,
+)
+from nutmegdeal.buffering.connections import ConnectionState
 from nutmegdeal.http_connections import (
-    RECEIVE_BYTES,
     USER_TIMEOUT_MS,
     configure_socket,
     describe_protocol_error,
+    find_header,
     set_user_timeout,
 )
 from nutmegdeal.log import get_logger
@@ -38,9 +45,11 @@
 # Retry-After of a request that is not read to its end as the process ends. Others can
 # serve it at once.
 ENDING_RETRY_AFTER = b"0.05"
+# Most bytes read by one call.
+RECEIVE_BYTES = 32_768
 # While a request is served, pipelined bytes are read in pieces of at most this size,
 # and no longer once more than this is buffered.
-READ_AHEAD_BYTES = 65_536
+READ_AHEAD_BYTES = 16_384
 
 
 class CallerLeftError(Exception):
@@ -80,7 +89,8 @@
     method, target : bytes
     headers : list of (bytes, bytes)
         Names are lower case.
-    body : bytes
+    body : bytes or memoryview
+        Valid until the request ends.
     arrived_ms : float
         When the first byte was read, on the monotonic clock.
     held : HeldAccount or UncountedAccount
@@ -108,6 +118,8 @@
     ----------
     sock : socket
     listener : CallerListener
+    opened : OpenConnection
+        Counts the connection.
 
     Attributes
     ----------
@@ -115,9 +127,10 @@
         True while no request has begun.
     """
 
-    def __init__(self, sock, listener):
+    def __init__(self, sock, listener, opened):
         self._socket = sock
         self._listener = listener
+        self._opened = opened
         self._set_protocol(listener.limits().header_bytes_max)
         self._greenlet = None
         self._watcher = None
@@ -167,6 +180,7 @@
             while self._serve_request():
                 pass
             if self._discards_rest:
+                self._opened.enter(ConnectionState.CLOSING)
                 discard_until_closed(self._socket)
         except (CallerLeftError, OSError):
             logger.debug("caller_left")
@@ -208,6 +222,10 @@
         """Return the bytes of an h11 event."""
         return self._protocol.send(event)
 
+    def encode_parts(self, event):
+        """Return the bytes of an h11 event in parts (list), its data without a copy."""
+        return self._protocol.send_with_data_passthrough(event)
+
     def write(self, data):
         """Send bytes to the caller.
 
@@ -217,12 +235,14 @@
         """
         held = self._held
         held.set(HeldPart.WRITING, len(data))
+        self._opened.enter(ConnectionState.SENDING)
         try:
             self._socket.settimeout(WRITE_TIMEOUT_S)
             with held.waiting_for_caller():
                 self._socket.sendall(data)
         except OSError as error:
             raise CallerLeftError from error
+        self._opened.enter(ConnectionState.SERVING)
         held.set(HeldPart.WRITING, 0)
 
     def allow_slow_reading(self):
@@ -251,6 +271,8 @@
 
     def _serve_request(self):
         self.is_idle = not self._protocol.trailing_data[0]
+        if self.is_idle:
+            self._opened.enter(ConnectionState.IDLE)
         self._held = self._listener.open_account(self._shed)
         try:
             return self._serve_counted_request()
@@ -270,6 +292,7 @@
     def _serve_counted_request(self):
         try:
             self._is_reading = True
+            self._held.is_unread = True
             request = self._read_request()
         except CallerShedError as error:
             self._refuse_shed(error)
@@ -283,8 +306,17 @@
             return False
         finally:
             self._is_reading = False
+            self._held.is_unread = False
         if request is None:
             return False
+        try:
+            return self._respond(request)
+        finally:
+            release_body(request.body)
+
+    def _respond(self, request):
+        """Have the application respond; return whether another request may follow."""
+        self._opened.enter(ConnectionState.SERVING)
         if self._may_read_slowly:
             self._set_user_timeout(USER_TIMEOUT_MS)
             self._may_read_slowly = False
@@ -339,43 +371,80 @@
         self._limit_head(limits.header_bytes_max)
         if first_data:
             self._protocol.receive_data(first_data)
-        head, arrived_ms = None, time.monotonic() * 1000
+        self._opened.enter(ConnectionState.RECEIVING)
+        arrived_ms = time.monotonic() * 1000
         deadline_s = time.monotonic() + limits.header_timeout_ms / 1000
-        body = bytearray()
+        head = self._read_head(deadline_s)
+        if head is None:
+            return None
+        if _has_ambiguous_length(head.headers):
+            self._refuse(400, "both Content-Length and Transfer-Encoding")
+            return None
+        deadline_s = time.monotonic() + limits.idle_timeout_ms / 1000
+        try:
+            body = self._read_body(head, deadline_s, limits.body_bytes_max)
+        except BodyTooLargeError:
+            self._refuse(413, "the body is too large")
+            return None
+        if body is None:
+            return None
+        headers = list(head.headers)
+        return IncomingRequest(
+            head.method, head.target, headers, body, arrived_ms, self._held
+        )
+
+    def _read_head(self, deadline_s):
+        """Return the head (h11.Request), None if the connection has to be closed."""
+        event = self._read_event(deadline_s, self._receive)
+        if event is None:
+            self._refuse_timed_out("head")
+        return event if isinstance(event, h11.Request) else None
+
+    def _read_body(self, head, deadline_s, bytes_max):
+        """Return the body (bytes-like), None if the connection has to be closed."""
+        body = self._begin_body(head, bytes_max)
+        try:
+            while True:
+                event = self._read_event(deadline_s, self._receive_body)
+                if isinstance(event, h11.Data):
+                    body.append(event.data)
+                    self._opened.record_received(len(event.data))
+                    continue
+                if isinstance(event, h11.EndOfMessage):
+                    whole, body = body.finish(), None
+                    return whole
+                if event is None:
+                    self._refuse_timed_out("body")
+                return None
+        finally:
+            if body is not None:
+                body.discard()
+
+    def _begin_body(self, head, bytes_max):
+        if not self._listener.uses_bodies:
+            return UnusedBody(bytes_max)
+        length = find_header(head.headers, b"content-length")
+        is_chunked = find_header(head.headers, b"transfer-encoding") is not None
+        if length is None and not is_chunked:
+            length = 0
+        return ReservedBody(
+            self._held, bytes_max, None if length is None else int(length)
+        )
+
+    def _read_event(self, deadline_s, receive):
+        """Return the next h11 event, None at the deadline."""
         while True:
             event = self._protocol.next_event()
-            if event is h11.NEED_DATA:
-                if self._protocol.they_are_waiting_for_100_continue:
-                    interim = h11.InformationalResponse(status_code=100, headers=[])
-                    self.write(self.encode(interim))
-                data = self._receive_part(deadline_s, head)
-                if data is None:
-                    self._refuse_timed_out(head)
-                    return None
-                self._protocol.receive_data(data)
-            elif isinstance(event, h11.Request):
-                head = event
-                if _has_ambiguous_length(head.headers):
-                    self._refuse(400, "both Content-Length and Transfer-Encoding")
-                    return None
-                deadline_s = time.monotonic() + limits.idle_timeout_ms / 1000
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.body_bytes_max:
-                    self._refuse(413, "the body is too large")
-                    return None
-                self._held.set(HeldPart.BODY, len(body))
-            elif isinstance(event, h11.EndOfMessage):
-                return IncomingRequest(
-                    head.method,
-                    head.target,
-                    list(head.headers),
-                    bytes(body),
-                    arrived_ms,
-                    self._held,
-                )
-            else:
+            if event is not h11.NEED_DATA:
+                return event
+            if self._protocol.they_are_waiting_for_100_continue:
+                interim = h11.InformationalResponse(status_code=100, headers=[])
+                self.write(self.encode(interim))
+                self._opened.enter(ConnectionState.RECEIVING)
+            data = receive(deadline_s)
+            if data is None:
                 return None
+            self._protocol.receive_data(data)
 
     def _wait_for_request(self):
         """Return the first bytes of a request, empty if the connection has to close.
@@ -394,11 +463,9 @@
             if self._listener.limits().idle_timeout_ms <= timeout_ms:
                 return b""
 
-    def _receive_part(self, deadline_s, head):
-        """Receive a further part of a request; a body that is awaited is held."""
-        if head is None:
-            return self._receive(deadline_s)
-        with self._held.waiting_for_caller():
+    def _receive_body(self, deadline_s):
+        """Receive a further part of a body, which is held meanwhile."""
+        with self._held.waiting_for_caller(self._opened.since_s * 1000):
             return self._receive(deadline_s)
 
     def _receive(self, deadline_s):
@@ -408,12 +475,13 @@
             return None
         self._socket.settimeout(remaining_s)
         try:
-            return self._socket.recv(RECEIVE_BYTES)
+            data = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError:
             return None
+        return data
 
-    def _refuse_timed_out(self, head):
-        self._refuse(408, "timeout in the body" if head else "timeout in the head")
+    def _refuse_timed_out(self, part):
+        self._refuse(408, f"timeout in the {part}")
 
     def _refuse_shed(self, error):
         retry_after = (b"retry-after", b"%d" % SHED_RETRY_AFTER_S)
--- a/nutmegdeal/connection_pool.py
+++ b/nutmegdeal/connection_pool.py
@@ -1,5 +1,7 @@
 """A pool of HTTP/1.1 client connections."""
 
+import math
+
 from nutmegdeal.http_connections import CONNECT_TIMEOUT_MS, ClientConnection
 
 
@@ -11,11 +13,14 @@
     clock : Clock
     idle_count_max : int
         Most idle connections kept per address.
+    idle_total_max : float
+        Most of them to all addresses together.
     """
 
-    def __init__(self, clock, idle_count_max=64):
+    def __init__(self, clock, idle_count_max=64, idle_total_max=math.inf):
         self._clock = clock
         self._idle_count_max = idle_count_max
+        self._idle_total_max = idle_total_max
         self._idle = {}
 
     def acquire(
@@ -121,14 +126,17 @@
         The connection is closed if it cannot be reused or the pool is full.
         """
         idle = self._idle.setdefault(connection.address, [])
-        is_kept = len(idle) < self._idle_count_max and connection.finish(
-            head, self._clock.monotonic_ms()
-        )
+        has_room = len(idle) < self._idle_count_max and self._has_room
+        is_kept = has_room and connection.finish(head, self._clock.monotonic_ms())
         if not is_kept:
             connection.close()
             return
         idle.append(connection)
 
+    @property
+    def _has_room(self):
+        return sum(map(len, self._idle.values())) < self._idle_total_max
+
     def close_idle(self):
         """Close the idle connections that may no longer be reused."""
         now_ms = self._clock.monotonic_ms()
--- a/nutmegdeal/gateway/exchange.py
+++ b/nutmegdeal/gateway/exchange.py
@@ -9,6 +9,7 @@
 
 from nutmegdeal.balancing.answer_times import AnswerTimes
 from nutmegdeal.buffering.accounts import HeldPart
+from nutmegdeal.buffering.bodies import BodyBuffer
 from nutmegdeal.gateway.answer_checks import check_continuation, is_success
 from nutmegdeal.gateway.answer_heads import AnswerHeadReader
 from nutmegdeal.gateway.events import BrokenStreamError, EventSplitter
@@ -17,6 +18,7 @@
 from nutmegdeal.gateway.silence import OverlapEnd, OvertakenError
 from nutmegdeal.gateway.urgency import server_priority
 from nutmegdeal.http_connections import (
+    SEND_BUFFER_BYTES,
     BrokenAnswerError,
     wait_until_readable,
 )
@@ -122,7 +124,7 @@
         # Whole events and the part of a plain body that have been read, but not
         # forwarded.
         self._ready = b""
-        self._body = bytearray()
+        self._body = BodyBuffer(ANSWER_BYTES_MAX)
         self._is_at_end = False
         self._failure = None
         self._held = request.incoming.held
@@ -169,7 +171,8 @@
             version.number,
             self._progress.last_event_id,
         )
-        self._held.set(HeldPart.SENDING, len(incoming.body), self)
+        sending_bytes = min(len(incoming.body), SEND_BUFFER_BYTES)
+        self._held.set(HeldPart.SENDING, sending_bytes, self)
         self._connection.send(
             incoming.method,
             incoming.target,
@@ -409,7 +412,7 @@
         self._progress.responder.reply(
             head.status_code,
             platform_headers.filter_answer_headers(head.headers),
-            bytes(self._body),
+            self._body.view(),
         )
         return RunOutcome(RunFate.COMPLETED)
 
@@ -420,10 +423,11 @@
             if data is None:
                 self._is_at_end = True
                 return
-            self._body += data
-            if len(self._body) > ANSWER_BYTES_MAX:
+            length = len(self._body) + len(data)
+            if length > ANSWER_BYTES_MAX:
                 raise BrokenAnswerError(f"the answer exceeds {ANSWER_BYTES_MAX} bytes")
-            self._held.set(HeldPart.ANSWER, len(self._body), self)
+            self._held.set(HeldPart.ANSWER, length, self)
+            self._body.append(data)
 
     def _hold_answer(self, head):
         deadline_ms = self._request.deadline_ms
--- a/nutmegdeal/gateway/process.py
+++ b/nutmegdeal/gateway/process.py
@@ -10,6 +10,13 @@
 from nutmegdeal.balancing.metrics import BalancingCollector
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.buffering.bound import MemoryBound, compute_held_bytes_max
+from nutmegdeal.buffering.connections import ConnectionBound
+from nutmegdeal.buffering.process_limits import (
+    AUXILIARY_CONNECTIONS_MAX,
+    compute_connections_max,
+    compute_idle_servers_max,
+    read_descriptors_max,
+)
 from nutmegdeal.channel import ChannelClient
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.connection_pool import ConnectionPool
@@ -73,7 +80,10 @@
     def __init__(self, settings, clock=None, bridge=None):
         clock = clock or SystemClock()
         random_state = random.Random()
-        pool = ConnectionPool(clock)
+        descriptors_max = read_descriptors_max(settings.descriptors_max)
+        pool = ConnectionPool(
+            clock, idle_total_max=compute_idle_servers_max(descriptors_max)
+        )
         self._pool = pool
         self._clock = clock
         self._settings = settings
@@ -150,20 +160,32 @@
             quotas=quotas,
         )
         memory = MemoryBound(compute_held_bytes_max(settings.memory_mb), clock)
-        self._listener = self._listen(settings.callers_at, dispatcher, memory)
+        connections_max = compute_connections_max(settings.memory_mb, descriptors_max)
+        self._listener = self._listen(
+            settings.callers_at,
+            dispatcher,
+            connections=ConnectionBound(connections_max),
+            memory=memory,
+        )
+        auxiliary = ConnectionBound(AUXILIARY_CONNECTIONS_MAX)
+        metrics = MetricsApplication(self._telemetry.registry)
         self._auxiliary_listeners = [
-            self._listen(settings.readiness_at, self._answer_readiness),
-            self._listen(
-                Address(settings.ip, METRICS_PORT),
-                MetricsApplication(self._telemetry.registry),
-            ),
+            self._listen(address, application, auxiliary, uses_bodies=False)
+            for address, application in (
+                (settings.readiness_at, self._answer_readiness),
+                (Address(settings.ip, METRICS_PORT), metrics),
+            )
         ]
         self._stop_requested = gevent.event.Event()
         self._greenlets = gevent.pool.Group()
 
-    def _listen(self, address, application, memory=None):
+    def _listen(self, address, application, connections, **options):
         return CallerListener(
-            address.pair, application, lambda: self._board.limits, memory
+            address.pair,
+            application,
+            lambda: self._board.limits,
+            connections=connections,
+            **options,
         )
 
     def _new_budget(self):
--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -10,11 +10,11 @@
 import time
 
 import attrs
-import gevent
 import gevent.select
 import gevent.socket
 import h11
 
+from nutmegdeal.fair_turns import FairTurns
 from nutmegdeal.log import get_logger
 
 logger = get_logger(__name__)
@@ -49,15 +49,15 @@
 # Most responses to other requests that are skipped before the response to one request.
 # A connection carries one request at a time, so there is rarely more than one.
 SKIPPED_RESPONSES_MAX = 8
-# Other greenlets get to run after this much of a response. Receiving switches only if
-# it has to wait, so a server that sends fast would keep all other requests of the
-# process from being served.
-BYTES_PER_SWITCH = 65_536
-EVENTS_PER_SWITCH = 64
-# The pause is longer than 0, so that the event loop polls all sockets in it.
-SWITCH_PAUSE_S = 0.001
+# Buffers of the system for one connection to a server, which count as memory of the
+# process; the system takes twice as much for its own records.
+RECEIVE_BUFFER_BYTES = 32_768
+SEND_BUFFER_BYTES = 65_536
 # Responses with these status codes have no body, so they need no length.
 STATUS_CODES_WITHOUT_BODY = (204, 304)
+# Parts of a message up to this size are written together, so that they are sent in one
+# segment; larger ones are written as they are, without a copy.
+JOINED_BYTES_MAX = 65_536
 
 
 class ConnectError(OSError):
@@ -129,11 +129,29 @@
     set_user_timeout(sock, USER_TIMEOUT_MS)
 
 
+def set_buffer_sizes(sock, receive_bytes, send_bytes):
+    """Set the sizes of the system's buffers, instead of letting them grow."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_bytes)
+
+
 def set_user_timeout(sock, timeout_ms):
     """Set for how long (int) bytes may stay unread or unacknowledged by the peer."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
+def join_small_parts(parts):
+    """Return parts of a message to write (list), in one piece if they are small.
+
+    Parameters
+    ----------
+    parts : list of bytes-like
+    """
+    if sum(map(len, parts)) <= JOINED_BYTES_MAX:
+        return [b"".join(parts)]
+    return parts
+
+
 class ClientConnection:
     """One connection to a server, which carries one request at a time.
 
@@ -185,12 +203,12 @@
         except OSError as error:
             raise ConnectError(f"connect: {error}") from error
         configure_socket(self._socket)
+        set_buffer_sizes(self._socket, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES)
         self.local_port = self._socket.getsockname()[1]
         self._protocol = h11.Connection(h11.CLIENT)
         self._request = None
         self._head = None
-        self._unswitched_bytes = 0
-        self._unswitched_events = 0
+        self._turns = FairTurns()
 
     def record_request_id(self, request_id):
         """Record the id (str) of the next request."""
@@ -225,19 +243,21 @@
             headers.pop()
         self.has_response_started = False
         self.skipped_count = 0
-        self._unswitched_bytes = 0
-        self._unswitched_events = 0
+        self._turns.reset()
         self._request = h11.Request(method=method, target=target, headers=headers)
         self.last_active_ms = time.monotonic() * 1000
-        self._set_timeout(deadline_ms)
-        self._socket.sendall(self._encode_request(body))
+        for part in self._encode_request(body):
+            self._set_timeout(deadline_ms)
+            self._socket.sendall(part)
         self.last_active_ms = time.monotonic() * 1000
 
     def _encode_request(self, body):
-        data = self._protocol.send(self._request)
+        """Return the parts to write (list); a large body is not copied."""
+        parts = [self._protocol.send(self._request)]
         if body:
-            data += self._protocol.send(h11.Data(data=body))
-        return data + self._protocol.send(h11.EndOfMessage())
+            parts += self._protocol.send_with_data_passthrough(h11.Data(data=body))
+        self._protocol.send(h11.EndOfMessage())
+        return join_small_parts(parts)
 
     def read_head(self, deadline_ms):
         """Read status and headers of the response, skipping interim (1xx) responses.
@@ -341,22 +361,10 @@
         if trailing:
             self._protocol.receive_data(trailing)
 
-    def _let_others_run(self):
-        is_due = (
-            self._unswitched_events >= EVENTS_PER_SWITCH
-            or self._unswitched_bytes >= BYTES_PER_SWITCH
-        )
-        if not is_due:
-            return
-        self._unswitched_bytes = 0
-        self._unswitched_events = 0
-        gevent.sleep(SWITCH_PAUSE_S)
-
     def _next_event(self, deadline_ms):
         try:
             while True:
-                self._let_others_run()
-                self._unswitched_events += 1
+                self._turns.take()
                 event = self._protocol.next_event()
                 if event is not h11.NEED_DATA:
                     return event
@@ -378,7 +386,7 @@
             self.wait_for_data(deadline_ms)
         self._set_timeout(deadline_ms)
         data = self._socket.recv(RECEIVE_BYTES)
-        self._unswitched_bytes += len(data)
+        self._turns.record_bytes(len(data))
         self.has_response_started = self.has_response_started or bool(data)
         self.last_active_ms = time.monotonic() * 1000
         return data
--- a/nutmegdeal/http_listener.py
+++ b/nutmegdeal/http_listener.py
@@ -1,13 +1,13 @@
 """HTTP server for callers' connections, and an application that serves metrics."""
 
-from gevent.server import StreamServer
+import math
+
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from nutmegdeal.buffering.accounts import UNCOUNTED
+from nutmegdeal.buffering.connections import ConnectionBound
 from nutmegdeal.caller_connections import CallerConnection
-
-# Connections that may wait to be accepted; large enough for a burst of callers.
-LISTEN_BACKLOG = 1_024
+from nutmegdeal.listening import LimitedStreamServer
 
 
 class MetricsApplication:
@@ -39,6 +39,10 @@
         Returns the current CallerLimits.
     memory : MemoryBound, optional
         Bounds the bytes that are held for the requests; by default nothing does.
+    connections : ConnectionBound, optional
+        Bounds the open connections; by default nothing does.
+    uses_bodies : bool
+        Whether the application reads the bodies of requests; others are not held.
 
     Attributes
     ----------
@@ -49,14 +53,24 @@
         True once connections without a request are no longer kept open.
     """
 
-    def __init__(self, address, application, limits, memory=None):
+    def __init__(
+        self,
+        address,
+        application,
+        limits,
+        memory=None,
+        connections=None,
+        uses_bodies=True,
+    ):
         self.application = application
         self.limits = limits
+        self.uses_bodies = uses_bodies
         self._memory = memory
+        self._bound = connections or ConnectionBound(math.inf)
         self.is_draining = False
         self.has_closed_idle = False
         self._connections = set()
-        self._server = StreamServer(address, self._handle, backlog=LISTEN_BACKLOG)
+        self._server = LimitedStreamServer(address, self._handle)
 
     def open_account(self, interrupt):
         """Return the account of a new request, as `MemoryBound.open_account` does."""
@@ -99,9 +113,14 @@
             connection.refuse_unread()
 
     def _handle(self, sock, _address):
-        connection = CallerConnection(sock, self)
+        opened = self._bound.open(sock)
+        if opened is None:
+            sock.close()
+            return
+        connection = CallerConnection(sock, self, opened)
         self._connections.add(connection)
         try:
             connection.run()
         finally:
             self._connections.discard(connection)
+            opened.end()
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -168,6 +168,24 @@
         "request that could not be read",
         {"status": count_field("HTTP status of the answer"), "detail": _ERROR},
     ),
+    LogEvent(
+        "connection_ended_for_room",
+        Process.BOTH,
+        "connection of a client that was closed to make room for another one",
+        {"state": text_field("what it waited for")},
+    ),
+    LogEvent(
+        "connection_refused",
+        Process.BOTH,
+        "connection that was closed at once, as all others were in use",
+        {"open_count": count_field("open connections")},
+    ),
+    LogEvent(
+        "connection_already_closed",
+        Process.BOTH,
+        "connection that its client had closed before it was closed to make room",
+        {"error": _ERROR},
+    ),
     LogEvent(
         "request_shed",
         Process.GATEWAY,
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -6,6 +6,8 @@
 
 from nutmegdeal.addresses import Address
 from nutmegdeal.bridges import GreenletBridge
+from nutmegdeal.buffering.connections import ConnectionBound
+from nutmegdeal.buffering.process_limits import AUXILIARY_CONNECTIONS_MAX
 from nutmegdeal.channel import ChannelServer
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.connection_pool import ConnectionPool
@@ -72,6 +74,8 @@
             (settings.ip, METRICS_PORT),
             MetricsApplication(self._telemetry.registry),
             lambda: DEFAULT_CALLER_LIMITS,
+            connections=ConnectionBound(AUXILIARY_CONNECTIONS_MAX),
+            uses_bodies=False,
         )
         self._sessions = set()
         self._order_wake = gevent.event.Event()
--- a/nutmegdeal/platform/settings.py
+++ b/nutmegdeal/platform/settings.py
@@ -81,6 +81,8 @@
         Pause between two writes of a backend server's registration.
     memory_mb : float or None
         Memory that the process may use; None if it is not limited.
+    descriptors_max : int or None
+        Descriptors that it may open; None if only the system limits them.
     """
 
     node_name: str
@@ -97,6 +99,7 @@
     bounds: Bounds
     registration_interval_ms: float = REGISTRATION_INTERVAL_MS
     memory_mb: float | None = None
+    descriptors_max: int | None = None
 
 
 def parse_address(text):
@@ -144,6 +147,7 @@
     """
     listen = data.get("listen") or {}
     first_port, last_port = data["internal_ports"]
+    limits = data.get("limits") or {}
     return NodeSettings(
         node_name=str(data["node_name"]),
         role=str(data["role"]),
@@ -160,7 +164,8 @@
         registration_interval_ms=float(
             data.get("heartbeat_ms") or REGISTRATION_INTERVAL_MS
         ),
-        memory_mb=_optional_float((data.get("limits") or {}).get("memory_mb")),
+        memory_mb=_optional_float(limits.get("memory_mb")),
+        descriptors_max=_optional_int(limits.get("max_fds")),
     )
 
 
@@ -172,6 +177,10 @@
     return float(value) if value else None
 
 
+def _optional_int(value):
+    return int(value) if value else None
+
+
 def _decode_bounds(data):
     is_strict = data.get("revoke_strict")
     return Bounds(
--- a/nutmegdeal/responders.py
+++ b/nutmegdeal/responders.py
@@ -2,6 +2,8 @@
 
 import h11
 
+from nutmegdeal.http_connections import join_small_parts
+
 # Sent as it is, since h11 encodes nothing more after an exception within a response.
 INTERNAL_ERROR_RESPONSE = (
     b"HTTP/1.1 500 Internal Server Error\r\n"
@@ -59,9 +61,10 @@
 
     def send(self, data):
         """Send a part of the body."""
-        encoded = self._unsent_head + self._connection.encode(h11.Data(data=data))
+        parts = [self._unsent_head, *self._connection.encode_parts(h11.Data(data=data))]
         self._unsent_head = b""
-        self._write(encoded)
+        for part in join_small_parts(parts):
+            self._write(part)
 
     def finish(self):
         """Send what is left and end the response."""
--- a/nutmegdeal/tests/test_log_events.py
+++ b/nutmegdeal/tests/test_log_events.py
@@ -28,6 +28,7 @@
         *PACKAGE.glob("placer/*.py"),
         *PACKAGE.glob("platform/*.py"),
         *PACKAGE.glob("quotas/*.py"),
+        *PACKAGE.glob("buffering/*.py"),
         PACKAGE / "nodes.py",
         PACKAGE / "caller_connections.py",
         PACKAGE / "http_connections.py",
--- a/nutmegdeal/tests/test_slow_readers.py
+++ b/nutmegdeal/tests/test_slow_readers.py
@@ -10,6 +10,7 @@
 from nutmegdeal import caller_connections
 from nutmegdeal.buffering.accounts import HeldPart
 from nutmegdeal.buffering.bound import MemoryBound
+from nutmegdeal.buffering.connections import STALLED_AFTER_MS
 from nutmegdeal.caller_connections import CallerLeftError, CallerShedError
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.http_connections import USER_TIMEOUT_MS
@@ -114,6 +115,8 @@
         listener = start_listener(answer_by_path, memory=memory)
         first, second = self.send_part(listener), self.send_part(listener)
         wait_until(lambda: memory.held_bytes >= 2 * BODY_BYTES)
+        # Only callers that have sent nothing for a while are refused for others.
+        gevent.sleep(1.2 * STALLED_AFTER_MS / 1000)
         third = self.send_part(listener)
         answer = first.recv(65_536)
         assert answer.startswith(b"HTTP/1.1 503 ")
--- a/nutmegdeal/whole_responses.py
+++ b/nutmegdeal/whole_responses.py
@@ -15,18 +15,14 @@
 import time
 
 import attrs
-import gevent
 import urllib3
 import urllib3.connection
 
+from nutmegdeal.fair_turns import FairTurns
+
 # Most bytes of lines in a row: of a head with the interim heads before it, of a chunk's
 # size, of the trailers.
 LINES_BYTES_MAX = 65_536
-# Other greenlets get to run after this much of a response. Receiving switches only if
-# it has to wait, so a server that sends fast would keep all others from being served.
-BYTES_PER_SWITCH = 65_536
-# The pause is longer than 0, so that the event loop polls all sockets in it.
-SWITCH_PAUSE_S = 0.001
 
 
 class ResponseTooLargeError(http.client.HTTPException):
@@ -67,7 +63,7 @@
         self._receiver = receiver
         self._socket = sock
         self._remaining_bytes = limits.bytes_max
-        self._unswitched_bytes = 0
+        self._turns = FairTurns()
         timeout_s = sock.gettimeout()
         self._deadline_s = None
         if timeout_s is not None:
@@ -88,12 +84,10 @@
         """
         if self._remaining_bytes < 0:
             raise ResponseTooLargeError("the response is too large")
-        if self._unswitched_bytes >= BYTES_PER_SWITCH:
-            self._unswitched_bytes = 0
-            gevent.sleep(SWITCH_PAUSE_S)
+        self._turns.take()
         self._limit_wait()
         count = self._receiver.readinto(buffer)
-        self._unswitched_bytes += count
+        self._turns.record_bytes(count)
         self._remaining_bytes -= count
         return count
 
