Callers' connections: a request that is being read lets others run

Cause: receiving switches only if it has to wait. A caller that sends fast keeps its greenlet parsing, and each chunk takes some microseconds. The same held for requests that arrive together.

Change: the turns that connections to servers take already, as a class of their own (fair_turns.py), also at callers: after 64 KB or 256 parts of a request, and between pipelined requests.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -19,6 +19,7 @@
     release_body,
 )
 from nutmegdeal.buffering.connections import ConnectionState
+from nutmegdeal.fair_turns import SWITCH_PAUSE_S, FairTurns
 from nutmegdeal.http_connections import (
     USER_TIMEOUT_MS,
     configure_socket,
@@ -47,6 +48,9 @@
 ENDING_RETRY_AFTER = b"0.05"
 # Most bytes read by one call.
 RECEIVE_BYTES = 32_768
+# Events of a request that are parsed before other requests get their turn. Each chunk
+# of a body is one, and takes some microseconds.
+EVENTS_PER_TURN = 256
 # While a request is served, pipelined bytes are read in pieces of at most this size,
 # and no longer once more than this is buffered.
 READ_AHEAD_BYTES = 16_384
@@ -131,6 +135,7 @@
         self._socket = sock
         self._listener = listener
         self._opened = opened
+        self._turns = FairTurns(EVENTS_PER_TURN)
         self._set_protocol(listener.limits().header_bytes_max)
         self._greenlet = None
         self._watcher = None
@@ -273,6 +278,7 @@
         self.is_idle = not self._protocol.trailing_data[0]
         if self.is_idle:
             self._opened.enter(ConnectionState.IDLE)
+        self._turns.reset()
         self._held = self._listener.open_account(self._shed)
         try:
             return self._serve_counted_request()
@@ -356,6 +362,9 @@
         if self._listener.has_closed_idle and not self._has_next_request():
             return False
         self._protocol.start_next_cycle()
+        if self._protocol.trailing_data[0]:
+            # Requests that have arrived together are served without a wait.
+            gevent.sleep(SWITCH_PAUSE_S)
         return True
 
     def _read_request(self):
@@ -434,6 +443,7 @@
     def _read_event(self, deadline_s, receive):
         """Return the next h11 event, None at the deadline."""
         while True:
+            self._turns.take()
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
@@ -478,6 +488,7 @@
             data = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError:
             return None
+        self._turns.record_bytes(len(data))
         return data
 
     def _refuse_timed_out(self, part):
--- a/nutmegdeal/fair_turns.py
+++ b/nutmegdeal/fair_turns.py
@@ -13,9 +13,16 @@
 
 
 class FairTurns:
-    """Counts what one greenlet has read since it last let others run."""
+    """Counts what one greenlet has read since it last let others run.
 
-    def __init__(self):
+    Parameters
+    ----------
+    events_max : int
+        Events of one turn.
+    """
+
+    def __init__(self, events_max=EVENTS_PER_SWITCH):
+        self._events_max = events_max
         self._bytes = 0
         self._events = 0
 
@@ -30,7 +37,7 @@
 
     def take(self):
         """Count one event, after a pause if others are due."""
-        if self._events >= EVENTS_PER_SWITCH or self._bytes >= BYTES_PER_SWITCH:
+        if self._events >= self._events_max or self._bytes >= BYTES_PER_SWITCH:
             self.reset()
             gevent.sleep(SWITCH_PAUSE_S)
         self._events += 1
