Streams between processes: clients are bounded

A client of a placer's streams that sent a gRPC message without an end, or many that sent nothing, could take its memory and descriptors.

Cause: grpclib collects a message of any length that its prefix states and gives the flow control back as it does so; each connection had 4 MB of HTTP/2 window and the kernel's growing buffers; connections had no bound.

Change: batches have a bound, each and all that are incomplete together; the window of a client is the least that HTTP/2 allows, the kernel's buffers have a fixed size, and connections count toward a bound, where those without a session are closed first.

--- a/nutmegdeal/buffering/answers.py
+++ b/nutmegdeal/buffering/answers.py
@@ -8,7 +8,6 @@
 
 # Most bytes of one answer that is held until it is whole.
 ANSWER_BYTES_MAX = 67_108_864
-# An answer of at most so many bytes is always held.
 SMALL_ANSWER_BYTES = 262_144
 HELD_ANSWERS_BYTES_MAX = 67_108_864
 
@@ -32,7 +31,7 @@
     def grow(self, byte_count):
         """Count further bytes; return whether they may be held (bool)."""
         self.byte_count += byte_count
-        if self.byte_count <= SMALL_ANSWER_BYTES:
+        if self.byte_count <= self._bound.small_bytes:
             return True
         return self._bound.held_bytes <= self._bound.bytes_max
 
@@ -48,10 +47,15 @@
     ----------
     bytes_max : int
         Most bytes of them beside the small ones.
+    small_bytes : int
+        An answer of at most so many bytes is always held.
     """
 
-    def __init__(self, bytes_max=HELD_ANSWERS_BYTES_MAX):
+    def __init__(
+        self, bytes_max=HELD_ANSWERS_BYTES_MAX, small_bytes=SMALL_ANSWER_BYTES
+    ):
         self.bytes_max = bytes_max
+        self.small_bytes = small_bytes
         self._answers = weakref.WeakSet()
 
     def open_answer(self):
--- a/nutmegdeal/channel.py
+++ b/nutmegdeal/channel.py
@@ -6,17 +6,23 @@
 
 import asyncio
 import hmac
+import math
 import socket
 
 import gevent
 from grpclib.client import Channel
+from grpclib.config import Configuration
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError
+from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
 from nutmegdeal.addresses import Address
+from nutmegdeal.batch_receiving import BatchReceiver
+from nutmegdeal.buffering.connections import ConnectionBound, ConnectionState
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.http_connections import set_buffer_sizes
 from nutmegdeal.log import get_logger
 from nutmegdeal.sessions import Session
 
@@ -29,6 +35,12 @@
 KEEPALIVE_INTERVAL_S = 10
 KEEPALIVE_PROBE_COUNT = 3
 USER_TIMEOUT_MS = 90_000
+# Buffers of the system for an accepted connection, which count as memory of the
+# process.
+RECEIVE_BUFFER_BYTES = 32_768
+SEND_BUFFER_BYTES = 65_536
+# What a client may send before it is read: the least that HTTP/2 allows.
+WINDOW_BYTES = 65_535
 
 
 class BytesCodec(CodecBase):
@@ -58,6 +70,70 @@
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def open_listener(address):
+    """Return a socket that is bound to an Address, for connections from clients."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    listener = socket.socket(family)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        set_buffer_sizes(listener, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES)
+        enable_keepalive(listener)
+        listener.bind((address.host, address.port))
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+class _CountedProtocol(H2Protocol):
+    """One accepted connection, which counts toward a ConnectionBound."""
+
+    def __init__(self, bound, *arguments):
+        super().__init__(*arguments)
+        self._bound = bound
+        self._opened = None
+
+    def connection_made(self, transport):
+        """Keep the connection if there is room for it."""
+        self._opened = self._bound.open(transport.get_extra_info("socket"))
+        super().connection_made(transport)
+        if self._opened is None:
+            transport.abort()
+            return
+        self.connection.opened = self._opened
+
+    def connection_lost(self, exc):
+        """Count the connection no longer."""
+        if self._opened is not None:
+            self._opened.end()
+        super().connection_lost(exc)
+
+
+class _CountingServer(Server):
+    """A server of grpclib that bounds its connections and what clients may send ahead.
+
+    Parameters
+    ----------
+    handlers : list
+    connections : ConnectionBound
+    """
+
+    def __init__(self, handlers, connections):
+        config = Configuration(
+            http2_connection_window_size=WINDOW_BYTES,
+            http2_stream_window_size=WINDOW_BYTES,
+        )
+        super().__init__(handlers, codec=BytesCodec(), config=config)
+        self._connections = connections
+
+    def _protocol_factory(self):
+        protocol = super()._protocol_factory()
+        return _CountedProtocol(
+            self._connections, protocol.handler, protocol.config, protocol.h2_config
+        )
+
+
 class ChannelServer:
     """Accepts streams and handles each Session in a greenlet of its own.
 
@@ -68,9 +144,13 @@
     handle_session : callable
         Called as ``handle_session(session)`` in a greenlet; the stream is closed when
         it returns.
+    connections : ConnectionBound, optional
+        Bounds the open connections; by default nothing does.
     """
 
-    def __init__(self, bridge, settings, handle_session):
+    def __init__(self, bridge, settings, handle_session, connections=None):
+        self._connections = connections or ConnectionBound(math.inf)
+        self._receiver = BatchReceiver()
         self._bridge = bridge
         self._settings = settings
         self._handle_session = handle_session
@@ -94,10 +174,9 @@
         return self._bridge.run(self._start(address), timeout_ms)
 
     async def _start(self, address):
-        self._server = Server([self], codec=BytesCodec())
-        await self._server.start(address.host, address.port)
-        (listener,) = self._server._server.sockets
-        enable_keepalive(listener)
+        listener = open_listener(address)
+        self._server = _CountingServer([self], self._connections)
+        await self._server.start(sock=listener)
         return Address(address.host, listener.getsockname()[1])
 
     def stop(self, timeout_ms=5_000):
@@ -122,7 +201,15 @@
         ):
             raise GRPCError(Status.UNAUTHENTICATED, "wrong shared secret")
         peer = ":".join(map(str, stream.peer.addr()[:2]))
-        session = Session(self._bridge, peer, self._settings, is_initiator=False)
+        # Those without a session are closed first if there is no room.
+        stream._stream.connection.opened.enter(ConnectionState.SERVING)
+        session = Session(
+            self._bridge,
+            peer,
+            self._settings,
+            is_initiator=False,
+            receiver=self._receiver,
+        )
         await stream.send_initial_metadata()
         self._bridge.call_in_gevent(gevent.spawn, self._run_handler, session)
         self._sessions.add(session)
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -7,7 +7,11 @@
 from nutmegdeal.addresses import Address
 from nutmegdeal.bridges import GreenletBridge
 from nutmegdeal.buffering.connections import ConnectionBound
-from nutmegdeal.buffering.process_limits import AUXILIARY_CONNECTIONS_MAX
+from nutmegdeal.buffering.process_limits import (
+    AUXILIARY_CONNECTIONS_MAX,
+    compute_connections_max,
+    read_descriptors_max,
+)
 from nutmegdeal.channel import ChannelServer
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.connection_pool import ConnectionPool
@@ -66,8 +70,14 @@
         self._engine = EngineClient(
             settings.engine_at, settings.node_name, ConnectionPool(self._clock)
         )
+        descriptors_max = read_descriptors_max(settings.descriptors_max)
         self._server = ChannelServer(
-            bridge or GreenletBridge(), ChannelSettings(), self._serve_gateway
+            bridge or GreenletBridge(),
+            ChannelSettings(),
+            self._serve_gateway,
+            ConnectionBound(
+                compute_connections_max(settings.memory_mb, descriptors_max)
+            ),
         )
         self._telemetry = PlacerTelemetry()
         self._metrics = CallerListener(
--- a/nutmegdeal/sessions.py
+++ b/nutmegdeal/sessions.py
@@ -27,6 +27,8 @@
         True on the side that opened the stream. Only this side sends heartbeats, and
         only while `heartbeats_enabled` is set and nothing arrives, so that idle streams
         cost nothing. The other side replies to each heartbeat.
+    receiver : BatchReceiver or None
+        Bounds what is received; None on the side that opened the stream.
 
     Attributes
     ----------
@@ -38,12 +40,13 @@
         Total size of all batches sent.
     """
 
-    def __init__(self, bridge, peer, settings, is_initiator):
+    def __init__(self, bridge, peer, settings, is_initiator, receiver=None):
         self.peer = peer
         self.close_reason = None
         self.heartbeats_enabled = False
         self.sent_bytes = 0
         self._is_initiator = is_initiator
+        self._receiver = receiver
         self._bridge = bridge
         self._settings = settings
         self._outbox = collections.deque()
@@ -159,7 +162,7 @@
 
     async def _read(self, stream):
         while True:
-            data = await stream.recv_message()
+            data = await self._receive_batch(stream)
             if data is None:
                 return
             self._has_received_since_check = True
@@ -168,6 +171,11 @@
             for message in decode_batch(data):
                 self._bridge.call_in_gevent(self._deliver, message)
 
+    async def _receive_batch(self, stream):
+        if self._receiver is None:
+            return await stream.recv_message()
+        return await self._receiver.receive(stream)
+
     def _send_heartbeat(self):
         self._is_heartbeat_due = True
         self._write_requested.set()
