Entries, agents: what clients can make a process take is bounded

Callers of an entry got no answer while 800 connections were idle or had a part of a head; 120 bodies of 4 MB without their last byte took 556 MB of 512. Heads of 5 MB at the status pages of an agent took 944 MB.

Cause: an entry read each body whole with no bound for the process; status pages had no limit on heads and no timeout; connections had no bound.

Change: the bounds of gateways (design 0020) for gevent's WSGI server: bodies are reserved before they are read and refused with 503 and a retry time, connections have a bound, heads of status pages 16 KB, and receiving lets others run. Settings memory_mb (512) and descriptors_max (the system's) in [process].

--- a/nutmegdeal/agent/process.py
+++ b/nutmegdeal/agent/process.py
@@ -8,6 +8,12 @@
 from nutmegdeal.agent.status import StatusServer
 from nutmegdeal.backends.engine import HttpModelEngine
 from nutmegdeal.backends.plain import HttpPlainService
+from nutmegdeal.buffering.connections import ConnectionBound
+from nutmegdeal.buffering.process_limits import (
+    AUXILIARY_CONNECTIONS_MAX,
+    compute_connections_max,
+    read_descriptors_max,
+)
 from nutmegdeal.channel import ChannelServer
 from nutmegdeal.log import get_logger
 from nutmegdeal.messages import BackendKind
@@ -37,9 +43,19 @@
         self._settings = settings
         self._platform = platform
         self._greenlets = []
-        self._status = StatusServer(self.agent.board, self.agent.forecast, clock)
+        self._status = StatusServer(
+            self.agent.board,
+            self.agent.forecast,
+            clock,
+            ConnectionBound(AUXILIARY_CONNECTIONS_MAX),
+        )
+        limits = settings.process
+        descriptors_max = read_descriptors_max(limits.descriptors_max)
         self._server = ChannelServer(
-            bridge, settings.channel, self.agent.streams.accept
+            bridge,
+            settings.channel,
+            self.agent.streams.accept,
+            ConnectionBound(compute_connections_max(limits.memory_mb, descriptors_max)),
         )
 
     def start(self):
--- a/nutmegdeal/agent/status.py
+++ b/nutmegdeal/agent/status.py
@@ -7,7 +7,7 @@
 
 from nutmegdeal.agent.slots import SlotState
 from nutmegdeal.messages import Urgency
-from nutmegdeal.wsgi_server import NoDelayWSGIServer
+from nutmegdeal.wsgi_server import LimitedWSGIServer
 
 JSON_TYPE = "application/json"
 NOT_READY_STATUS = 503
@@ -60,12 +60,14 @@
     board : Blackboard
     forecast : Forecast
     clock : Clock
+    connections : ConnectionBound
     """
 
-    def __init__(self, board, forecast, clock):
+    def __init__(self, board, forecast, clock, connections):
         self._board = board
         self._forecast = forecast
         self._clock = clock
+        self._connections = connections
         self._server = None
         self.app = bottle.Bottle()
         self.app.route("/healthz", "GET", lambda: _json_response({"healthy": True}))
@@ -74,7 +76,7 @@
 
     def start(self, host, port):
         """Start listening; return the port."""
-        self._server = NoDelayWSGIServer((host, port), self.app, log=None)
+        self._server = LimitedWSGIServer((host, port), self.app, self._connections)
         self._server.start()
         return self._server.server_port
 
--- a/nutmegdeal/entry/http.py
+++ b/nutmegdeal/entry/http.py
@@ -4,10 +4,10 @@
 
 import attrs
 import bottle
-import gevent
 
 from nutmegdeal.entry.assembly import StreamStarted
 from nutmegdeal.entry.attempts import Finish
+from nutmegdeal.entry.bodies import BodyReader
 from nutmegdeal.entry.replies import (
     FATE_PENDING,
     JSON_TYPE,
@@ -28,8 +28,6 @@
 
 logger = get_logger(__name__)
 
-DISCARD_BYTES_MAX = 16_777_216
-BODY_TIMEOUT_MS = 30_000
 SERVER_ERROR_STATUS = 500
 
 
@@ -42,12 +40,16 @@
     blackboard : Blackboard
     describe_status : callable
         Returns the content of ``/status``, an attrs object.
+    memory : MemoryBound
+        Bounds the bodies that are held.
     """
 
-    def __init__(self, service, blackboard, describe_status):
+    def __init__(self, service, blackboard, describe_status, memory):
         self._service = service
         self._blackboard = blackboard
         self._describe_status = describe_status
+        bytes_max = blackboard.settings.entry.body_bytes_max
+        self._bodies = BodyReader(bytes_max, memory)
         self.open_count = 0
         self._running = set()
         self._routes = bottle.Bottle()
@@ -98,11 +100,12 @@
         open_request = self._service.open(
             environ["REQUEST_METHOD"], environ[RAW_PATH_KEY]
         )
-        body = self._read_body(environ)
+        body = self._bodies.read(environ, open_request.cancel)
         if isinstance(body, Failure):
             return _respond(self.reply(open_request, open_request.refuse(body)))
         watch = DisconnectWatch(environ.get(SOCKET_KEY), open_request.cancel)
-        answer = CallerAnswer(self, open_request, watch, _read_request(environ, body))
+        request = _read_request(environ, body.data)
+        answer = CallerAnswer(self, open_request, watch, request, body.held)
         return answer.respond()
 
     def reply(self, open_request, finish):
@@ -110,24 +113,6 @@
         now_unix_ms = self._blackboard.clock.unix_ms()
         return reply_to_finish(finish, open_request.request_id, now_unix_ms)
 
-    def _read_body(self, environ):
-        """Return the body, or a Failure if it is too large, incomplete or late."""
-        bytes_max = self._blackboard.settings.entry.body_bytes_max
-        stream = environ["wsgi.input"]
-        try:
-            with gevent.Timeout(BODY_TIMEOUT_MS / 1000):
-                if int(environ.get("CONTENT_LENGTH") or 0) <= bytes_max:
-                    body = stream.read(bytes_max + 1)
-                    if len(body) <= bytes_max:
-                        return body
-                _discard(stream)
-        except (gevent.Timeout, OSError, ValueError) as error:
-            _close_after_answer(stream)
-            detail = f"the body did not arrive whole: {error}"
-            return Failure(Reason.BAD_REQUEST, Step.RECEIVE, "", detail)
-        detail = f"the body exceeds {bytes_max} bytes"
-        return Failure(Reason.BODY_TOO_LARGE, Step.RECEIVE, "", detail)
-
     def _answer_error(self, error):
         """Answer a request that matches no route or that raised an unexpected error.
 
@@ -168,9 +153,12 @@
     open_request : OpenRequest
     watch : DisconnectWatch
     request : CallerRequest
+    held : HeldAccount or UncountedAccount
+        Of the request, closed at its end.
     """
 
-    def __init__(self, application, open_request, watch, request):
+    def __init__(self, application, open_request, watch, request, held):
+        self._held = held
         self._application = application
         self._open_request = open_request
         self._watch = watch
@@ -212,6 +200,7 @@
         self._is_closed = True
         self._application.record_ended(self._open_request)
         self._watch.stop()
+        self._held.close()
         self._events.close()
 
 
@@ -271,22 +260,3 @@
         headers=headers,
         body=body,
     )
-
-
-def _discard(stream):
-    """Read the rest of a too large body, so that its sender reads the answer.
-
-    After `DISCARD_BYTES_MAX` the rest is left unread and the connection is closed.
-    """
-    remaining_bytes = DISCARD_BYTES_MAX
-    while remaining_bytes > 0:
-        chunk = stream.read(65_536)
-        if not chunk:
-            return
-        remaining_bytes -= len(chunk)
-    _close_after_answer(stream)
-
-
-def _close_after_answer(stream):
-    """Make the server close the connection instead of reading the rest of the body."""
-    stream._chunked_input_error = True
--- a/nutmegdeal/entry/process.py
+++ b/nutmegdeal/entry/process.py
@@ -10,6 +10,17 @@
 from nutmegdeal.accounts import SegmentRecorder
 from nutmegdeal.addresses import Address
 from nutmegdeal.bridges import GreenletBridge
+from nutmegdeal.buffering.answers import HELD_ANSWERS_BYTES_MAX
+from nutmegdeal.buffering.bound import (
+    BYTES_PER_MB,
+    MemoryBound,
+    compute_held_bytes_max,
+)
+from nutmegdeal.buffering.connections import ConnectionBound
+from nutmegdeal.buffering.process_limits import (
+    compute_connections_max,
+    read_descriptors_max,
+)
 from nutmegdeal.channel import ChannelClient
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.draining import wait_until_idle
@@ -97,8 +108,17 @@
         service = EntryService(
             self._components, self._recorder, RequestIdGenerator(incarnation)
         )
+        limits = settings.process
+        # Beside the answers, which have a bound of their own.
+        memory_mb = limits.memory_mb - HELD_ANSWERS_BYTES_MAX / BYTES_PER_MB
+        self._connections_max = compute_connections_max(
+            memory_mb, read_descriptors_max(limits.descriptors_max)
+        )
         self._application = CallerApplication(
-            service, self._board, lambda: describe_status(self._board, self._components)
+            service,
+            self._board,
+            lambda: describe_status(self._board, self._components),
+            MemoryBound(compute_held_bytes_max(memory_mb), clock),
         )
         self._server = None
         self._stop_requested = gevent.event.Event()
@@ -129,6 +149,7 @@
             self._application.wsgi,
             self._settings.entry.header_bytes_max,
             self._application.reply_to_invalid,
+            ConnectionBound(self._connections_max),
         )
         self._server.start()
         platform = self._settings.platform
--- a/nutmegdeal/entry/server.py
+++ b/nutmegdeal/entry/server.py
@@ -3,54 +3,25 @@
 import socket
 
 import gevent
-from gevent import pywsgi
 from gevent.socket import wait_read
 
 from nutmegdeal.errors import Failure, Reason, Step
 from nutmegdeal.log import get_logger
-from nutmegdeal.wsgi_server import NoDelayWSGIServer
+from nutmegdeal.wsgi_server import (
+    HeadersTooLargeError,
+    LimitedHandler,
+    LimitedWSGIServer,
+)
 
 logger = get_logger(__name__)
 
 RAW_PATH_KEY = "nutmegdeal.raw_path"
 SOCKET_KEY = "nutmegdeal.socket"
-CALLER_IDLE_TIMEOUT_MS = 75_000
 REASON_PHRASES = {400: "Bad Request", 431: "Request Header Fields Too Large"}
 
 
-class HeadersTooLargeError(ValueError):
-    """The request headers are larger than the settings allow."""
-
-
-class BoundedLineReader:
-    """Reads lines of a file up to a total size.
-
-    Parameters
-    ----------
-    file : file object
-    bytes_max : int
-    """
-
-    def __init__(self, file, bytes_max):
-        self._file = file
-        self._remaining_bytes = bytes_max
-
-    def readline(self, size=-1):
-        """Return a line, or raise HeadersTooLargeError."""
-        line = self._file.readline(self._remaining_bytes + 1 if size < 0 else size)
-        self._remaining_bytes -= len(line)
-        if self._remaining_bytes < 0:
-            raise HeadersTooLargeError
-        return line
-
-
-class CallerHandler(pywsgi.WSGIHandler):
-    """Limits the header size and adds the raw path and socket to the environment."""
-
-    def MessageClass(self, rfile, *arguments):  # noqa: N802
-        """Parse the headers; raise HeadersTooLargeError beyond the limit."""
-        bounded_reader = BoundedLineReader(rfile, self.server.header_bytes_max)
-        return super().MessageClass(bounded_reader, *arguments)
+class CallerHandler(LimitedHandler):
+    """Adds raw path and socket to the environment, and logs errors as JSON lines."""
 
     def get_environ(self):
         """Return the WSGI environment."""
@@ -84,7 +55,7 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + reply.body
 
 
-class CallerServer(NoDelayWSGIServer):
+class CallerServer(LimitedWSGIServer):
     """HTTP server of an entry.
 
     Parameters
@@ -95,23 +66,24 @@
     header_bytes_max : int
     reply_to_invalid : callable
         Returns the Reply to a request that could not be parsed, from a Failure.
+    connections : ConnectionBound
     """
 
     handler_class = CallerHandler
 
-    def __init__(self, address, application, header_bytes_max, reply_to_invalid):
-        environ = {"SERVER_NAME": address[0]}
+    def __init__(
+        self, address, application, header_bytes_max, reply_to_invalid, connections
+    ):
         super().__init__(
-            address, application, log=None, error_log=None, environ=environ
+            address,
+            application,
+            connections,
+            header_bytes_max,
+            error_log=None,
+            environ={"SERVER_NAME": address[0]},
         )
-        self.header_bytes_max = header_bytes_max
         self.reply_to_invalid = reply_to_invalid
 
-    def handle(self, sock, address):
-        """Serve a connection; close it after the idle timeout without I/O."""
-        sock.settimeout(CALLER_IDLE_TIMEOUT_MS / 1000)
-        super().handle(sock, address)
-
 
 class DisconnectWatch:
     """Calls a function once if the caller closes its connection.
--- a/nutmegdeal/settings.py
+++ b/nutmegdeal/settings.py
@@ -61,6 +61,19 @@
         OneOf(("debug", "info", "warning", "error")),
     )
 
+    memory_mb: int = _setting(
+        512,
+        "Memory that the process may take; what callers send or do not read is refused "
+        "or cut off before.",
+        Range(128, 2**20),
+    )
+    descriptors_max: int = _setting(
+        0,
+        "Maximum number of open descriptors, of which callers' connections get a part; "
+        "0 selects the limit of the system.",
+        Range(0, 2**20),
+    )
+
 
 @attrs.frozen
 class ListenSettings:
--- a/nutmegdeal/tests/test_entry_http.py
+++ b/nutmegdeal/tests/test_entry_http.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from nutmegdeal.buffering.bound import MemoryBound
 from nutmegdeal.entry.http import CallerApplication
 from nutmegdeal.entry.server import RAW_PATH_KEY
 from nutmegdeal.entry.status import describe_status
@@ -95,6 +96,7 @@
         fixture.service,
         fixture.board,
         lambda: describe_status(fixture.board, fixture.components),
+        MemoryBound(None, fixture.board.clock),
     )
     return WebFixture(fixture, application)
 
