Gateways: a request that ends for memory gets an answer

Cause: the largest requests were ended first, whoever held the bytes, and one for which a server had been chosen was closed.

The connection ends with that answer: the requests that wait on it would need memory, too. One that was not sent, or that its server refused, gets 503 as before.

--- a/nutmegdeal/caller_connections.py
+++ b/nutmegdeal/caller_connections.py
@@ -354,6 +354,8 @@
 
     def _start_next_request(self):
         if self._protocol.our_state is not h11.DONE:
+            # A reset because of unread bytes could destroy the response.
+            self._discards_rest = self._has_next_request()
             return False
         if self._protocol.their_state is not h11.DONE:
             return False
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -269,9 +269,12 @@
 
     def _end_shed(self, request, progress):
         """End a request that the process cannot hold any longer; return its Ending."""
-        if request.tried_ids or progress.responder.has_started:
-            # The closed connection promises nothing: a server may have run it.
+        if progress.responder.has_started:
+            # The closed connection promises nothing.
             return Ending("shed", MEMORY_SHORT)
+        if request.may_have_run:
+            self._refuse(progress.responder, Refusal(502, MEMORY_SHORT))
+            return Ending("in_doubt", MEMORY_SHORT)
         self._refuse(progress.responder, self._build_not_run_refusal(MEMORY_SHORT))
         return Ending("not_run", MEMORY_SHORT)
 
@@ -473,4 +476,7 @@
         if refusal.retry_after_ms is not None:
             seconds = math.ceil(refusal.retry_after_ms) / 1000
             headers.append((b"retry-after", b"%.3f" % seconds))
+        if refusal.reason == MEMORY_SHORT:
+            # The next requests that wait on the connection would need memory, too.
+            headers.append((b"connection", b"close"))
         responder.reply(refusal.status_code, headers, refusal.reason.encode())
--- a/nutmegdeal/tests/test_slow_readers.py
+++ b/nutmegdeal/tests/test_slow_readers.py
@@ -3,6 +3,7 @@
 import socket
 
 import gevent
+import gevent.event
 import gevent.socket
 import pytest
 from structlog.testing import capture_logs
@@ -267,6 +268,27 @@
         (line,) = [item for item in lines if item["event"] == "request_shed"]
         assert not line["may_have_run"]
 
+    def test_request_that_a_server_runs_is_answered_as_in_doubt(
+        self, start_dispatcher, start_listener
+    ):
+        """The connection was closed, so that the caller of a booking knew nothing."""
+        received = gevent.event.Event()
+
+        def answer(sock, request):
+            received.set()
+            gevent.sleep(TIMEOUT_S)
+
+        route = build.build_booking_route()
+        harness, memory, listener = self.start(
+            start_dispatcher, start_listener, answer, 6 * SMALL_BYTES, route=route
+        )
+        caller = self.send(listener, b"/book/", bytes(2 * SMALL_BYTES))
+        assert received.wait(TIMEOUT_S)
+        for _ in range(3):
+            memory.open_account(None).set(HeldPart.ANSWER, 3 * SMALL_BYTES // 2)
+        assert caller.recv(65_536).startswith(b"HTTP/1.1 502 ")
+        assert self.ends(harness) == {"in_doubt": 1.0}
+
     def test_caller_that_leaves_during_the_refusal_is_no_error_of_the_gateway(
         self, start_dispatcher, monkeypatch
     ):
