Clients: an answer without a status of HTTP is a failure

Cause: each client relied on its library for what a status line is.

Change: HTTP/1.0 and 1.1 and final statuses from 200 to 599 only, in both families of clients.

--- a/nutmegdeal/http_connections.py
+++ b/nutmegdeal/http_connections.py
@@ -55,6 +55,9 @@
 SEND_BUFFER_BYTES = 65_536
 # Responses with these status codes have no body, so they need no length.
 STATUS_CODES_WITHOUT_BODY = (204, 304)
+# h11 takes more for valid, RFC 9110 defines no others.
+HTTP_VERSIONS = (b"1.0", b"1.1")
+STATUS_CODE_MAX = 599
 # Parts of a message up to this size are written together, so that they are sent in one
 # segment; larger ones are written as they are, without a copy.
 JOINED_BYTES_MAX = 65_536
@@ -104,6 +107,19 @@
         )
 
 
+def check_status_line(response):
+    """Raise a BrokenAnswerError if a response has no status of HTTP/1.0 or HTTP/1.1.
+
+    Parameters
+    ----------
+    response : h11.Response
+    """
+    if response.http_version not in HTTP_VERSIONS:
+        raise BrokenAnswerError("not an answer of HTTP/1.1")
+    if response.status_code > STATUS_CODE_MAX:
+        raise BrokenAnswerError(f"not a status of HTTP: {response.status_code}")
+
+
 def find_header(headers, name):
     """Return the first value (bytes) of a header, or None.
 
@@ -279,6 +295,7 @@
         for _ in range(INTERIM_RESPONSES_MAX + 1):
             event = self._next_event(deadline_ms)
             if isinstance(event, h11.Response):
+                check_status_line(event)
                 self._head = ResponseHead(
                     event.status_code, list(event.headers), event.http_version
                 )
--- a/nutmegdeal/whole_responses.py
+++ b/nutmegdeal/whole_responses.py
@@ -4,6 +4,9 @@
 the trailers. A head that broke off would pass for a whole one, and the first digits of
 a chunk's size for the last chunk.
 
+It takes statuses from 100 to 999 for valid, with signs and underscores, and any interim
+response but 100 for the response itself.
+
 It also reads interim responses and trailers for as long as they come, and each read
 starts the timeout anew, so that a faulty server could fill the memory or keep a call
 from ending.
@@ -12,6 +15,7 @@
 import functools
 import http.client
 import io
+import re
 import time
 
 import attrs
@@ -20,6 +24,8 @@
 
 from nutmegdeal.fair_turns import FairTurns
 
+STATUS_LINE = re.compile(r"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n]*)?\r?\n")
+SWITCHING_PROTOCOLS = 101
 # Most bytes of lines in a row: of a head with the interim heads before it, of a chunk's
 # size, of the trailers.
 LINES_BYTES_MAX = 65_536
@@ -153,6 +159,27 @@
         self.fp = _LineReader(receiver)
         self._limits = limits
 
+    def _read_status(self):
+        """Return version, status (int) and reason, skipping interim responses.
+
+        Raises
+        ------
+        http.client.BadStatusLine
+        """
+        while True:
+            line = str(self.fp.readline(), "iso-8859-1")
+            match = STATUS_LINE.fullmatch(line)
+            if match is None or int(match[1]) == SWITCHING_PROTOCOLS:
+                raise http.client.BadStatusLine("not a status line of HTTP/1.1")
+            if int(match[1]) >= http.HTTPStatus.OK:
+                version, _, rest = line.partition(" ")
+                return version, int(match[1]), rest[3:].strip()
+            self._skip_interim_headers()
+
+    def _skip_interim_headers(self):
+        while self.fp.readline().strip():
+            pass
+
     def begin(self):
         """Read the head.
 
