--- a/nutmegdeal/buffering/bound.py
+++ b/nutmegdeal/buffering/bound.py
@@ -2,7 +2,7 @@
 
 from nutmegdeal.buffering.accounts import UNCOUNTED, HeldAccount
 from nutmegdeal.buffering.shedding import Holding, choose_shed
-from nutmegdeal.caller_connections import CallerShedError
+from nutmegdeal.incoming_requests import CallerShedError
 
 BYTES_PER_MB = 1_048_576
 # Memory of a gateway that is linked to its servers, before its first request.
--- a/nutmegdeal/entry/bodies.py
+++ b/nutmegdeal/entry/bodies.py
@@ -6,8 +6,8 @@
 from nutmegdeal.buffering.accounts import HeldPart
 from nutmegdeal.buffering.bodies import BodyTooLargeError, ReservedBody
 from nutmegdeal.buffering.connections import ConnectionState
-from nutmegdeal.caller_connections import CallerShedError
 from nutmegdeal.errors import Failure, Reason, Step
+from nutmegdeal.incoming_requests import CallerShedError
 from nutmegdeal.wsgi_server import CONNECTION_KEY
 
 READ_BYTES = 65_536
--- a/nutmegdeal/fakes/breakable_listener.py
+++ b/nutmegdeal/fakes/breakable_listener.py
@@ -6,8 +6,9 @@
 import attrs
 import gevent
 
-from nutmegdeal.caller_connections import WRITE_TIMEOUT_S, CallerLeftError
+from nutmegdeal.caller_connections import WRITE_TIMEOUT_S
 from nutmegdeal.http_listener import CallerListener
+from nutmegdeal.incoming_requests import CallerLeftError
 
 LINGER_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
--- a/nutmegdeal/fakes/platform_backend.py
+++ b/nutmegdeal/fakes/platform_backend.py
@@ -6,13 +6,13 @@
 
 import gevent
 
-from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.fakes.adapter_runs import AdapterRun
 from nutmegdeal.fakes.batch_slots import BatchSlots
 from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.fakes.prompt_crashes import PromptCrashes
 from nutmegdeal.fakes.stream_runs import StreamRun
 from nutmegdeal.http_connections import find_header
+from nutmegdeal.incoming_requests import CallerLeftError
 
 EVENT_INTERVAL_MS = 10.0
 LOAD_MS = 60.0
--- a/nutmegdeal/fakes/platform_server.py
+++ b/nutmegdeal/fakes/platform_server.py
@@ -7,7 +7,6 @@
 
 import gevent
 
-from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.fakes.answer_faults import (
     AnswerBreak,
     AnswerFaults,
@@ -20,6 +19,7 @@
 from nutmegdeal.fakes.prompt_crashes import CauseRecord
 from nutmegdeal.fakes.stream_runs import SOFTWARE_VERSION
 from nutmegdeal.http_connections import find_header
+from nutmegdeal.incoming_requests import CallerLeftError
 from nutmegdeal.log import get_logger
 from nutmegdeal.site_configuration import DEFAULT_CALLER_LIMITS
 
--- a/nutmegdeal/gateway/dispatch.py
+++ b/nutmegdeal/gateway/dispatch.py
@@ -4,11 +4,6 @@
 
 import attrs
 
-from nutmegdeal.caller_connections import (
-    CallerLeftError,
-    CallerShedError,
-    GraceEndedError,
-)
 from nutmegdeal.gateway.answer_progress import AnswerProgress
 from nutmegdeal.gateway.crash_blame import is_request
 from nutmegdeal.gateway.engine_check import ConnectCheck
@@ -19,6 +14,11 @@
 from nutmegdeal.gateway.shutdown import SHUTDOWN, STOPPING
 from nutmegdeal.gateway.takeover import Takeover
 from nutmegdeal.http_connections import find_header
+from nutmegdeal.incoming_requests import (
+    CallerLeftError,
+    CallerShedError,
+    GraceEndedError,
+)
 from nutmegdeal.platform import headers as platform_headers
 from nutmegdeal.site_configuration import RouteKind
 
--- a/nutmegdeal/gateway/shutdown.py
+++ b/nutmegdeal/gateway/shutdown.py
@@ -9,7 +9,7 @@
 import attrs
 import gevent
 
-from nutmegdeal.caller_connections import GraceEndedError
+from nutmegdeal.incoming_requests import GraceEndedError
 from nutmegdeal.site_configuration import RouteKind
 
 # Time after SIGTERM in which new connections are accepted: the platform sends them
--- a/nutmegdeal/gateway/takeover.py
+++ b/nutmegdeal/gateway/takeover.py
@@ -2,12 +2,12 @@
 
 import gevent
 
-from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.gateway.backend_selection import LoadFirst
 from nutmegdeal.gateway.engine_check import Reachability
 from nutmegdeal.gateway.exchange import OVERLAP_MAX_MS
 from nutmegdeal.gateway.retries import RetryDecision
 from nutmegdeal.gateway.silence import OverlapEnd, SilenceHandler
+from nutmegdeal.incoming_requests import CallerLeftError
 from nutmegdeal.log import get_logger
 
 logger = get_logger(__name__)
--- a/nutmegdeal/tests/platform_builders.py
+++ b/nutmegdeal/tests/platform_builders.py
@@ -3,7 +3,6 @@
 import json
 
 from nutmegdeal.addresses import Address
-from nutmegdeal.caller_connections import IncomingRequest
 from nutmegdeal.engine_messages import EngineLoad, EngineState
 from nutmegdeal.fakes.platform_backend import PlatformEngine
 from nutmegdeal.fakes.platform_configuration import (
@@ -16,6 +15,7 @@
 from nutmegdeal.fakes.platform_server import PlatformBackend
 from nutmegdeal.gateway.members import Member
 from nutmegdeal.gateway.requests import Request
+from nutmegdeal.incoming_requests import IncomingRequest
 from nutmegdeal.platform.engine import EngineReport
 from nutmegdeal.platform.settings import Bounds, NodeSettings
 from nutmegdeal.site_configuration import (
--- a/nutmegdeal/tests/test_held_bytes.py
+++ b/nutmegdeal/tests/test_held_bytes.py
@@ -15,8 +15,8 @@
     MemoryBound,
     compute_held_bytes_max,
 )
-from nutmegdeal.caller_connections import CallerShedError
 from nutmegdeal.clock import ManualClock
+from nutmegdeal.incoming_requests import CallerShedError
 
 BYTES_MAX = 1_000
 STEPS = st.lists(
--- a/nutmegdeal/tests/test_http_listener.py
+++ b/nutmegdeal/tests/test_http_listener.py
@@ -3,7 +3,7 @@
 import gevent
 import gevent.event
 
-from nutmegdeal.caller_connections import CallerLeftError
+from nutmegdeal.incoming_requests import CallerLeftError
 from nutmegdeal.tests.caller_sockets import (
     REQUEST,
     TIMEOUT_S,
--- a/nutmegdeal/tests/test_not_run.py
+++ b/nutmegdeal/tests/test_not_run.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from nutmegdeal.caller_connections import CallerLeftError, CallerShedError
 from nutmegdeal.gateway.requests import RunFate
 from nutmegdeal.gateway.retries import RetryDecider, RetryDecision
+from nutmegdeal.incoming_requests import CallerLeftError, CallerShedError
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.dispatch_harness import DispatchHarness
 from nutmegdeal.tests.late_servers import MANNERS, LateServers
--- a/nutmegdeal/tests/test_quota_dispatch.py
+++ b/nutmegdeal/tests/test_quota_dispatch.py
@@ -3,9 +3,9 @@
 import attrs
 import pytest
 
-from nutmegdeal.caller_connections import CallerLeftError, CallerShedError
 from nutmegdeal.gateway.dispatch import Dispatcher
 from nutmegdeal.gateway.requests import Refusal, RunFate, RunOutcome
+from nutmegdeal.incoming_requests import CallerLeftError, CallerShedError
 from nutmegdeal.quotas.demand import count_charge
 from nutmegdeal.site_configuration import Tenant
 from nutmegdeal.tests import quota_builders as quotas
--- a/nutmegdeal/tests/test_quota_keeper.py
+++ b/nutmegdeal/tests/test_quota_keeper.py
@@ -6,11 +6,11 @@
 import pytest
 
 from nutmegdeal.addresses import Address
-from nutmegdeal.caller_connections import CallerLeftError
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.connection_pool import ConnectionPool
 from nutmegdeal.fakes.platform_store import PlatformStore
 from nutmegdeal.gateway.requests import Request
+from nutmegdeal.incoming_requests import CallerLeftError
 from nutmegdeal.platform.headers import RequestTerms
 from nutmegdeal.platform.store import StoreClient
 from nutmegdeal.quotas.balance import Waiter
--- a/nutmegdeal/tests/test_shutdown.py
+++ b/nutmegdeal/tests/test_shutdown.py
@@ -6,10 +6,10 @@
 import hypothesis.strategies as st
 import pytest
 
-from nutmegdeal.caller_connections import GraceEndedError
 from nutmegdeal.gateway import shutdown as module
 from nutmegdeal.gateway.requests import Ending
 from nutmegdeal.gateway.shutdown import AnswerDurations, Shutdown, plan_shutdown
+from nutmegdeal.incoming_requests import GraceEndedError
 from nutmegdeal.tests import platform_builders as build
 
 TERM_MS = 50_000.0
--- a/nutmegdeal/tests/test_slow_readers.py
+++ b/nutmegdeal/tests/test_slow_readers.py
@@ -12,9 +12,9 @@
 from nutmegdeal.buffering.accounts import HeldPart
 from nutmegdeal.buffering.bound import MemoryBound
 from nutmegdeal.buffering.connections import STALLED_AFTER_MS
-from nutmegdeal.caller_connections import CallerLeftError, CallerShedError
 from nutmegdeal.clock import SystemClock
 from nutmegdeal.http_connections import USER_TIMEOUT_MS
+from nutmegdeal.incoming_requests import CallerLeftError, CallerShedError
 from nutmegdeal.tests import platform_builders as build
 from nutmegdeal.tests.caller_sockets import REQUEST, TIMEOUT_S, connect, read_all
 from nutmegdeal.tests.platform_site import wait_until
