--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,7 +1,8 @@
 """Run pytest, ignoring failures of exactly the tests listed in KNOWN-RED.txt.
 
-Tests marked with ``apart`` run one at a time, after all others. The exit code is 0 if only listed tests failed. A listed test that passes makes the run
-fail, so that its entry is removed, unless the entry says that it fails at times.
+Tests marked with ``apart`` run one at a time, after all others. The exit code is 0 if
+only listed tests failed. A listed test that passes makes the run fail, so that its
+entry is removed, unless the entry says that it fails at times.
 """
 
 import pathlib
