--- a/nutmegdeal/buffering/bodies.py
+++ b/nutmegdeal/buffering/bodies.py
@@ -9,6 +9,9 @@
 import mmap
 
 from nutmegdeal.buffering.accounts import HeldPart
+from nutmegdeal.log import get_logger
+
+logger = get_logger(__name__)
 
 # Up to this size a body is collected in the heap.
 HEAP_BYTES_MAX = 65_536
@@ -82,8 +85,12 @@
     if not isinstance(body, memoryview):
         return
     pages = body.obj
-    body.release()
-    pages.close()
+    try:
+        body.release()
+        pages.close()
+    except BufferError:
+        # It is freed with its last user.
+        logger.warning("body_still_used", byte_count=len(pages))
 
 
 class IncomingBody(abc.ABC):
--- a/nutmegdeal/buffering/process_limits.py
+++ b/nutmegdeal/buffering/process_limits.py
@@ -10,7 +10,7 @@
 CONNECTIONS_SHARE = 0.4
 CONNECTION_BYTES = 196_608
 CONNECTIONS_MIN = 64
-# Descriptors for files, which the rest of a process shares with no connection.
+# Descriptors that are kept for files.
 FILE_DESCRIPTORS = 200
 # Shares of the other descriptors for connections of callers, and for idle ones to
 # servers. The rest is for connections in use to servers, the store and other processes.
--- a/nutmegdeal/log_events.py
+++ b/nutmegdeal/log_events.py
@@ -168,6 +168,12 @@
         "request that could not be read",
         {"status": count_field("HTTP status of the answer"), "detail": _ERROR},
     ),
+    LogEvent(
+        "body_still_used",
+        Process.GATEWAY,
+        "large body that was not freed with its request, as something still uses it",
+        {"byte_count": count_field("size of its memory")},
+    ),
     LogEvent(
         "connection_ended_for_room",
         Process.BOTH,
