Placers, agents: room for the gateways of the size to design for

A placer of 232 MB, the smallest host of an engine on the users' pages, had room for 392 connections, but 720 nodes in front are designed for (found by reading; no installation of the pages has more than 68).

Cause: streams were charged as callers' connections, with a head, requests that wait and an answer that is not read.

Change: 96 KB for a stream: 785 connections.

--- a/nutmegdeal/agent/process.py
+++ b/nutmegdeal/agent/process.py
@@ -11,6 +11,7 @@
 from nutmegdeal.buffering.connections import ConnectionBound
 from nutmegdeal.buffering.process_limits import (
     AUXILIARY_CONNECTIONS_MAX,
+    STREAM_BYTES,
     compute_connections_max,
     read_descriptors_max,
 )
@@ -55,7 +56,9 @@
             bridge,
             settings.channel,
             self.agent.streams.accept,
-            ConnectionBound(compute_connections_max(limits.memory_mb, descriptors_max)),
+            ConnectionBound(
+                compute_connections_max(limits.memory_mb, descriptors_max, STREAM_BYTES)
+            ),
         )
 
     def start(self):
--- a/nutmegdeal/buffering/process_limits.py
+++ b/nutmegdeal/buffering/process_limits.py
@@ -9,6 +9,9 @@
 # takes at most: its greenlet, parser and head, and the buffers of the system.
 CONNECTIONS_SHARE = 0.4
 CONNECTION_BYTES = 196_608
+# What a connection for a stream between processes takes: one end of the stream, and
+# what the other one may send ahead.
+STREAM_BYTES = 98_304
 CONNECTIONS_MIN = 64
 # Descriptors that are kept for files.
 FILE_DESCRIPTORS = 200
@@ -34,20 +37,24 @@
     return min(system_max, descriptors_max or math.inf)
 
 
-def compute_connections_max(memory_mb, descriptors_max):
-    """Return how many connections of callers a process may have open (float).
+def compute_connections_max(
+    memory_mb, descriptors_max, connection_bytes=CONNECTION_BYTES
+):
+    """Return how many connections of clients a process may have open (float).
 
     Parameters
     ----------
     memory_mb : float or None
         Memory of the process, None without a limit.
     descriptors_max : float
+    connection_bytes : int
+        Memory of one connection.
     """
     by_descriptors = _compute_share(descriptors_max, CALLERS_SHARE)
     if memory_mb is None:
         return by_descriptors
     connections_mb = max(memory_mb - INTERPRETER_MB, 0.0) * CONNECTIONS_SHARE
-    by_memory = connections_mb * BYTES_PER_MB // CONNECTION_BYTES
+    by_memory = connections_mb * BYTES_PER_MB // connection_bytes
     return min(by_descriptors, max(by_memory, CONNECTIONS_MIN))
 
 
--- a/nutmegdeal/placer/process.py
+++ b/nutmegdeal/placer/process.py
@@ -9,6 +9,7 @@
 from nutmegdeal.buffering.connections import ConnectionBound
 from nutmegdeal.buffering.process_limits import (
     AUXILIARY_CONNECTIONS_MAX,
+    STREAM_BYTES,
     compute_connections_max,
     read_descriptors_max,
 )
@@ -76,7 +77,9 @@
             ChannelSettings(),
             self._serve_gateway,
             ConnectionBound(
-                compute_connections_max(settings.memory_mb, descriptors_max)
+                compute_connections_max(
+                    settings.memory_mb, descriptors_max, STREAM_BYTES
+                )
             ),
         )
         self._telemetry = PlacerTelemetry()
--- a/nutmegdeal/tests/test_open_connections.py
+++ b/nutmegdeal/tests/test_open_connections.py
@@ -7,6 +7,7 @@
 from nutmegdeal.buffering import connections
 from nutmegdeal.buffering.connections import ConnectionBound, ConnectionState
 from nutmegdeal.buffering.process_limits import (
+    STREAM_BYTES,
     compute_connections_max,
     compute_idle_servers_max,
 )
@@ -118,3 +119,8 @@
     idle_servers_max = compute_idle_servers_max(descriptors_max)
     if descriptors_max < math.inf:
         assert connections_max * 2 + idle_servers_max <= descriptors_max - 200
+
+
+def test_placers_have_room_for_the_gateways_of_the_size_to_design_for():
+    """720 nodes in front, and the smallest hosts of engines on the users' pages."""
+    assert compute_connections_max(232.0, 4_096, STREAM_BYTES) >= 720
